Thin whole path: a job goes in, its whole answer comes out

Cause: nothing existed. A request had to be served end to end by separate processes before any decision could be measured.

Ruled out: a lock around shared decision state (every request would meet it); decisions on the I/O loops with sharded queues (no one order of jobs). Chosen is one decision loop beside I/O loops with one thread each.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,34 @@
+# The entries that a newcomer needs; everything else is CMake.
+BUILD ?= build
+BUILD_TYPE ?= RelWithDebInfo
+
+.PHONY: all install build test demo bench format lint clean
+
+all: build
+
+install:
+	.ci/install
+
+$(BUILD)/build.ninja:
+	cmake -S . -B $(BUILD) -G Ninja -DCMAKE_BUILD_TYPE=$(BUILD_TYPE)
+
+build: install $(BUILD)/build.ninja
+	cmake --build $(BUILD)
+
+test: build
+	ctest --test-dir $(BUILD) --output-on-failure
+
+demo: build
+	$(BUILD)/anvilcart-demo --binaries $(BUILD)
+
+bench: build
+	$(BUILD)/anvilcart-bench --binaries $(BUILD)
+
+format:
+	.ci/format --fix
+
+lint: build
+	.ci/lint $(BUILD)
+
+clean:
+	cmake --build $(BUILD) --target clean
--- /dev/null
+++ b/src/dispatch/slottable.cpp
@@ -0,0 +1,138 @@
+#include "dispatch/slottable.h"
+
+#include "dispatch/slotshares.h"
+
+#include <algorithm>
+
+namespace Anvilcart
+{
+namespace
+{
+bool fits(const TaskSize &size, const TaskSize &capacity)
+{
+    return size.cpus <= capacity.cpus && size.memoryMb <= capacity.memoryMb && size.accelerators <= capacity.accelerators;
+}
+
+/// Used slots over own slots is compared as a product, so that no division is needed.
+bool isLessUsed(const TargetSlots &left, const TargetSlots &right)
+{
+    return static_cast<std::uint64_t>(left.used) * right.share < static_cast<std::uint64_t>(right.used) * left.share;
+}
+} // namespace
+
+std::vector<TargetIndex> SlotTable::applyTargets(const std::vector<TargetSpec> &targets, const std::string &zone)
+{
+    for (auto &target : m_targets) {
+        target.configured = false;
+    }
+    std::vector<TargetIndex> changed;
+    for (const auto &spec : targets) {
+        if (spec.zone != zone) {
+            continue;
+        }
+        // A target that moved to another address gets a new index, so that nothing is sent to the old one under its name.
+        const auto key = spec.name + "@" + toString(spec.endpoint);
+        const auto [found, inserted] = m_byName.emplace(key, static_cast<TargetIndex>(m_targets.size()));
+        if (inserted) {
+            m_targets.emplace_back();
+        }
+        auto &target = m_targets[found->second];
+        target.spec = spec;
+        target.configured = true;
+        changed.push_back(found->second);
+    }
+    return changed;
+}
+
+void SlotTable::applyMembers(const std::vector<std::string> &members, const std::string &self, SlotSharingKind sharing)
+{
+    for (auto &target : m_targets) {
+        const bool all = sharing == SlotSharingKind::BlindPush || members.empty();
+        target.share = all ? target.spec.slots : slotShare(target.spec.name, target.spec.slots, members, self);
+    }
+}
+
+void SlotTable::applyLeaving(const std::unordered_set<std::string> &names)
+{
+    for (auto &target : m_targets) {
+        target.leaving = names.contains(target.spec.name);
+    }
+}
+
+std::optional<TargetIndex> SlotTable::pick(const TaskSize &size, TimePoint now) const
+{
+    std::optional<TargetIndex> best;
+    for (TargetIndex i = 0; i < m_targets.size(); ++i) {
+        const auto &target = m_targets[i];
+        if (target.used >= target.share || !isInService(target, now) || !fits(size, target.spec.capacity)) {
+            continue;
+        }
+        if (!best || isLessUsed(target, m_targets[*best])) {
+            best = i;
+        }
+    }
+    return best;
+}
+
+bool SlotTable::everFits(const TaskSize &size) const
+{
+    return std::any_of(m_targets.begin(), m_targets.end(), [&](const TargetSlots &target) {
+        return target.configured && fits(size, target.spec.capacity);
+    });
+}
+
+void SlotTable::take(TargetIndex target)
+{
+    ++m_targets[target].used;
+}
+
+void SlotTable::release(TargetIndex target)
+{
+    --m_targets[target].used;
+}
+
+void SlotTable::pause(TargetIndex target, TimePoint until)
+{
+    m_targets[target].pausedUntil = std::max(m_targets[target].pausedUntil, until);
+}
+
+void SlotTable::markLeaving(TargetIndex target)
+{
+    m_targets[target].leaving = true;
+}
+
+std::uint32_t SlotTable::freeSlots(TimePoint now) const
+{
+    std::uint32_t free = 0;
+    for (const auto &target : m_targets) {
+        if (isInService(target, now) && target.share > target.used) {
+            free += target.share - target.used;
+        }
+    }
+    return free;
+}
+
+std::uint32_t SlotTable::ownSlots() const
+{
+    std::uint32_t slots = 0;
+    for (const auto &target : m_targets) {
+        slots += target.configured ? target.share : 0;
+    }
+    return slots;
+}
+
+const TargetSlots &SlotTable::at(TargetIndex target) const
+{
+    return m_targets[target];
+}
+
+std::size_t SlotTable::size() const
+{
+    return m_targets.size();
+}
+
+bool SlotTable::isInService(const TargetSlots &target, TimePoint now) const
+{
+    return target.configured && !target.leaving && target.pausedUntil <= now;
+}
+} // namespace Anvilcart
--- /dev/null
+++ b/src/dispatch/slottable.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "config/configuration.h"
+#include "dispatch/interfaces/targetport.h"
+#include "kernel/time.h"
+
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+namespace Anvilcart
+{
+/// One target as this host sees it. `share` slots are this host's to use.
+struct TargetSlots
+{
+    TargetSpec spec;
+    std::uint32_t share = 0;
+    std::uint32_t used = 0;
+    bool configured = false;
+    bool leaving = false;
+    TimePoint pausedUntil;
+};
+
+/// The slots of the zone's targets that this host may use, and which are in use. Not thread-safe: the decision loop's.
+class SlotTable
+{
+public:
+    /// Takes over the targets of one availability zone; targets that are gone keep their index and get nothing new.
+    /// Returns the indices that are new or changed.
+    std::vector<TargetIndex> applyTargets(const std::vector<TargetSpec> &targets, const std::string &zone);
+
+    /// Computes this host's share of each target anew.
+    void applyMembers(const std::vector<std::string> &members, const std::string &self, SlotSharingKind sharing);
+
+    /// Marks exactly these targets as leaving.
+    void applyLeaving(const std::unordered_set<std::string> &names);
+
+    /// The least used target with a free slot that fits the size, or nothing.
+    std::optional<TargetIndex> pick(const TaskSize &size, TimePoint now) const;
+
+    /// True where some target could ever hold a task of this size.
+    bool everFits(const TaskSize &size) const;
+
+    /// Takes a slot. Precondition: pick() returned the target.
+    void take(TargetIndex target);
+
+    /// Gives a slot back. Precondition: it was taken.
+    void release(TargetIndex target);
+
+    /// Gives the target no new task until then.
+    void pause(TargetIndex target, TimePoint until);
+
+    /// Marks a target as leaving on its own word.
+    void markLeaving(TargetIndex target);
+
+    /// Free slots of this host over all targets in service.
+    std::uint32_t freeSlots(TimePoint now) const;
+
+    /// Slots of this host over all configured targets.
+    std::uint32_t ownSlots() const;
+
+    const TargetSlots &at(TargetIndex target) const;
+    std::size_t size() const;
+
+private:
+    bool isInService(const TargetSlots &target, TimePoint now) const;
+
+    std::vector<TargetSlots> m_targets;
+    std::unordered_map<std::string, TargetIndex> m_byName;
+};
+} // namespace Anvilcart
--- /dev/null
+++ b/src/dispatch/taskoutcome.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+
+namespace Anvilcart
+{
+/// Why a task provably did not start at a target.
+enum class NotStartedReason : std::uint8_t {
+    ConnectFailed,
+    NoSlot,
+    TargetLeaving,
+    RefusedByTarget,
+};
+
+constexpr std::size_t NotStartedReasonCount = 4;
+
+/// The name in metrics and logs. Thread-safe.
+constexpr std::string_view toName(NotStartedReason reason)
+{
+    constexpr std::string_view Names[] = {"connect_failed", "no_slot", "target_leaving", "refused_by_target"};
+    return Names[static_cast<std::size_t>(reason)];
+}
+
+/// The task ran and gave an output.
+struct TaskFinished
+{
+    std::string output;
+};
+
+/// The task ran and failed.
+struct TaskRanAndFailed
+{
+    std::string message;
+};
+
+/// The task was stopped at the target on our request.
+struct TaskStopped
+{
+};
+
+/// The target proved that the task did not start, or no byte of the request was written.
+struct TaskNotStarted
+{
+    NotStartedReason reason;
+};
+
+/// The request was written, and no answer that belongs to it came.
+struct TaskLost
+{
+    std::string error;
+};
+
+/// What came of one attempt.
+using TaskOutcome = std::variant<TaskFinished, TaskRanAndFailed, TaskStopped, TaskNotStarted, TaskLost>;
+} // namespace Anvilcart
--- /dev/null
+++ b/src/platform/platformplugin.cpp
@@ -0,0 +1,127 @@
+#include "config/settings.h"
+#include "dispatch/dispatchservice.h"
+#include "kernel/kernel.h"
+#include "kernel/pluginregistry.h"
+#include "net/httpclient.h"
+#include "platform/configurationservice.h"
+#include "platform/hostlist.h"
+#include "platform/logclient.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <glog/logging.h>
+
+namespace Anvilcart
+{
+namespace asio = boost::asio;
+
+namespace
+{
+constexpr Seconds LongPoll {10};
+constexpr Milliseconds RetryDelay {250};
+constexpr Milliseconds HostListPeriod {1000};
+constexpr Milliseconds HostListTimeout {2000};
+
+asio::awaitable<void> sleepFor(Duration duration)
+{
+    asio::steady_timer timer(co_await asio::this_coro::executor, duration);
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+}
+
+/// Follows the platform's log and host list.
+class PlatformPlugin : public Plugin
+{
+public:
+    std::string_view name() const override
+    {
+        return "platform";
+    }
+
+    void start(Kernel &kernel) override
+    {
+        const auto &settings = kernel.service<const Settings>();
+        m_dispatch = &kernel.service<DispatchService>();
+        m_platform = settings.platform;
+        m_zone = settings.zone;
+        m_address = settings.callerDoor.address;
+        m_log = std::make_unique<LogClient>(m_platform, m_address);
+        m_configuration.subscribe([this](std::shared_ptr<const Configuration> configuration) {
+            m_dispatch->perform([configuration = std::move(configuration)](Dispatcher &dispatcher, TimePoint now) {
+                dispatcher.applyConfiguration(configuration, now);
+            });
+        });
+        kernel.provide<LogService>(*m_log);
+        kernel.provide(m_configuration);
+        auto &loop = kernel.ioLoops().at(0);
+        asio::co_spawn(loop, followConfiguration(), asio::detached);
+        asio::co_spawn(loop, followHostList(), asio::detached);
+    }
+
+private:
+    asio::awaitable<void> followConfiguration()
+    {
+        std::uint64_t next = 0;
+        for (;;) {
+            auto result = co_await m_log->read(ConfigurationStream, next, LongPoll);
+            if (const auto *failure = std::get_if<LogFailure>(&result)) {
+                LOG_EVERY_N(WARNING, 20) << "platform: the log does not answer: " << failure->error;
+                co_await sleepFor(RetryDelay);
+                continue;
+            }
+            const auto &page = std::get<LogPage>(result);
+            for (const auto &record : page.records) {
+                applyRecord(record);
+            }
+            next = page.next;
+        }
+    }
+
+    void applyRecord(const LogRecord &record)
+    {
+        const auto decoded = decodeConfigurationRecord(record.body);
+        if (!decoded) {
+            LOG(ERROR) << "configuration: record at offset " << record.offset << " cannot be read";
+            m_configuration.countSkipped();
+            return;
+        }
+        m_configuration.apply(*decoded);
+    }
+
+    asio::awaitable<void> followHostList()
+    {
+        for (;;) {
+            const auto reply = co_await callOnce(m_platform.front(), HttpCall("GET", "/v1/hosts", ""), HostListTimeout, m_address);
+            if (reply.progress == CallProgress::Answered) {
+                if (const auto list = decodeHostList(reply.body)) {
+                    applyHostList(*list);
+                }
+            }
+            co_await sleepFor(HostListPeriod);
+        }
+    }
+
+    void applyHostList(const HostList &list)
+    {
+        auto members = list.liveEntryHosts(m_zone);
+        auto leaving = list.leavingTargets();
+        m_dispatch->perform([members = std::move(members), leaving = std::move(leaving)](Dispatcher &dispatcher, TimePoint now) {
+            dispatcher.applyLeavingTargets(leaving);
+            dispatcher.applyMembers(members, now);
+        });
+    }
+
+    DispatchService *m_dispatch = nullptr;
+    std::vector<Endpoint> m_platform;
+    std::string m_zone;
+    std::string m_address;
+    std::unique_ptr<LogClient> m_log;
+    ConfigurationService m_configuration;
+};
+
+const PluginRegistrar<PlatformPlugin> Registrar(PluginStage::Platform);
+} // namespace
+} // namespace Anvilcart
--- /dev/null
+++ b/standins/site/measure.cpp
@@ -0,0 +1,73 @@
+#include "site/measure.h"
+
+#include <boost/json.hpp>
+
+namespace Anvilcart
+{
+namespace json = boost::json;
+
+namespace
+{
+std::uint64_t count(const json::object &object, std::string_view key)
+{
+    return object.at(key).to_number<std::uint64_t>();
+}
+
+/// Adds one zone's report; slowdowns are weighted by whole jobs, the p99 is the worst zone's.
+void addReport(RunFigures &figures, const json::object &report, const json::object &ledger)
+{
+    const auto whole = count(report, "whole");
+    figures.failed += count(report, "failed");
+    figures.notRun += count(report, "not_run");
+    figures.unanswered += count(report, "unanswered");
+    figures.wrong += count(report, "wrong");
+    const auto sum = static_cast<double>(figures.whole + whole);
+    if (sum > 0) {
+        const auto weight = static_cast<double>(whole) / sum;
+        figures.meanSlowdown += (report.at("mean").to_number<double>() - figures.meanSlowdown) * weight;
+        figures.p50Slowdown += (report.at("p50").to_number<double>() - figures.p50Slowdown) * weight;
+    }
+    figures.p99Slowdown = std::max(figures.p99Slowdown, report.at("p99").to_number<double>());
+    figures.whole += whole;
+    figures.wholeTasksPerSecond += static_cast<double>(count(report, "whole_tasks"));
+    for (const auto &submission : report.at("not_run_submissions").as_array()) {
+        figures.untrueNotRun += ledger.contains(submission.as_string()) ? 1 : 0;
+    }
+}
+
+std::uint64_t countDoubleStarts(const json::object &ledger)
+{
+    std::uint64_t doubles = 0;
+    for (const auto &submission : ledger) {
+        for (const auto &task : submission.value().as_object()) {
+            doubles += task.value().to_number<std::uint64_t>() > 1 ? 1 : 0;
+        }
+    }
+    return doubles;
+}
+} // namespace
+
+RunFigures measure(Site &site, const RunLoad &load)
+{
+    std::vector<std::unique_ptr<ChildProcess>> callers;
+    for (std::size_t zone = 0; zone < site.options().zones.size(); ++zone) {
+        callers.push_back(site.startCallers(zone, load.load, load.seconds, load.seed + static_cast<int>(zone), load.clientDelay));
+    }
+    for (auto &caller : callers) {
+        caller->wait();
+    }
+    const auto ledgerValue = json::parse(site.ledger());
+    const auto &ledger = ledgerValue.as_object();
+    RunFigures figures;
+    for (std::size_t zone = 0; zone < site.options().zones.size(); ++zone) {
+        const auto report = json::parse(site.callersReport(zone));
+        addReport(figures, report.as_object(), ledger);
+    }
+    const auto counts = json::parse(site.targetCounts());
+    figures.doubleStarts = countDoubleStarts(ledger);
+    figures.jobs = figures.whole + figures.failed + figures.notRun + figures.unanswered;
+    figures.wastedPerTask = count(counts.as_object(), "refusals") / std::max(1.0, figures.wholeTasksPerSecond);
+    figures.wholeTasksPerSecond /= load.seconds;
+    return figures;
+}
+} // namespace Anvilcart
--- /dev/null
+++ b/tests/support/fakeobserver.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "dispatch/interfaces/dispatchobserver.h"
+
+#include <map>
+
+namespace Anvilcart
+{
+/// Counts what the dispatcher reports, for tests.
+class FakeObserver : public DispatchObserver
+{
+public:
+    void onTransition(TaskState from, TaskState to) override
+    {
+        ++transitions[{from, to}];
+    }
+
+    void onAnswer(ResultCode code, Duration) override
+    {
+        ++answers[code];
+    }
+
+    void onRetry(NotStartedReason reason) override
+    {
+        ++retries[reason];
+    }
+
+    void onQueueWait(Duration) override
+    {
+    }
+
+    std::map<std::pair<TaskState, TaskState>, int> transitions;
+    std::map<ResultCode, int> answers;
+    std::map<NotStartedReason, int> retries;
+};
+} // namespace Anvilcart
