--- a/src/verbs/explain.cpp
+++ b/src/verbs/explain.cpp
@@ -1,5 +1,6 @@
 #include "model/resultcode.h"
 #include "verbs/commandline.h"
+#include "verbs/resultcodepage.h"
 #include "verbs/verbregistry.h"
 
 #include <iostream>
@@ -8,6 +9,17 @@
 {
 namespace
 {
+ExitCode explain(int number)
+{
+    const auto row = findResultCode(number);
+    if (!row) {
+        return rejectInput("command line: there is no result code " + std::to_string(number)
+                           + "; anvilcart explain --all lists every code");
+    }
+    std::cout << number << " " << row->name << " (HTTP " << row->httpStatus << ")\n" << row->meaning << "\n" << row->advice << "\n";
+    return ExitCode::Success;
+}
+
 /// Tells what a result code means and what to do.
 class ExplainVerb : public Verb
 {
@@ -25,18 +37,19 @@
     ExitCode run(const std::vector<std::string> &arguments) override
     {
         TCLAP::CmdLine commandLine("Tells what a result code means and what to do. Example: anvilcart explain 204", ' ', ANVILCART_VERSION);
-        TCLAP::UnlabeledValueArg<int> number("code", "the number of the result", true, 0, "CODE", commandLine);
+        TCLAP::UnlabeledValueArg<int> number("code", "the number of the result", false, -1, "CODE", commandLine);
+        TCLAP::SwitchArg all("a", "all", "print the whole table as a page", commandLine);
         if (const auto ended = parseArguments(commandLine, "explain", arguments)) {
             return *ended;
         }
-        const auto row = findResultCode(number.getValue());
-        if (!row) {
-            return rejectInput("command line: there is no result code " + std::to_string(number.getValue()) + "; see docs/RESULT-CODES.md");
+        if (all.getValue()) {
+            std::cout << resultCodePage();
+            return ExitCode::Success;
+        }
+        if (!number.isSet()) {
+            return rejectInput("command line: no result code is named; write anvilcart explain CODE, or --all");
         }
-        std::cout << number.getValue() << " " << row->name << " (HTTP " << row->httpStatus << ")\n"
-                  << row->meaning << "\n"
-                  << row->advice << "\n";
-        return ExitCode::Success;
+        return explain(number.getValue());
     }
 };
 
