Accept configuration only from a known base; operator door and verbs

Cause: a reader without history took any first record as its base, also one that had lost its race, so after expiry two readers could differ. Two ways that looked safe were ruled out: "parent 0 may be a base" fails when the lost of two first records outlives the accepted one, and "any carry-forward record may be a base" fails when it was appended late, after a newer version.

Change: a carry-forward record names the offset up to which its writer had applied the log (carried_at). A reader that missed expired records accepts nothing until it has read everything from such an offset, or a peer's word that reaches as far; its version stays in force meanwhile. Fields that decide acceptance are decoded apart from the content, so that a record of a later release does not fork the history. Hosts carry the version forward after a delay of their own; a host without the log asks its peers' operator doors.

Changed on existing code: YamlReader takes ranges, fallbacks and choices from the table; Site::publish() goes through runVerb() and the site's first publish does not wait for hosts that are not started yet.

--- a/src/config/configurationparser.cpp
+++ b/src/config/configurationparser.cpp
@@ -3,8 +3,6 @@
 #include "config/configurationerror.h"
 #include "config/yamlreader.h"
 
-#include <algorithm>
-#include <array>
 #include <set>
 
 namespace Anvilcart
@@ -13,164 +11,129 @@
 
 namespace
 {
-constexpr NumberRange SlotRange {1, 1024};
-constexpr NumberRange ConnectionRange {1, 4096};
-constexpr NumberRange CpuRange {0, 4096};
-constexpr NumberRange MemoryRangeMb {0, 16'777'216};
-constexpr NumberRange AcceleratorRange {0, 64};
-constexpr NumberRange JobTaskRange {1, 750};
-constexpr NumberRange QueuedTaskRange {1, 10'000'000};
-constexpr NumberRange DeadlineRangeMs {1, 3'600'000};
-constexpr NumberRange RunningTaskRange {1, 1'000'000};
-
-/// One value of an enumeration and the name that the files use.
-template<typename Value>
-struct NamedValue
+/// Reads the files of one set and finds what stands twice over all of them.
+class ConfigurationReader
 {
-    std::string_view name;
-    Value value;
-};
-
-template<typename Value>
-NamedValue(std::string_view, Value) -> NamedValue<Value>;
-
-constexpr std::array QueueOrders = {
-    NamedValue {"fifo", QueueOrderKind::Fifo},
-    NamedValue {"fewest_unstarted_first", QueueOrderKind::FewestUnstartedFirst},
-};
+public:
+    leaf::result<Configuration> read(const std::vector<ConfigurationFile> &files)
+    {
+        for (const auto &file : files) {
+            const auto schema = file.name == BaseFileName ? SchemaFile::Base : SchemaFile::Overlay;
+            YamlReader root(parseYaml(file.content, file.name, m_mistakes), schema, file.name, m_mistakes);
+            if (schema == SchemaFile::Base) {
+                readBase(root);
+            } else {
+                readOverlay(root);
+            }
+            root.rejectUnknownKeys();
+        }
+        if (!m_mistakes.empty()) {
+            return leaf::new_error(ConfigurationError {std::move(m_mistakes)});
+        }
+        return std::move(m_configuration);
+    }
 
-constexpr std::array SlotSharings = {
-    NamedValue {"fixed_shares", SlotSharingKind::FixedShares},
-    NamedValue {"loans", SlotSharingKind::Loans},
-    NamedValue {"blind_push", SlotSharingKind::BlindPush},
-};
+private:
+    using Names = std::set<std::string>;
 
-template<typename Value, std::size_t Count>
-Value readChoice(YamlReader &reader, const std::string &key, const std::array<NamedValue<Value>, Count> &choices, Value fallback)
-{
-    const auto text = reader.text(key, "");
-    if (text.empty()) {
-        return fallback;
-    }
-    std::string allowed;
-    for (const auto &choice : choices) {
-        if (choice.name == text) {
-            return choice.value;
+    void readBase(YamlReader &root)
+    {
+        readLimits(root.mapping("limits"));
+        readPolicy(root.mapping("policy"));
+        readDefaults(root.mapping("target_defaults"));
+        for (auto &team : root.list("teams")) {
+            readTeam(team);
         }
-        allowed += (allowed.empty() ? "" : ", ") + std::string(choice.name);
     }
-    reader.reject(key, "'" + key + "' is " + text, "write one of: " + allowed);
-    return fallback;
-}
-
-TaskSize readCapacity(YamlReader &reader, const TaskSize &fallback)
-{
-    TaskSize size;
-    size.cpus = static_cast<std::uint32_t>(reader.number("cpus", CpuRange, fallback.cpus));
-    size.memoryMb = static_cast<std::uint32_t>(reader.number("memory_mb", MemoryRangeMb, fallback.memoryMb));
-    size.accelerators = static_cast<std::uint32_t>(reader.number("accelerators", AcceleratorRange, fallback.accelerators));
-    return size;
-}
 
-void readCommonTargetKeys(YamlReader &reader, TargetSpec &target)
-{
-    target.slots = static_cast<std::uint32_t>(reader.number("slots", SlotRange, target.slots));
-    target.connections = static_cast<std::uint32_t>(reader.number("connections", ConnectionRange, target.connections));
-    target.capacity = readCapacity(reader, target.capacity);
-}
+    void readOverlay(YamlReader &root)
+    {
+        const auto zone = root.text("zone");
+        rejectDuplicate(root, "zone", zone, m_zones);
+        for (auto &target : root.list("targets")) {
+            readTarget(target, zone);
+        }
+    }
 
-TargetSpec readTarget(YamlReader &reader, const TargetSpec &defaults, const std::string &zone)
-{
-    TargetSpec target = defaults;
-    target.zone = zone;
-    target.name = reader.requiredText("name");
-    target.rack = reader.text("rack", "");
-    const auto address = reader.requiredText("address");
-    if (const auto endpoint = parseEndpoint(address)) {
-        target.endpoint = *endpoint;
-    } else {
-        reader.reject("address", "'address' is " + address, "write an IPv4 address and a port, as 10.0.0.1:8000");
+    void readLimits(YamlReader reader)
+    {
+        auto &limits = m_configuration.limits;
+        limits.maxTasksPerJob = static_cast<std::uint32_t>(reader.number("max_tasks_per_job"));
+        limits.maxQueuedTasks = static_cast<std::uint32_t>(reader.number("max_queued_tasks"));
+        limits.defaultDeadline = Milliseconds(reader.number("default_deadline_ms"));
+        limits.maxDeadline = Milliseconds(reader.number("max_deadline_ms"));
+        if (limits.defaultDeadline > limits.maxDeadline) {
+            reader.reject("default_deadline_ms",
+                          "'default_deadline_ms' is " + std::to_string(limits.defaultDeadline.count()),
+                          "write no more than max_deadline_ms, which is " + std::to_string(limits.maxDeadline.count()));
+        }
+        reader.rejectUnknownKeys();
     }
-    readCommonTargetKeys(reader, target);
-    reader.rejectUnknownKeys();
-    return target;
-}
 
-LimitSpec readLimits(YamlReader reader)
-{
-    LimitSpec limits;
-    limits.maxTasksPerJob = static_cast<std::uint32_t>(reader.number("max_tasks_per_job", JobTaskRange, limits.maxTasksPerJob));
-    limits.maxQueuedTasks = static_cast<std::uint32_t>(reader.number("max_queued_tasks", QueuedTaskRange, limits.maxQueuedTasks));
-    limits.defaultDeadline = Milliseconds(reader.number("default_deadline_ms", DeadlineRangeMs, limits.defaultDeadline.count()));
-    limits.maxDeadline = Milliseconds(reader.number("max_deadline_ms", DeadlineRangeMs, limits.maxDeadline.count()));
-    reader.rejectUnknownKeys();
-    return limits;
-}
+    void readPolicy(YamlReader reader)
+    {
+        m_configuration.policy.queueOrder = reader.choice<QueueOrderKind>("queue_order");
+        m_configuration.policy.slotSharing = reader.choice<SlotSharingKind>("slot_sharing");
+        reader.rejectUnknownKeys();
+    }
 
-PolicySpec readPolicy(YamlReader reader)
-{
-    PolicySpec policy;
-    policy.queueOrder = readChoice(reader, "queue_order", QueueOrders, policy.queueOrder);
-    policy.slotSharing = readChoice(reader, "slot_sharing", SlotSharings, policy.slotSharing);
-    reader.rejectUnknownKeys();
-    return policy;
-}
+    void readDefaults(YamlReader reader)
+    {
+        m_defaults.slots = static_cast<std::uint32_t>(reader.number("slots"));
+        m_defaults.connections = static_cast<std::uint32_t>(reader.number("connections"));
+        m_defaults.capacity.cpus = static_cast<std::uint32_t>(reader.number("cpus"));
+        m_defaults.capacity.memoryMb = static_cast<std::uint32_t>(reader.number("memory_mb"));
+        m_defaults.capacity.accelerators = static_cast<std::uint32_t>(reader.number("accelerators"));
+        reader.rejectUnknownKeys();
+    }
 
-TeamSpec readTeam(YamlReader &reader)
-{
-    TeamSpec team;
-    team.name = reader.requiredText("name");
-    team.maxRunningTasks = static_cast<std::uint32_t>(reader.number("max_running_tasks", RunningTaskRange, RunningTaskRange.most));
-    reader.rejectUnknownKeys();
-    return team;
-}
+    void readTeam(YamlReader &reader)
+    {
+        TeamSpec team;
+        team.name = reader.text("name");
+        team.maxRunningTasks = static_cast<std::uint32_t>(reader.number("max_running_tasks"));
+        rejectDuplicate(reader, "name", team.name, m_teams);
+        reader.rejectUnknownKeys();
+        m_configuration.teams.push_back(std::move(team));
+    }
 
-TargetSpec readTargetDefaults(YamlReader reader)
-{
-    TargetSpec defaults;
-    readCommonTargetKeys(reader, defaults);
-    reader.rejectUnknownKeys();
-    return defaults;
-}
+    void readTarget(YamlReader &reader, const std::string &zone)
+    {
+        TargetSpec target;
+        target.zone = zone;
+        target.name = reader.text("name");
+        target.rack = reader.text("rack");
+        target.endpoint = reader.address("address");
+        target.slots = static_cast<std::uint32_t>(reader.number("slots", m_defaults.slots));
+        target.connections = static_cast<std::uint32_t>(reader.number("connections", m_defaults.connections));
+        target.capacity.cpus = static_cast<std::uint32_t>(reader.number("cpus", m_defaults.capacity.cpus));
+        target.capacity.memoryMb = static_cast<std::uint32_t>(reader.number("memory_mb", m_defaults.capacity.memoryMb));
+        target.capacity.accelerators = static_cast<std::uint32_t>(reader.number("accelerators", m_defaults.capacity.accelerators));
+        rejectDuplicate(reader, "name", target.name, m_targets);
+        rejectDuplicate(reader, "address", target.endpoint.address.empty() ? "" : toString(target.endpoint), m_addresses);
+        reader.rejectUnknownKeys();
+        m_configuration.targets.push_back(std::move(target));
+    }
 
-void rejectDuplicateTargets(const Configuration &configuration, std::vector<ConfigurationMistake> &mistakes)
-{
-    std::set<std::string> names;
-    for (const auto &target : configuration.targets) {
-        if (!names.insert(target.name).second) {
-            mistakes.push_back(
-                {"sites/" + target.zone + ".yaml", 0, "the target '" + target.name + "' stands twice", "give each target its own name"});
+    static void rejectDuplicate(YamlReader &reader, const std::string &key, const std::string &value, Names &known)
+    {
+        if (!value.empty() && !known.insert(value).second) {
+            reader.reject(key, "'" + key + "' is " + value + ", which stands in another entry too", "give each entry its own " + key);
         }
     }
-}
+
+    std::vector<ConfigurationMistake> m_mistakes;
+    Configuration m_configuration;
+    TargetSpec m_defaults;
+    Names m_zones;
+    Names m_teams;
+    Names m_targets;
+    Names m_addresses;
+};
 } // namespace
 
 leaf::result<Configuration> parseConfiguration(const std::vector<ConfigurationFile> &files)
 {
-    std::vector<ConfigurationMistake> mistakes;
-    Configuration configuration;
-    TargetSpec defaults;
-    for (const auto &file : files) {
-        YamlReader root(parseYaml(file.content, file.name, mistakes), file.name, mistakes);
-        if (file.name == BaseFileName) {
-            configuration.limits = readLimits(root.mapping("limits"));
-            configuration.policy = readPolicy(root.mapping("policy"));
-            defaults = readTargetDefaults(root.mapping("target_defaults"));
-            for (auto &team : root.list("teams")) {
-                configuration.teams.push_back(readTeam(team));
-            }
-        } else {
-            const auto zone = root.requiredText("zone");
-            for (auto &target : root.list("targets")) {
-                configuration.targets.push_back(readTarget(target, defaults, zone));
-            }
-        }
-        root.rejectUnknownKeys();
-    }
-    rejectDuplicateTargets(configuration, mistakes);
-    if (!mistakes.empty()) {
-        return leaf::new_error(ConfigurationError {std::move(mistakes)});
-    }
-    return configuration;
+    return ConfigurationReader().read(files);
 }
 } // namespace Anvilcart
--- a/src/config/configurationrecord.h
+++ b/src/config/configurationrecord.h
@@ -9,10 +9,10 @@
 
 namespace Anvilcart
 {
-/// One published version of the whole set of files, as it stands in the log.
+/// One version of the whole set of files, as it stands in the log: a publish, or a copy that carries the version forward.
 struct ConfigurationRecord
 {
-    /// Unique to one attempt to publish; a publisher finds its own record by it.
+    /// Unique to one attempt to publish; a publisher finds its own record by it. A carry-forward record keeps it.
     std::string id;
     /// The version that this record was made from.
     std::uint64_t parent = 0;
@@ -21,11 +21,15 @@
     std::string author;
     std::string comment;
     std::vector<ConfigurationFile> files;
+    /// Set on a carry-forward record: its writer had applied every record below this offset when the version was current.
+    std::optional<std::uint64_t> carriedAt;
+    /// False where the fields that decide acceptance were read and the rest was not.
+    bool isContentReadable = true;
 };
 
 /// The bytes of a record in the log. Thread-safe.
 std::string encode(const ConfigurationRecord &record);
 
-/// Reads what encode() wrote; nothing when the bytes are not a record. Thread-safe.
+/// Reads what encode() wrote; nothing when the fields that decide acceptance cannot be read. Thread-safe.
 std::optional<ConfigurationRecord> decodeConfigurationRecord(const std::string &bytes);
 } // namespace Anvilcart
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -20,6 +20,9 @@
     Endpoint operatorDoor;
     Endpoint peerDoor;
     std::vector<Endpoint> platform;
+    /// Operator doors of other entry hosts, asked for the configuration while the platform does not answer.
+    std::vector<Endpoint> peers;
+    Seconds carryForwardPeriod {3600};
     std::uint32_t ioThreads = 2;
     Seconds drainLimit {30};
 };
--- a/src/platform/hostlist.cpp
+++ b/src/platform/hostlist.cpp
@@ -51,6 +51,17 @@
     return names;
 }
 
+std::vector<Endpoint> HostList::operatorDoors() const
+{
+    std::vector<Endpoint> doors;
+    for (const auto &host : hosts) {
+        if (host.role == HostRole::Entry && host.state == HostState::Live && host.operatorDoor) {
+            doors.push_back(*host.operatorDoor);
+        }
+    }
+    return doors;
+}
+
 std::unordered_set<std::string> HostList::leavingTargets() const
 {
     std::unordered_set<std::string> names;
--- a/src/platform/hostlist.h
+++ b/src/platform/hostlist.h
@@ -42,6 +42,9 @@
     /// The live entry hosts of one availability zone, in order of name. Thread-safe.
     std::vector<std::string> liveEntryHosts(const std::string &zone) const;
 
+    /// The operator doors of the live entry hosts of every availability zone. Thread-safe.
+    std::vector<Endpoint> operatorDoors() const;
+
     /// The names of the targets that are leaving. Thread-safe.
     std::unordered_set<std::string> leavingTargets() const;
 };
--- a/src/platform/platformplugin.cpp
+++ b/src/platform/platformplugin.cpp
@@ -3,6 +3,7 @@
 #include "kernel/kernel.h"
 #include "kernel/pluginregistry.h"
 #include "net/httpclient.h"
+#include "platform/configurationfollower.h"
 #include "platform/configurationservice.h"
 #include "platform/hostlist.h"
 #include "platform/logclient.h"
@@ -21,8 +22,6 @@
 
 namespace
 {
-constexpr Seconds LongPoll {10};
-constexpr Milliseconds RetryDelay {250};
 constexpr Milliseconds HostListPeriod {1000};
 constexpr Milliseconds HostListTimeout {2000};
 
@@ -57,40 +56,12 @@
         kernel.provide<LogService>(*m_log);
         kernel.provide(m_configuration);
         auto &loop = kernel.ioLoops().at(0);
-        asio::co_spawn(loop, followConfiguration(), asio::detached);
+        m_follower = std::make_unique<ConfigurationFollower>(settings, *m_log, m_configuration);
+        asio::co_spawn(loop, m_follower->run(), asio::detached);
         asio::co_spawn(loop, followHostList(), asio::detached);
     }
 
 private:
-    asio::awaitable<void> followConfiguration()
-    {
-        std::uint64_t next = 0;
-        for (;;) {
-            auto result = co_await m_log->read(ConfigurationStream, next, LongPoll);
-            if (const auto *failure = std::get_if<LogFailure>(&result)) {
-                LOG_EVERY_N(WARNING, 20) << "platform: the log does not answer: " << failure->error;
-                co_await sleepFor(RetryDelay);
-                continue;
-            }
-            const auto &page = std::get<LogPage>(result);
-            for (const auto &record : page.records) {
-                applyRecord(record);
-            }
-            next = page.next;
-        }
-    }
-
-    void applyRecord(const LogRecord &record)
-    {
-        const auto decoded = decodeConfigurationRecord(record.body);
-        if (!decoded) {
-            LOG(ERROR) << "configuration: record at offset " << record.offset << " cannot be read";
-            m_configuration.countSkipped();
-            return;
-        }
-        m_configuration.apply(*decoded);
-    }
-
     asio::awaitable<void> followHostList()
     {
         for (;;) {
@@ -106,6 +77,7 @@
 
     void applyHostList(const HostList &list)
     {
+        m_follower->setPeers(list.operatorDoors());
         auto members = list.liveEntryHosts(m_zone);
         auto leaving = list.leavingTargets();
         m_dispatch->perform([members = std::move(members), leaving = std::move(leaving)](Dispatcher &dispatcher, TimePoint now) {
@@ -120,6 +92,7 @@
     std::string m_address;
     std::unique_ptr<LogClient> m_log;
     ConfigurationService m_configuration;
+    std::unique_ptr<ConfigurationFollower> m_follower;
 };
 
 const PluginRegistrar<PlatformPlugin> Registrar(PluginStage::Platform);
--- a/src/verbs/publish.cpp
+++ b/src/verbs/publish.cpp
@@ -1,62 +1,72 @@
-#include "config/configurationerror.h"
-#include "config/configurationhistory.h"
-#include "config/configurationparser.h"
+#include "model/resultcode.h"
 #include "net/runcoroutine.h"
-#include "platform/logclient.h"
 #include "verbs/commandline.h"
+#include "verbs/platformoption.h"
+#include "verbs/publisher.h"
+#include "verbs/publishoptions.h"
 #include "verbs/verbregistry.h"
-
-#include <boost/leaf/handle_errors.hpp>
-#include <boost/uuid/random_generator.hpp>
-#include <boost/uuid/uuid_io.hpp>
+#include "verbs/workingfolder.h"
 
 #include <iostream>
 
 namespace Anvilcart
 {
-namespace leaf = boost::leaf;
-
 namespace
 {
-std::optional<std::vector<ConfigurationFile>> readChecked(const std::string &folder)
+/// What the verb was asked to publish.
+struct PublishRequest
+{
+    Endpoint platform;
+    std::string folder;
+    std::optional<std::uint64_t> from;
+    PublishOptions options;
+};
+
+/// The set that the folder was made from; prints why and gives nothing when that is not known.
+std::optional<std::vector<ConfigurationFile>> baseOf(const PublishRequest &request, const ConfigurationLog &log)
 {
-    using Files = std::optional<std::vector<ConfigurationFile>>;
-    return leaf::try_handle_all(
-        [&]() -> leaf::result<Files> {
-            BOOST_LEAF_AUTO(files, readConfigurationFiles(folder));
-            BOOST_LEAF_CHECK(parseConfiguration(files));
-            return Files(std::move(files));
-        },
-        [](const ConfigurationError &error) {
-            for (const auto &mistake : error.mistakes) {
-                std::cerr << toLine(mistake) << "\n";
-            }
-            return Files();
-        },
-        [] {
-            return Files();
-        });
+    using Files = std::vector<ConfigurationFile>;
+    const auto version = request.from ? request.from : readMarker(request.folder);
+    if (log.history().version() == 0) {
+        return Files();
+    }
+    if (!version) {
+        rejectInput("publish: " + request.folder + " does not say which version it was made from; the current one is "
+                    + std::to_string(log.history().version()) + "; see diff, then name the version with --from");
+        return std::nullopt;
+    }
+    const auto record = log.find(*version);
+    if (!record) {
+        rejectInput("publish: the log has no version " + std::to_string(*version) + " any more; see diff, then name the current one, "
+                    + std::to_string(log.history().version()) + ", with --from");
+        return std::nullopt;
+    }
+    return record->files;
 }
 
-boost::asio::awaitable<bool> readHistory(LogClient &log, ConfigurationHistory &history)
+boost::asio::awaitable<ExitCode> publish(const PublishRequest &request, const std::vector<ConfigurationFile> &files)
 {
-    std::uint64_t next = 0;
-    for (;;) {
-        const auto result = co_await log.read(ConfigurationStream, next, Duration::zero());
-        const auto *page = std::get_if<LogPage>(&result);
-        if (page == nullptr) {
-            co_return false;
-        }
-        for (const auto &record : page->records) {
-            if (const auto decoded = decodeConfigurationRecord(record.body)) {
-                history.apply(*decoded);
-            }
-        }
-        next = page->next;
-        if (next >= page->end) {
-            co_return true;
-        }
+    ConfigurationLog log(request.platform);
+    if (const auto problem = co_await prepare(log)) {
+        co_return *problem;
+    }
+    auto base = baseOf(request, log);
+    if (!base) {
+        co_return ExitCode::BadInput;
+    }
+    Edit edit;
+    edit.base = std::move(*base);
+    edit.own = files;
+    Publisher publisher(log, request.options);
+    const auto code = co_await publisher.publish(std::move(edit));
+    if (publisher.version() > 0 && !request.options.dryRun) {
+        updateFiles(request.folder, publisher.takenOver(), publisher.files());
+        writeMarker(request.folder, publisher.version());
     }
+    for (const auto &name : publisher.takenOver()) {
+        std::cout << (request.options.dryRun ? "would take over " : "took over ") << name << ", which another operator changed\n";
+    }
+    co_return code;
 }
 
 /// Publishes a folder as the next version.
@@ -75,46 +85,35 @@
 
     ExitCode run(const std::vector<std::string> &arguments) override
     {
-        TCLAP::CmdLine commandLine(
-            "Publishes a folder as the next version. Example: anvilcart publish --platform 10.0.0.1:9000 society/", ' ', ANVILCART_VERSION);
-        TCLAP::ValueArg<std::string> platform("p", "platform", "the platform's log", true, "", "ADDRESS:PORT", commandLine);
+        TCLAP::CmdLine commandLine("Publishes a folder as the next version and waits until it is in force on every entry host. "
+                                   "Example: anvilcart publish --platform 10.0.0.1:9000 society/",
+                                   ' ',
+                                   ANVILCART_VERSION);
+        const PlatformOption platform(commandLine);
+        PublishArguments common(commandLine);
+        TCLAP::ValueArg<std::uint64_t> from(
+            "", "from", "the version that the folder was made from, where the folder does not say", false, 0, "VERSION", commandLine);
         TCLAP::UnlabeledValueArg<std::string> folder("folder", "the folder with base.yaml and sites/", true, "", "DIR", commandLine);
         if (const auto ended = parseArguments(commandLine, "publish", arguments)) {
             return *ended;
         }
-        const auto endpoint = parseEndpoint(platform.getValue());
+        const auto endpoint = platform.endpoint();
         if (!endpoint) {
-            return rejectInput("command line: --platform is " + platform.getValue()
-                               + "; write an IPv4 address and a port, as 10.0.0.1:9000");
-        }
-        const auto files = readChecked(folder.getValue());
-        if (!files) {
             return ExitCode::BadInput;
         }
-        LogClient log({*endpoint}, "");
-        return runCoroutine(publish(log, *files));
-    }
-
-private:
-    static boost::asio::awaitable<ExitCode> publish(LogClient &log, const std::vector<ConfigurationFile> &files)
-    {
-        ConfigurationHistory history;
-        if (!co_await readHistory(log, history)) {
-            std::cerr << "publish: the platform's log does not answer; nothing was published\n";
-            co_return ExitCode::Unreachable;
+        const auto checked = checkFolder(folder.getValue());
+        if (const auto *error = std::get_if<ConfigurationError>(&checked)) {
+            printMistakes(*error);
+            return ExitCode::BadInput;
         }
-        ConfigurationRecord record;
-        record.id = boost::uuids::to_string(boost::uuids::random_generator()());
-        record.parent = history.version();
-        record.version = record.parent + 1;
-        record.files = files;
-        const auto appended = co_await log.append(ConfigurationStream, encode(record));
-        if (std::holds_alternative<LogFailure>(appended)) {
-            std::cerr << "publish: the log did not confirm; run status before publishing again\n";
-            co_return ExitCode::Unreachable;
+        PublishRequest request;
+        request.platform = *endpoint;
+        request.folder = folder.getValue();
+        request.options = common.options();
+        if (from.isSet()) {
+            request.from = from.getValue();
         }
-        std::cout << "published version " << record.version << "\n";
-        co_return ExitCode::Success;
+        return runCoroutine(publish(request, std::get<CheckedFiles>(checked).files));
     }
 };
 
--- a/standins/site/site.cpp
+++ b/standins/site/site.cpp
@@ -53,7 +53,7 @@
     startPlatform();
     startTargets();
     registerHosts();
-    if (publish() != 0) {
+    if (publish({"--no-wait"}) != 0) {
         throw std::runtime_error("the configuration could not be published: " + readFile(m_folder / "publish.err"));
     }
     for (std::size_t zone = 0; zone < m_options.zones.size(); ++zone) {
@@ -159,9 +159,18 @@
     return m_folder / "configuration";
 }
 
-int Site::publish()
+int Site::publish(const std::vector<std::string> &options)
 {
-    return start("anvilcart", {"publish", "--platform", toString(platform()), configurationFolder().string()}, "publish")->wait();
+    return runVerb("publish", {configurationFolder().string()}, options).exitCode;
+}
+
+VerbResult Site::runVerb(const std::string &verb, const std::vector<std::string> &arguments, const std::vector<std::string> &options)
+{
+    std::vector<std::string> all = {verb, "--platform", toString(platform())};
+    all.insert(all.end(), options.begin(), options.end());
+    all.insert(all.end(), arguments.begin(), arguments.end());
+    const auto exitCode = start("anvilcart", all, verb)->wait();
+    return {exitCode, readFile(m_folder / (verb + ".out")), readFile(m_folder / (verb + ".err"))};
 }
 
 CallResult Site::call(const Endpoint &endpoint, const std::string &method, const std::string &path, const std::string &body)
@@ -300,10 +309,24 @@
     settings << "host: " << entryHostName(zone, host) << "\navailability_zone: " << m_options.zones[zone]
              << "\ncaller_door: " << toString(callerDoor(zone, host)) << "\noperator_door: " << toString(operatorDoor(zone, host))
              << "\npeer_door: " << toString({address(zone, host + 1), PeerPort}) << "\nplatform: ['" << toString(platform())
-             << "']\nio_threads: " << m_options.ioThreads << "\ndrain_limit_s: 60\n";
+             << "']\npeers: " << peersOf(zone, host) << "\ncarry_forward_period_s: " << m_options.carryForwardSeconds
+             << "\nio_threads: " << m_options.ioThreads << "\ndrain_limit_s: 60\n";
     return settings.str();
 }
 
+std::string Site::peersOf(std::size_t zone, std::size_t host) const
+{
+    std::string peers;
+    for (std::size_t otherZone = 0; otherZone < m_options.zones.size(); ++otherZone) {
+        for (std::size_t other = 0; other < m_options.entryHostsPerZone; ++other) {
+            if (otherZone != zone || other != host) {
+                peers += (peers.empty() ? "'" : ", '") + toString(operatorDoor(otherZone, other)) + "'";
+            }
+        }
+    }
+    return "[" + peers + "]";
+}
+
 std::unique_ptr<ChildProcess> Site::start(const std::string &program, const std::vector<std::string> &arguments, const std::string &logName)
 {
     return std::make_unique<ChildProcess>(
--- a/standins/site/site.h
+++ b/standins/site/site.h
@@ -20,6 +20,14 @@
     std::string body;
 };
 
+/// How a verb ended and what it printed.
+struct VerbResult
+{
+    int exitCode = 0;
+    std::string output;
+    std::string errors;
+};
+
 /// A whole site of separate processes on loopback addresses: the platform, the targets and the entry hosts.
 /// Everything ends when this object goes.
 class Site
@@ -71,8 +79,11 @@
     /// The folder that holds the published configuration.
     std::filesystem::path configurationFolder() const;
 
-    /// Runs `anvilcart publish` on the configuration folder and returns the exit code.
-    int publish();
+    /// Runs `anvilcart publish` on the configuration folder with more options and returns the exit code.
+    int publish(const std::vector<std::string> &options = {});
+
+    /// Runs a verb that takes --platform to its end.
+    VerbResult runVerb(const std::string &verb, const std::vector<std::string> &arguments, const std::vector<std::string> &options = {});
 
     /// One HTTP call with a generous limit.
     CallResult call(const Endpoint &endpoint, const std::string &method, const std::string &path, const std::string &body = {});
@@ -100,6 +111,7 @@
     void startEntryHost(std::size_t zone, std::size_t host);
     std::string address(std::size_t zone, std::size_t last) const;
     std::string entrySettings(std::size_t zone, std::size_t host) const;
+    std::string peersOf(std::size_t zone, std::size_t host) const;
     std::unique_ptr<ChildProcess> start(const std::string &program, const std::vector<std::string> &arguments, const std::string &logName);
     void waitForStatus(const Endpoint &endpoint, const std::string &path, int status);
     Endpoint targetsControl() const;
--- a/standins/site/siteoptions.h
+++ b/standins/site/siteoptions.h
@@ -22,6 +22,7 @@
     std::uint32_t ioThreads = 1;
     std::uint32_t maxQueuedTasks = 20000;
     std::uint32_t maxRunningTasks = 100000;
+    std::uint32_t carryForwardSeconds = 3600;
 };
 
 /// The Society at today's size.
