--- a/src/verbs/diff.cpp
+++ b/src/verbs/diff.cpp
@@ -16,7 +16,8 @@
 boost::asio::awaitable<ExitCode> diff(Endpoint platform, Configuration own, bool asJson)
 {
     ConfigurationLog log(platform);
-    if (const auto problem = co_await prepare(log)) {
+    const auto problem = co_await prepare(log);
+    if (problem) {
         co_return *problem;
     }
     Configuration current;
--- a/src/verbs/history.cpp
+++ b/src/verbs/history.cpp
@@ -55,7 +55,8 @@
 boost::asio::awaitable<ExitCode> showHistory(Endpoint platform, bool asJson)
 {
     ConfigurationLog log(platform);
-    if (const auto problem = co_await prepare(log)) {
+    const auto problem = co_await prepare(log);
+    if (problem) {
         co_return *problem;
     }
     if (asJson) {
--- a/src/verbs/publish.cpp
+++ b/src/verbs/publish.cpp
@@ -47,7 +47,8 @@
 boost::asio::awaitable<ExitCode> publish(const PublishRequest &request, const std::vector<ConfigurationFile> &files)
 {
     ConfigurationLog log(request.platform);
-    if (const auto problem = co_await prepare(log)) {
+    const auto problem = co_await prepare(log);
+    if (problem) {
         co_return *problem;
     }
     auto base = baseOf(request, log);
--- a/src/verbs/publisher.cpp
+++ b/src/verbs/publisher.cpp
@@ -65,7 +65,10 @@
         if (current.version > 0 && merged.files == current.files) {
             std::cout << "nothing to publish: version " << current.version << " holds this already\n";
             m_version = current.version;
-            co_return m_options.dryRun ? ExitCode::Success : co_await finish();
+            if (m_options.dryRun) {
+                co_return ExitCode::Success;
+            }
+            co_return co_await finish();
         }
         const auto checked = checkFiles(merged.files);
         if (const auto *error = std::get_if<ConfigurationError>(&checked)) {
--- a/src/verbs/publishoptions.cpp
+++ b/src/verbs/publishoptions.cpp
@@ -48,7 +48,8 @@
 
 boost::asio::awaitable<std::optional<ExitCode>> prepare(ConfigurationLog &log)
 {
-    if (!co_await log.refresh()) {
+    const bool answered = co_await log.refresh();
+    if (!answered) {
         printUnavailable("the log does not answer; nothing was changed; try again when the platform is back");
         co_return ExitCode::Unreachable;
     }
--- a/src/verbs/rollback.cpp
+++ b/src/verbs/rollback.cpp
@@ -9,16 +9,22 @@
 {
 namespace
 {
+ExitCode rejectUnknownVersion(std::uint64_t version)
+{
+    return rejectInput("rollback: the log has no version " + std::to_string(version)
+                       + "; history lists those it has; an older one can be published from version control");
+}
+
 boost::asio::awaitable<ExitCode> rollBack(Endpoint platform, std::uint64_t version, PublishOptions options)
 {
     ConfigurationLog log(platform);
-    if (const auto problem = co_await prepare(log)) {
+    const auto problem = co_await prepare(log);
+    if (problem) {
         co_return *problem;
     }
     const auto old = log.find(version);
     if (!old) {
-        co_return rejectInput("rollback: the log has no version " + std::to_string(version)
-                              + "; history lists those it has; an older one can be published from version control");
+        co_return rejectUnknownVersion(version);
     }
     if (options.comment.empty()) {
         options.comment = "rollback to version " + std::to_string(version);
