--- a/src/observe/metrics.cpp
+++ b/src/observe/metrics.cpp
@@ -95,6 +95,15 @@
     d->queueWaits.Observe(toMilliseconds(wait));
 }
 
+std::vector<AnswerCount> Metrics::answerCounts() const
+{
+    std::vector<AnswerCount> counts;
+    for (const auto &row : resultCodeTable()) {
+        counts.push_back({row.code, static_cast<std::uint64_t>(d->byCode.at(row.code)->Value())});
+    }
+    return counts;
+}
+
 prometheus::Registry &Metrics::registry()
 {
     return d->registry;
--- a/src/observe/metrics.h
+++ b/src/observe/metrics.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include "dispatch/interfaces/dispatchobserver.h"
+#include "observe/answerlog.h"
 
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace prometheus
 {
@@ -24,6 +26,9 @@
     void onRetry(NotStartedReason reason) override;
     void onQueueWait(Duration wait) override;
 
+    /// How often each code was answered, in ascending order of code. Thread-safe.
+    std::vector<AnswerCount> answerCounts() const;
+
     /// The registry, for parts that have counters of their own. Thread-safe.
     prometheus::Registry &registry();
 
