Answer every job truthfully when the drain limit is reached

Cause: at the drain limit the daemon simply stopped; callers whose jobs were still in flight saw a cut connection instead of an answer.

Ruled out: a longer limit (a straggler can exceed any).

Change: the kernel tells the plug-ins that the limit is reached, the dispatcher gives up on every job (not run, or may have run), and the last answers have 2 s to be written.

Figures: unit test only, on the hand-turned clock; the test fails without abandonAll's two codes. Not yet run on a real process.

Conclusion: done for the decisions; a process test is open.

--- a/src/dispatch/dispatchplugin.cpp
+++ b/src/dispatch/dispatchplugin.cpp
@@ -43,6 +43,13 @@
         });
     }
 
+    void onDrainLimit() override
+    {
+        m_service->perform([](Dispatcher &dispatcher, TimePoint now) {
+            dispatcher.abandonAll(now);
+        });
+    }
+
     bool isDrained() const override
     {
         return m_service->isIdle();
--- a/src/kernel/interfaces/plugin.h
+++ b/src/kernel/interfaces/plugin.h
@@ -30,6 +30,11 @@
         return true;
     }
 
+    /// Gives up on what is still in flight, with a truthful answer to each caller. Precondition: beginDrain() was called.
+    virtual void onDrainLimit()
+    {
+    }
+
     /// Ends all work. The I/O threads still run when this is called.
     virtual void stop()
     {
--- a/src/kernel/kernel.cpp
+++ b/src/kernel/kernel.cpp
@@ -12,7 +12,9 @@
 namespace
 {
 constexpr Milliseconds PollInterval {10};
-}
+/// How long the last answers may take to be written after the drain limit.
+constexpr Seconds LastAnswersTime {2};
+} // namespace
 
 Kernel::Kernel(std::size_t ioThreads, Duration drainLimit)
     : m_ioLoops(ioThreads)
@@ -73,14 +75,26 @@
     for (auto &plugin : m_plugins) {
         plugin->beginDrain();
     }
-    const auto limit = Clock::now() + m_drainLimit;
+    if (waitUntilDrained(m_drainLimit)) {
+        return;
+    }
+    LOG(WARNING) << "kernel: drain limit reached";
+    for (auto &plugin : m_plugins) {
+        plugin->onDrainLimit();
+    }
+    waitUntilDrained(LastAnswersTime);
+}
+
+bool Kernel::waitUntilDrained(Duration limit) const
+{
+    const auto end = Clock::now() + limit;
     while (!allDrained()) {
-        if (Clock::now() >= limit) {
-            LOG(WARNING) << "kernel: drain limit reached";
-            return;
+        if (Clock::now() >= end) {
+            return false;
         }
         std::this_thread::sleep_for(PollInterval);
     }
+    return true;
 }
 
 void Kernel::stopPlugins()
--- a/src/kernel/kernel.h
+++ b/src/kernel/kernel.h
@@ -64,6 +64,7 @@
     void startPlugins();
     void drainPlugins();
     void stopPlugins();
+    bool waitUntilDrained(Duration limit) const;
     bool allDrained() const;
 
     EventLoops m_ioLoops;
--- a/tests/unit/dispatch/dispatcher.cpp
+++ b/tests/unit/dispatch/dispatcher.cpp
@@ -150,6 +150,19 @@
     BOOST_TEST(dispatcher.isIdle());
 }
 
+BOOST_AUTO_TEST_CASE(A_host_that_must_stop_tells_each_job_whether_it_may_have_run)
+{
+    configure(1, 1);
+    submit(makeJob("sent", 1));
+    submit(makeJob("waiting", 1));
+    dispatcher.beginDrain();
+    dispatcher.abandonAll(now);
+    BOOST_REQUIRE_EQUAL(answers.size(), 2);
+    for (const auto &answer : answers) {
+        BOOST_TEST((answer.code == (answer.submission == "sent" ? ResultCode::StoppedWhileRunning : ResultCode::Draining)));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(A_leaving_target_gets_no_new_task)
 {
     configure(2, 1);
