--- a/src/verbs/rollback.cpp
+++ b/src/verbs/rollback.cpp
@@ -58,7 +58,7 @@
                                    ANVILCART_VERSION);
         const PlatformOption platform(commandLine);
         PublishArguments common(commandLine);
-        TCLAP::UnlabeledValueArg<std::uint64_t> version("version", "the old version", true, 0, "VERSION", commandLine);
+        TCLAP::UnlabeledValueArg<std::uint64_t> version("old-version", "the old version", true, 0, "VERSION", commandLine);
         if (const auto ended = parseArguments(commandLine, "rollback", arguments)) {
             return *ended;
         }
