--- a/src/operator/hoststatus.cpp
+++ b/src/operator/hoststatus.cpp
@@ -18,7 +18,7 @@
 {
     json::array list;
     for (const auto &refusal : refusals) {
-        list.push_back(json::object {{"code", refusal.code}, {"name", refusal.name}, {"count", refusal.count}});
+        list.push_back(json::object {{"code", static_cast<int>(refusal.code)}, {"name", info(refusal.code).name}, {"count", refusal.count}});
     }
     return list;
 }
@@ -44,8 +44,7 @@
     status.freeSlots = number<std::uint32_t>(object, "free_slots");
     for (const auto &refusal : object.at("refusals").as_array()) {
         const auto &row = refusal.as_object();
-        status.refusals.push_back(
-            {number<int>(row, "code"), json::value_to<std::string>(row.at("name")), number<std::uint64_t>(row, "count")});
+        status.refusals.push_back({static_cast<ResultCode>(number<int>(row, "code")), number<std::uint64_t>(row, "count")});
     }
     return status;
 }
--- a/src/operator/hoststatus.h
+++ b/src/operator/hoststatus.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "observe/answerlog.h"
+
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -10,14 +12,6 @@
 /// The path on an operator door that answers with the status of its host.
 constexpr const char *StatusPath = "/v1/status";
 
-/// How often this host answered with a result code.
-struct AnswerCount
-{
-    int code = 0;
-    std::string name;
-    std::uint64_t count = 0;
-};
-
 /// What an entry host tells an operator about itself.
 struct HostStatus
 {
--- a/src/operator/operatordoor.cpp
+++ b/src/operator/operatordoor.cpp
@@ -5,9 +5,6 @@
 
 #include <boost/asio/this_coro.hpp>
 #include <boost/json.hpp>
-#include <prometheus/registry.h>
-
-#include <algorithm>
 
 namespace Anvilcart
 {
@@ -22,7 +19,6 @@
 constexpr Seconds IdleTime {10};
 constexpr Seconds RequestTime {5};
 constexpr int StatusNotFound = 404;
-constexpr const char *AnswersMetric = "anvilcart_answers_total";
 
 HttpLimits operatorLimits()
 {
@@ -55,36 +51,11 @@
     return std::chrono::duration_cast<Seconds>(time.time_since_epoch()).count();
 }
 
-std::optional<AnswerCount> answerCount(const prometheus::ClientMetric &metric)
-{
-    AnswerCount count;
-    count.count = static_cast<std::uint64_t>(metric.counter.value);
-    for (const auto &label : metric.label) {
-        if (label.name == "code") {
-            count.code = std::stoi(label.value);
-        } else if (label.name == "name") {
-            count.name = label.value;
-        }
-    }
-    const bool isRefusal = count.code != static_cast<int>(ResultCode::Complete) && count.count > 0;
-    return isRefusal ? std::optional(count) : std::nullopt;
-}
-
-std::vector<AnswerCount> refusalsOf(Metrics &metrics)
+std::vector<AnswerCount> refusalsOf(const Metrics &metrics)
 {
-    std::vector<AnswerCount> refusals;
-    for (const auto &family : metrics.registry().Collect()) {
-        if (family.name != AnswersMetric) {
-            continue;
-        }
-        for (const auto &metric : family.metric) {
-            if (const auto count = answerCount(metric)) {
-                refusals.push_back(*count);
-            }
-        }
-    }
-    std::sort(refusals.begin(), refusals.end(), [](const AnswerCount &left, const AnswerCount &right) {
-        return left.code < right.code;
+    auto refusals = metrics.answerCounts();
+    std::erase_if(refusals, [](const AnswerCount &answers) {
+        return answers.code == ResultCode::Complete || answers.count == 0;
     });
     return refusals;
 }
--- a/src/verbs/status.cpp
+++ b/src/verbs/status.cpp
@@ -56,7 +56,7 @@
         std::cout << "    records that could not be read: " << status.skippedRecords << "\n";
     }
     for (const auto &refusal : status.refusals) {
-        std::cout << "    answered " << refusal.code << " " << refusal.name << ": " << refusal.count << "\n";
+        std::cout << "    answered " << static_cast<int>(refusal.code) << " " << info(refusal.code).name << ": " << refusal.count << "\n";
     }
 }
 
