Eject targets that fail, hang or cannot be reached

Cause: a target that fails everything fast looks idle and drew every job of the zone. Ruled out: a time window of failures (a busy healthy minute hides a fault), the target's ratio alone (jobs that fail everywhere would empty the zone); see docs/design/target-health.md. Change: dispatch/targethealth; keys under 'health'; counter anvilcart_ejections_total by reason. Figures: in the unit test a broken target of four gets 4 of 200 jobs; without the limit the test fails. On real processes: not measured. Mechanism off: without limitTasks five of the new tests fail, without the comparison with other targets and without the share each its own test fails.

--- a/src/config/configuration.h
+++ b/src/config/configuration.h
@@ -51,6 +51,20 @@
     Milliseconds maxDeadline {300000};
 };
 
+/// When a target is ejected, and for how long.
+struct HealthSpec
+{
+    /// The most targets of a zone that are ejected at once; 0 turns ejection off.
+    std::uint32_t maxEjectedPercent = 30;
+    /// The failures among a target's latest outcomes that eject it.
+    std::uint32_t ejectAtFailurePercent = 50;
+    /// Doubles with each ejection in a row.
+    Milliseconds firstEjection {1000};
+    Milliseconds longestEjection {30000};
+    /// A target that holds tasks and has ended none for so long is stalled.
+    Milliseconds stallLimit {10000};
+};
+
 /// The policies that the operator chose.
 struct PolicySpec
 {
@@ -64,6 +78,7 @@
     std::uint64_t version = 0;
     LimitSpec limits;
     PolicySpec policy;
+    HealthSpec health;
     std::vector<TeamSpec> teams;
     std::vector<TargetSpec> targets;
 };
--- a/src/config/configurationparser.cpp
+++ b/src/config/configurationparser.cpp
@@ -21,6 +21,8 @@
 constexpr NumberRange JobTaskRange {1, 750};
 constexpr NumberRange QueuedTaskRange {1, 10'000'000};
 constexpr NumberRange DeadlineRangeMs {1, 3'600'000};
+constexpr NumberRange PercentRange {0, 100};
+constexpr NumberRange PauseRangeMs {1, 600'000};
 constexpr NumberRange RunningTaskRange {1, 1'000'000};
 
 /// One value of an enumeration and the name that the files use.
@@ -116,6 +118,19 @@
     return policy;
 }
 
+HealthSpec readHealth(YamlReader reader)
+{
+    HealthSpec health;
+    health.maxEjectedPercent = static_cast<std::uint32_t>(reader.number("max_ejected_percent", PercentRange, health.maxEjectedPercent));
+    health.ejectAtFailurePercent =
+        static_cast<std::uint32_t>(reader.number("eject_at_failure_percent", PercentRange, health.ejectAtFailurePercent));
+    health.firstEjection = Milliseconds(reader.number("first_ejection_ms", PauseRangeMs, health.firstEjection.count()));
+    health.longestEjection = Milliseconds(reader.number("longest_ejection_ms", PauseRangeMs, health.longestEjection.count()));
+    health.stallLimit = Milliseconds(reader.number("stall_limit_ms", PauseRangeMs, health.stallLimit.count()));
+    reader.rejectUnknownKeys();
+    return health;
+}
+
 TeamSpec readTeam(YamlReader &reader)
 {
     TeamSpec team;
@@ -155,6 +170,7 @@
         if (file.name == BaseFileName) {
             configuration.limits = readLimits(root.mapping("limits"));
             configuration.policy = readPolicy(root.mapping("policy"));
+            configuration.health = readHealth(root.mapping("health"));
             defaults = readTargetDefaults(root.mapping("target_defaults"));
             for (auto &team : root.list("teams")) {
                 configuration.teams.push_back(readTeam(team));
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -9,11 +9,47 @@
 {
 constexpr Milliseconds RetryAfterFailure {500};
 constexpr Milliseconds PauseAfterNoSlot {5};
-constexpr Milliseconds PauseAfterConnectFailure {500};
+constexpr Milliseconds PauseAfterRefusal {500};
 /// How long after the deadline a stopped task may take to report before its connection is cut.
 constexpr Milliseconds StopGrace {2000};
 } // namespace
 
+/// What an outcome says of the target; a refusal for want of a slot or for leaving is no fault.
+struct HealthSignVisitor
+{
+    HealthSign operator()(const TaskFinished &) const
+    {
+        return HealthSign::Success;
+    }
+
+    HealthSign operator()(const TaskStopped &) const
+    {
+        return HealthSign::Neutral;
+    }
+
+    HealthSign operator()(const TaskRanAndFailed &) const
+    {
+        return HealthSign::Failure;
+    }
+
+    HealthSign operator()(const TaskLost &) const
+    {
+        return HealthSign::Failure;
+    }
+
+    HealthSign operator()(const TaskNotStarted &notStarted) const
+    {
+        switch (notStarted.reason) {
+        case NotStartedReason::ConnectFailed:
+            return HealthSign::ConnectFailure;
+        case NotStartedReason::RefusedByTarget:
+            return HealthSign::Failure;
+        default:
+            return HealthSign::Neutral;
+        }
+    }
+};
+
 /// Applies one outcome to the task that it belongs to.
 struct OutcomeVisitor
 {
@@ -61,6 +97,9 @@
     : m_identity(std::move(identity))
     , m_targets(targets)
     , m_observer(observer)
+    , m_health([this](TargetIndex, EjectionReason reason) {
+        m_observer.onEjection(reason);
+    })
 {
 }
 
@@ -68,9 +107,11 @@
 {
     m_configuration = std::move(configuration);
     m_queue.setOrder(makeQueueOrder(m_configuration->policy.queueOrder));
-    for (const auto index : m_slots.applyTargets(m_configuration->targets, m_identity.zone)) {
+    const auto targets = m_slots.applyTargets(m_configuration->targets, m_identity.zone);
+    for (const auto index : targets) {
         m_targets.configure(index, m_slots.at(index).spec);
     }
+    m_health.configure(m_configuration->health, targets);
     for (const auto id : m_queue.inOrder()) {
         m_queue.update(*m_jobs.find(id));
     }
@@ -149,6 +190,8 @@
         return;
     }
     m_slots.release(task.target);
+    m_health.onOutcome(task.target, std::visit(HealthSignVisitor(), outcome), ref.job, now);
+    m_slots.limitTasks(task.target, m_health.taskLimit(task.target, now));
     --job->sent;
     std::visit(OutcomeVisitor {*this, *job, ref.task, now}, outcome);
     if (auto *remaining = m_jobs.find(ref.job)) {
@@ -166,6 +209,7 @@
             fail(*job, ResultCode::DeadlineBeforeStart, ResultCode::DeadlineExceeded, "the deadline passed", now);
         }
     }
+    applyHealth(now);
     pump(now);
 }
 
@@ -196,6 +240,14 @@
     return m_queue;
 }
 
+void Dispatcher::applyHealth(TimePoint now)
+{
+    m_health.onTick(now);
+    for (TargetIndex i = 0; i < m_slots.size(); ++i) {
+        m_slots.limitTasks(i, m_health.taskLimit(i, now));
+    }
+}
+
 void Dispatcher::pump(TimePoint now)
 {
     if (m_queue.unstartedTasks() == 0 || m_slots.freeSlots(now) == 0) {
@@ -234,6 +286,7 @@
     ++job.sent;
     job.mayHaveRun = true;
     m_slots.take(target);
+    m_health.onStart(target, now);
     m_observer.onQueueWait(now - job.arrivedAt);
     m_targets.start(
         target,
@@ -252,8 +305,8 @@
     const auto target = job.tasks[task].target;
     if (reason == NotStartedReason::TargetLeaving) {
         m_slots.markLeaving(target);
-    } else {
-        m_slots.pause(target, now + (reason == NotStartedReason::NoSlot ? PauseAfterNoSlot : PauseAfterConnectFailure));
+    } else if (reason != NotStartedReason::ConnectFailed) {
+        m_slots.pause(target, now + (reason == NotStartedReason::NoSlot ? PauseAfterNoSlot : PauseAfterRefusal));
     }
     if (job.answered) {
         move(job.tasks[task], TaskState::Cancelled);
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -6,6 +6,7 @@
 #include "dispatch/jobqueue.h"
 #include "dispatch/jobtable.h"
 #include "dispatch/slottable.h"
+#include "dispatch/targethealth.h"
 #include "dispatch/taskoutcome.h"
 
 #include <map>
@@ -71,6 +72,7 @@
 private:
     friend struct OutcomeVisitor;
 
+    void applyHealth(TimePoint now);
     void pump(TimePoint now);
     void startQueuedTasks(JobRecord &job, TimePoint now);
     void startTask(JobRecord &job, std::uint32_t task, TargetIndex target, TimePoint now);
@@ -91,6 +93,7 @@
     std::shared_ptr<const Configuration> m_configuration;
     std::vector<std::string> m_members;
     SlotTable m_slots;
+    TargetHealth m_health;
     JobTable m_jobs;
     JobQueue m_queue;
     std::multimap<TimePoint, JobId> m_deadlines;
--- a/src/dispatch/interfaces/dispatchobserver.h
+++ b/src/dispatch/interfaces/dispatchobserver.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "dispatch/ejectionreason.h"
 #include "dispatch/taskoutcome.h"
 #include "dispatch/taskstate.h"
 #include "kernel/time.h"
@@ -22,6 +23,9 @@
     /// A task goes back to the queue because the target proved that it did not start.
     virtual void onRetry(NotStartedReason reason) = 0;
 
+    /// A target gets nothing new for a while.
+    virtual void onEjection(EjectionReason reason) = 0;
+
     /// A task left the queue after this time.
     virtual void onQueueWait(Duration wait) = 0;
 };
--- a/src/dispatch/slottable.cpp
+++ b/src/dispatch/slottable.cpp
@@ -20,6 +20,17 @@
 }
 } // namespace
 
+std::uint32_t TargetSlots::usable() const
+{
+    return std::min(share, taskLimit);
+}
+
+std::uint32_t TargetSlots::free() const
+{
+    const auto most = usable();
+    return most > used ? most - used : 0;
+}
+
 std::vector<TargetIndex> SlotTable::applyTargets(const std::vector<TargetSpec> &targets, const std::string &zone)
 {
     for (auto &target : m_targets) {
@@ -64,7 +75,7 @@
     std::optional<TargetIndex> best;
     for (TargetIndex i = 0; i < m_targets.size(); ++i) {
         const auto &target = m_targets[i];
-        if (target.used >= target.share || !isInService(target, now) || !fits(size, target.spec.capacity)) {
+        if (target.free() == 0 || !isInService(target, now) || !fits(size, target.spec.capacity)) {
             continue;
         }
         if (!best || isLessUsed(target, m_targets[*best])) {
@@ -96,6 +107,11 @@
     m_targets[target].pausedUntil = std::max(m_targets[target].pausedUntil, until);
 }
 
+void SlotTable::limitTasks(TargetIndex target, std::uint32_t tasks)
+{
+    m_targets[target].taskLimit = tasks;
+}
+
 void SlotTable::markLeaving(TargetIndex target)
 {
     m_targets[target].leaving = true;
@@ -105,8 +121,8 @@
 {
     std::uint32_t free = 0;
     for (const auto &target : m_targets) {
-        if (isInService(target, now) && target.share > target.used) {
-            free += target.share - target.used;
+        if (isInService(target, now)) {
+            free += target.free();
         }
     }
     return free;
--- a/src/dispatch/slottable.h
+++ b/src/dispatch/slottable.h
@@ -4,6 +4,7 @@
 #include "dispatch/interfaces/targetport.h"
 #include "kernel/time.h"
 
+#include <limits>
 #include <optional>
 #include <string>
 #include <unordered_map>
@@ -12,15 +13,26 @@
 
 namespace Anvilcart
 {
+/// No limit but the slots.
+constexpr std::uint32_t NoTaskLimit = std::numeric_limits<std::uint32_t>::max();
+
 /// One target as this host sees it. `share` slots are this host's to use.
 struct TargetSlots
 {
     TargetSpec spec;
     std::uint32_t share = 0;
     std::uint32_t used = 0;
+    /// The most tasks that the target's health allows.
+    std::uint32_t taskLimit = NoTaskLimit;
     bool configured = false;
     bool leaving = false;
     TimePoint pausedUntil;
+
+    /// Slots that this host may use now, in use or not.
+    std::uint32_t usable() const;
+
+    /// Slots that this host may use and does not use.
+    std::uint32_t free() const;
 };
 
 /// The slots of the zone's targets that this host may use, and which are in use. Not thread-safe: the decision loop's.
@@ -52,6 +64,9 @@
     /// Gives the target no new task until then.
     void pause(TargetIndex target, TimePoint until);
 
+    /// Lets the target hold at most so many tasks of this host; NoTaskLimit lifts the limit.
+    void limitTasks(TargetIndex target, std::uint32_t tasks);
+
     /// Marks a target as leaving on its own word.
     void markLeaving(TargetIndex target);
 
--- a/src/observe/metrics.cpp
+++ b/src/observe/metrics.cpp
@@ -22,6 +22,8 @@
             prometheus::BuildCounter().Name("anvilcart_answers_total").Help("Answers to submissions, by result code.").Register(registry))
         , transitions(prometheus::BuildCounter().Name("anvilcart_task_transitions_total").Help("Edges that tasks took.").Register(registry))
         , retries(prometheus::BuildCounter().Name("anvilcart_retries_total").Help("Tasks that went back to the queue.").Register(registry))
+        , ejections(
+              prometheus::BuildCounter().Name("anvilcart_ejections_total").Help("Targets that were ejected, by reason.").Register(registry))
         , responses(prometheus::BuildHistogram()
                         .Name("anvilcart_response_ms")
                         .Help("Time from a submission's arrival to its answer.")
@@ -40,6 +42,10 @@
             const auto name = toName(static_cast<NotStartedReason>(reason));
             byReason[reason] = &retries.Add({{"reason", std::string(name)}});
         }
+        for (std::size_t reason = 0; reason < EjectionReasonCount; ++reason) {
+            const auto name = toName(static_cast<EjectionReason>(reason));
+            byEjection[reason] = &ejections.Add({{"reason", std::string(name)}});
+        }
         addTransitions();
     }
 
@@ -60,10 +66,12 @@
     prometheus::Family<prometheus::Counter> &answers;
     prometheus::Family<prometheus::Counter> &transitions;
     prometheus::Family<prometheus::Counter> &retries;
+    prometheus::Family<prometheus::Counter> &ejections;
     prometheus::Histogram &responses;
     prometheus::Histogram &queueWaits;
     std::unordered_map<ResultCode, prometheus::Counter *> byCode;
     std::array<prometheus::Counter *, NotStartedReasonCount> byReason {};
+    std::array<prometheus::Counter *, EjectionReasonCount> byEjection {};
     std::array<std::array<prometheus::Counter *, TaskStateCount>, TaskStateCount> byEdge {};
 };
 
@@ -90,6 +98,11 @@
     d->byReason[static_cast<std::size_t>(reason)]->Increment();
 }
 
+void Metrics::onEjection(EjectionReason reason)
+{
+    d->byEjection[static_cast<std::size_t>(reason)]->Increment();
+}
+
 void Metrics::onQueueWait(Duration wait)
 {
     d->queueWaits.Observe(toMilliseconds(wait));
--- a/src/observe/metrics.h
+++ b/src/observe/metrics.h
@@ -22,6 +22,7 @@
     void onTransition(TaskState from, TaskState to) override;
     void onAnswer(ResultCode code, Duration response) override;
     void onRetry(NotStartedReason reason) override;
+    void onEjection(EjectionReason reason) override;
     void onQueueWait(Duration wait) override;
 
     /// The registry, for parts that have counters of their own. Thread-safe.
--- a/tests/support/fakeobserver.h
+++ b/tests/support/fakeobserver.h
@@ -25,6 +25,11 @@
         ++retries[reason];
     }
 
+    void onEjection(EjectionReason reason) override
+    {
+        ++ejections[reason];
+    }
+
     void onQueueWait(Duration) override
     {
     }
@@ -32,5 +37,6 @@
     std::map<std::pair<TaskState, TaskState>, int> transitions;
     std::map<ResultCode, int> answers;
     std::map<NotStartedReason, int> retries;
+    std::map<EjectionReason, int> ejections;
 };
 } // namespace Anvilcart
