--- a/src/observe/metrics.h
+++ b/src/observe/metrics.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include "dispatch/interfaces/dispatchobserver.h"
+#include "observe/answerlog.h"
 
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace prometheus
 {
@@ -25,6 +27,9 @@
     void onEjection(EjectionReason reason) override;
     void onQueueWait(Duration wait) override;
 
+    /// How often each code was answered, in ascending order of code. Thread-safe.
+    std::vector<AnswerCount> answerCounts() const;
+
     /// The registry, for parts that have counters of their own. Thread-safe.
     prometheus::Registry &registry();
 
