Age the queue by arrival, and hold quotas and fair shares of teams on each host

Cause: fewest-unstarted-first starved large jobs; quotas of teams were not enforced; the queue was copied on every outcome. JobQueue::inOrder() is gone; smallestJob() is O(1).

--- a/src/config/configuration.h
+++ b/src/config/configuration.h
@@ -81,6 +81,17 @@
 {
     QueueOrderKind queueOrder = QueueOrderKind::FewestUnstartedFirst;
     SlotSharingKind slotSharing = SlotSharingKind::Loans;
+    /// How much later a job may come and still overtake, for each unstarted task that the other has more.
+    Milliseconds overtake {50};
+};
+
+/// An availability zone as its site overlay describes it.
+struct ZoneSpec
+{
+    std::string name;
+    /// The most entry hosts that serve the zone at once; 0 means those that are heard. With it, quotas hold also when hosts do not hear
+    /// each other.
+    std::uint32_t entryHosts = 0;
 };
 
 /// One version of the whole configuration: base file and every overlay, merged.
@@ -92,6 +103,7 @@
     HealthSpec health;
     RetrySpec retries;
     std::vector<TeamSpec> teams;
+    std::vector<ZoneSpec> zones;
     std::vector<TargetSpec> targets;
 };
 } // namespace Anvilcart
--- a/src/config/configurationparser.cpp
+++ b/src/config/configurationparser.cpp
@@ -21,6 +21,7 @@
 constexpr NumberRange JobTaskRange {1, 750};
 constexpr NumberRange QueuedTaskRange {1, 10'000'000};
 constexpr NumberRange DeadlineRangeMs {1, 3'600'000};
+constexpr NumberRange EntryHostRange {0, 1000};
 constexpr NumberRange PercentRange {0, 100};
 constexpr NumberRange AttemptRange {1, 1000};
 constexpr NumberRange BudgetPercentRange {0, 10'000};
@@ -117,6 +118,7 @@
     PolicySpec policy;
     policy.queueOrder = readChoice(reader, "queue_order", QueueOrders, policy.queueOrder);
     policy.slotSharing = readChoice(reader, "slot_sharing", SlotSharings, policy.slotSharing);
+    policy.overtake = Milliseconds(reader.number("overtake_ms", PauseRangeMs, policy.overtake.count()));
     reader.rejectUnknownKeys();
     return policy;
 }
@@ -191,6 +193,8 @@
             }
         } else {
             const auto zone = root.requiredText("zone");
+            const auto entryHosts = static_cast<std::uint32_t>(root.number("entry_hosts", EntryHostRange, 0));
+            configuration.zones.push_back({zone, entryHosts});
             for (auto &target : root.list("targets")) {
                 configuration.targets.push_back(readTarget(target, defaults, zone));
             }
--- a/src/dispatch/admission.cpp
+++ b/src/dispatch/admission.cpp
@@ -8,6 +8,7 @@
 {
 constexpr Milliseconds LeastRetryAfter {100};
 constexpr Milliseconds MostRetryAfter {60000};
+constexpr Milliseconds RetryWithoutTarget {1000};
 constexpr Milliseconds RetryElsewhere {0};
 constexpr Milliseconds RetryNever {0};
 
@@ -47,9 +48,17 @@
         const auto work = std::chrono::duration_cast<Duration>(load.queuedWork * std::min(1.0, excess));
         return Refusal {ResultCode::QueueFull, "the queue is full", drainTime(work, load.slots)};
     }
+    if (load.teamSlots == 0) {
+        return Refusal {ResultCode::QuotaExceeded, "the quota of team '" + job.team + "' leaves no task to this host", RetryElsewhere};
+    }
     const auto span = expectedSpan(load);
     const auto response = span + load.workAhead / std::max(load.slots, 1U);
     const auto deadline = deadlineOf(job, limits);
+    const auto teamResponse = span + load.teamWorkAhead / load.teamSlots;
+    if (teamResponse > deadline && teamResponse > response && span <= deadline) {
+        return Refusal {
+            ResultCode::QuotaExceeded, "team '" + job.team + "' waits for its own running tasks", bounded(teamResponse - deadline)};
+    }
     if (response > deadline) {
         return Refusal {ResultCode::DeadlineUnreachable,
                         "an answer is expected after " + std::to_string(std::chrono::ceil<Milliseconds>(response).count())
@@ -85,6 +94,9 @@
                             + std::to_string(configuration.limits.maxTasksPerJob) + " are allowed",
                         RetryNever};
     }
+    if (slots.zoneSlots() == 0) {
+        return Refusal {ResultCode::NoTarget, "no target of this availability zone is in service", RetryWithoutTarget};
+    }
     if (const auto *task = firstThatNeverFits(job, slots)) {
         return Refusal {ResultCode::NeverFits, "task '" + task->id + "' is larger than every target", RetryNever};
     }
--- a/src/dispatch/admission.h
+++ b/src/dispatch/admission.h
@@ -24,6 +24,8 @@
     std::uint32_t slots = 0;
     /// Tasks that the job's team may run at once on this host.
     std::uint32_t teamSlots = 0;
+    /// The part of the work ahead that is the team's own.
+    Duration teamWorkAhead {};
     bool draining = false;
 };
 
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -106,15 +106,18 @@
 void Dispatcher::applyConfiguration(std::shared_ptr<const Configuration> configuration, TimePoint now)
 {
     m_configuration = std::move(configuration);
-    m_queue.setOrder(makeQueueOrder(m_configuration->policy.queueOrder));
+    m_queue.setOrder(makeQueueOrder(m_configuration->policy));
     const auto targets = m_slots.applyTargets(m_configuration->targets, m_identity.zone);
     for (const auto index : targets) {
         m_targets.configure(index, m_slots.at(index).spec);
     }
     m_retryBudget.configure(m_configuration->retries);
     m_health.configure(m_configuration->health, targets);
-    for (const auto id : m_queue.inOrder()) {
-        m_queue.update(*m_jobs.find(id));
+    m_capacities.apply(m_configuration->targets, m_identity.zone);
+    for (const auto id : m_jobs.ids()) {
+        auto &job = *m_jobs.find(id);
+        placeTasks(job);
+        m_queue.update(job);
     }
     applyMembers(m_members, now);
 }
@@ -124,6 +127,7 @@
     m_members = std::move(members);
     if (m_configuration) {
         m_slots.applyMembers(m_members, m_identity.host, m_configuration->policy.slotSharing);
+        m_teams.apply(*m_configuration, m_identity.zone, m_members, m_identity.host);
         pump(now);
     }
 }
@@ -164,7 +168,10 @@
     load.jobWork = forecast.learnedWork;
     load.longestTask = forecast.longestTask;
     load.slots = m_slots.servingSlots(now);
-    load.teamSlots = load.slots;
+    if (const auto team = m_teams.find(spec.team)) {
+        load.teamSlots = m_teams.limit(*team);
+        load.teamWorkAhead = m_queue.workAhead(spec.tasks.size(), *team);
+    }
     load.draining = m_draining;
     return load;
 }
@@ -173,7 +180,9 @@
 {
     job.configuration = m_configuration;
     job.deadline = now + deadlineOf(job.spec, m_configuration->limits);
+    job.team = *m_teams.find(job.spec.team);
     applyForecast(job, forecast);
+    placeTasks(job);
     job.latestStart = latestStart(job, m_slots.zoneSlots());
     m_deadlines.emplace(job.deadline, job.id);
     m_latestStarts.emplace(job.latestStart, job.id);
@@ -211,6 +220,7 @@
         return;
     }
     m_slots.release(task.target);
+    m_teams.onEnd(job->team);
     m_health.onOutcome(task.target, std::visit(HealthSignVisitor(), outcome), ref.job, now);
     m_slots.limitTasks(task.target, m_health.taskLimit(task.target, now));
     --job->sent;
@@ -296,30 +306,48 @@
 
 void Dispatcher::pump(TimePoint now)
 {
-    if (m_queue.unstartedTasks() == 0 || m_slots.freeSlots(now) == 0) {
+    if (m_queue.unstartedTasks() == 0) {
+        return;
+    }
+    auto free = m_slots.freeSlots(now);
+    if (free == 0) {
         return;
     }
-    for (const auto id : m_queue.inOrder()) {
-        startQueuedTasks(*m_jobs.find(id), now);
-        if (m_slots.freeSlots(now) == 0) {
+    m_queue.beginRound(fairShare(now));
+    while (const auto id = m_queue.front(m_teams)) {
+        if (!startNextTask(*m_jobs.find(*id), now)) {
+            m_queue.block(*id);
+        } else if (--free == 0) {
             return;
         }
     }
 }
 
-void Dispatcher::startQueuedTasks(JobRecord &job, TimePoint now)
+std::uint32_t Dispatcher::fairShare(TimePoint now) const
 {
-    while (!job.queued.empty()) {
-        const auto task = job.queued.back();
-        const auto target = m_slots.pick(job.spec.tasks[task].size, now);
-        if (!target) {
-            break;
-        }
-        job.queued.pop_back();
-        job.queuedWork -= job.tasks[task].runTime.expected;
-        startTask(job, task, *target, now);
+    const auto teams = static_cast<std::uint32_t>(m_queue.teams().size());
+    return m_slots.servingSlots(now) / std::max(teams, 1U);
+}
+
+bool Dispatcher::startNextTask(JobRecord &job, TimePoint now)
+{
+    const auto task = job.queued.back();
+    const auto target = m_slots.pick(job.spec.tasks[task].size, now);
+    if (!target) {
+        return false;
     }
+    job.queued.pop_back();
+    job.queuedWork -= job.tasks[task].runTime.expected;
+    startTask(job, task, *target, now);
     m_queue.update(job);
+    return true;
+}
+
+void Dispatcher::placeTasks(JobRecord &job) const
+{
+    for (std::size_t i = 0; i < job.tasks.size(); ++i) {
+        job.tasks[i].targets = m_capacities.maskOf(job.spec.tasks[i].size);
+    }
 }
 
 void Dispatcher::startTask(JobRecord &job, std::uint32_t task, TargetIndex target, TimePoint now)
@@ -336,6 +364,7 @@
     ++job.sent;
     job.mayHaveRun = true;
     m_slots.take(target);
+    m_teams.onStart(job.team);
     m_health.onStart(target, now);
     m_observer.onQueueWait(now - job.arrivedAt);
     m_targets.start(
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -83,7 +83,9 @@
     void giveUpLateJobs(TimePoint now);
     void giveUpIfUnreachable(JobRecord &job, TimePoint now);
     void pump(TimePoint now);
-    void startQueuedTasks(JobRecord &job, TimePoint now);
+    std::uint32_t fairShare(TimePoint now) const;
+    bool startNextTask(JobRecord &job, TimePoint now);
+    void placeTasks(JobRecord &job) const;
     void startTask(JobRecord &job, std::uint32_t task, TargetIndex target, TimePoint now);
     void move(TaskRecord &task, TaskState to);
     void requeue(JobRecord &job, std::uint32_t task, NotStartedReason reason, TimePoint now);
@@ -103,6 +105,8 @@
     std::shared_ptr<const Configuration> m_configuration;
     std::vector<std::string> m_members;
     SlotTable m_slots;
+    CapacityClasses m_capacities;
+    TeamTable m_teams;
     TargetHealth m_health;
     RetryBudget m_retryBudget;
     JobTable m_jobs;
--- a/src/dispatch/jobqueue.cpp
+++ b/src/dispatch/jobqueue.cpp
@@ -1,6 +1,6 @@
 #include "dispatch/jobqueue.h"
 
-#include <algorithm>
+#include <tuple>
 
 namespace Anvilcart
 {
@@ -11,16 +11,17 @@
 {
     const JobRecord &job;
 
-    std::uint64_t operator()(const FifoOrder &) const
+    TimePoint operator()(const FifoOrder &) const
     {
-        return job.id;
+        return job.arrivedAt;
     }
 
-    std::uint64_t operator()(const FewestUnstartedFirstOrder &) const
+    TimePoint operator()(const FewestUnstartedFirstOrder &order) const
     {
-        return job.queued.size();
+        return job.arrivedAt + order.overtake * job.queued.size();
     }
 };
+
 /// Sums the work that goes before a new job under each order.
 struct WorkAheadVisitor
 {
@@ -39,12 +40,12 @@
 };
 } // namespace
 
-QueueOrder makeQueueOrder(QueueOrderKind kind)
+QueueOrder makeQueueOrder(const PolicySpec &policy)
 {
-    if (kind == QueueOrderKind::Fifo) {
+    if (policy.queueOrder == QueueOrderKind::Fifo) {
         return FifoOrder();
     }
-    return FewestUnstartedFirstOrder();
+    return FewestUnstartedFirstOrder {policy.overtake};
 }
 
 void JobQueue::setOrder(QueueOrder order)
@@ -58,33 +59,65 @@
     if (job.queued.empty()) {
         return;
     }
-    const Entry entry {std::visit(RankVisitor {job}, m_order), job.id, job.queued.size(), job.queuedWork};
-    m_entries.insert(entry);
-    m_byId.emplace(job.id, entry);
-    m_unstarted += entry.unstarted;
-    m_work.add(entry.unstarted, entry.work);
+    Place place;
+    place.lane = {job.team, job.tasks[job.queued.back()].targets};
+    place.entry = {std::visit(RankVisitor {job}, m_order), job.id};
+    place.unstarted = job.queued.size();
+    place.work = job.queuedWork;
+    m_lanes[place.lane].entries.insert(place.entry);
+    m_unstarted += place.unstarted;
+    ++m_jobsBySize[place.unstarted];
+    addToTotals(place, place.work);
+    m_places.emplace(job.id, place);
 }
 
 void JobQueue::remove(JobId id)
 {
-    const auto found = m_byId.find(id);
-    if (found == m_byId.end()) {
+    const auto found = m_places.find(id);
+    if (found == m_places.end()) {
         return;
     }
-    m_unstarted -= found->second.unstarted;
-    m_work.add(found->second.unstarted, -found->second.work);
-    m_entries.erase(found->second);
-    m_byId.erase(found);
+    const auto &place = found->second;
+    m_lanes[place.lane].entries.erase(place.entry);
+    m_unstarted -= place.unstarted;
+    const auto size = m_jobsBySize.find(place.unstarted);
+    if (--size->second == 0) {
+        m_jobsBySize.erase(size);
+    }
+    addToTotals(place, -place.work);
+    m_places.erase(found);
+}
+
+void JobQueue::beginRound(std::uint32_t fairShare)
+{
+    ++m_round;
+    m_fairShare = fairShare;
+    std::erase_if(m_lanes, [](const auto &lane) {
+        return lane.second.entries.empty();
+    });
 }
 
-std::vector<JobId> JobQueue::inOrder() const
+std::optional<JobId> JobQueue::front(const TeamTable &teams) const
 {
-    std::vector<JobId> ids;
-    ids.reserve(m_entries.size());
-    for (const auto &entry : m_entries) {
-        ids.push_back(entry.id);
+    using Key = std::tuple<bool, TimePoint, std::uint32_t, JobId>;
+    std::optional<Key> best;
+    for (const auto &[key, lane] : m_lanes) {
+        const auto running = teams.running(key.team);
+        if (lane.entries.empty() || lane.blockedInRound == m_round || running >= teams.limit(key.team)) {
+            continue;
+        }
+        const auto &first = *lane.entries.begin();
+        const Key candidate(running >= m_fairShare, first.rank, running, first.id);
+        if (!best || candidate < *best) {
+            best = candidate;
+        }
     }
-    return ids;
+    return best ? std::optional(std::get<JobId>(*best)) : std::nullopt;
+}
+
+void JobQueue::block(JobId id)
+{
+    m_lanes[m_places.at(id).lane].blockedInRound = m_round;
 }
 
 std::size_t JobQueue::unstartedTasks() const
@@ -102,12 +135,31 @@
     return std::visit(WorkAheadVisitor {m_work, tasks}, m_order);
 }
 
+Duration JobQueue::workAhead(std::size_t tasks, TeamIndex team) const
+{
+    const auto found = m_workByTeam.find(team);
+    return found != m_workByTeam.end() ? std::visit(WorkAheadVisitor {found->second, tasks}, m_order) : Duration::zero();
+}
+
 std::size_t JobQueue::smallestJob() const
 {
-    std::size_t smallest = 0;
-    for (const auto &entry : m_entries) {
-        smallest = smallest == 0 ? entry.unstarted : std::min(smallest, entry.unstarted);
+    return m_jobsBySize.empty() ? 0 : m_jobsBySize.begin()->first;
+}
+
+std::set<TeamIndex> JobQueue::teams() const
+{
+    std::set<TeamIndex> teams;
+    for (const auto &[key, lane] : m_lanes) {
+        if (!lane.entries.empty()) {
+            teams.insert(key.team);
+        }
     }
-    return smallest;
+    return teams;
+}
+
+void JobQueue::addToTotals(const Place &place, Duration work)
+{
+    m_work.add(place.unstarted, work);
+    m_workByTeam[place.lane.team].add(place.unstarted, work);
 }
 } // namespace Anvilcart
--- a/src/dispatch/jobtable.h
+++ b/src/dispatch/jobtable.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include "config/configuration.h"
+#include "dispatch/capacityclasses.h"
 #include "dispatch/interfaces/targetport.h"
 #include "dispatch/runtimeestimator.h"
 #include "dispatch/taskstate.h"
+#include "dispatch/teamtable.h"
 #include "kernel/time.h"
 #include "model/job.h"
 
@@ -27,6 +29,8 @@
     TargetIndex target = 0;
     TimePoint sentAt;
     RunTimeEstimate runTime;
+    /// The capacities that hold the task.
+    TargetMask targets = 0;
     std::string output;
 };
 
@@ -37,6 +41,7 @@
     JobSpec spec;
     AnswerHandler answer;
     std::shared_ptr<const Configuration> configuration;
+    TeamIndex team = 0;
     TimePoint arrivedAt;
     TimePoint deadline;
     std::vector<TaskRecord> tasks;
--- a/src/dispatch/slottable.cpp
+++ b/src/dispatch/slottable.cpp
@@ -1,5 +1,6 @@
 #include "dispatch/slottable.h"
 
+#include "dispatch/capacityclasses.h"
 #include "dispatch/slotshares.h"
 
 #include <algorithm>
@@ -8,11 +9,6 @@
 {
 namespace
 {
-bool fits(const TaskSize &size, const TaskSize &capacity)
-{
-    return size.cpus <= capacity.cpus && size.memoryMb <= capacity.memoryMb && size.accelerators <= capacity.accelerators;
-}
-
 /// Used slots over own slots is compared as a product, so that no division is needed.
 bool isLessUsed(const TargetSlots &left, const TargetSlots &right)
 {
--- a/src/model/job.h
+++ b/src/model/job.h
@@ -15,6 +15,8 @@
     std::uint32_t cpus = 0;
     std::uint32_t memoryMb = 0;
     std::uint32_t accelerators = 0;
+
+    bool operator==(const TaskSize &) const = default;
 };
 
 /// One task as the caller declared it.
--- a/src/model/resultcode.cpp
+++ b/src/model/resultcode.cpp
@@ -42,7 +42,7 @@
     ResultCodeInfo {QuotaExceeded,
                     "quota_exceeded",
                     429,
-                    "The team has used up its quota. Nothing was run.",
+                    "The team's quota leaves no room for the job. Nothing was run.",
                     "Send again after the given time, or ask the operator for more."},
     ResultCodeInfo {DeadlineUnreachable,
                     "deadline_unreachable",
--- a/tests/support/dispatchfixture.h
+++ b/tests/support/dispatchfixture.h
@@ -24,7 +24,7 @@
         auto configuration = std::make_shared<Configuration>();
         configuration->version = 1;
         configuration->policy.queueOrder = order;
-        configuration->teams.push_back({"field", 100000});
+        configuration->teams = teams;
         for (std::uint32_t i = 0; i < targets; ++i) {
             TargetSpec target;
             target.name = "target-" + std::to_string(i);
@@ -85,6 +85,7 @@
         dispatcher.onTick(now);
     }
 
+    std::vector<TeamSpec> teams = {{"field", 100000}};
     FakeTargetPort port;
     FakeObserver observer;
     Dispatcher dispatcher;
