--- a/src/config/configurationdiff.cpp
+++ b/src/config/configurationdiff.cpp
@@ -93,9 +93,8 @@
     changes.compare(prefix + "accelerators", before.capacity.accelerators, after.capacity.accelerators);
 }
 
-std::vector<std::string> zoneLines(const TargetsByName &before, const TargetsByName &after)
+void compareTargets(const TargetsByName &before, const TargetsByName &after, ChangeList &changes)
 {
-    ChangeList changes;
     changes.compare("targets", before.size(), after.size());
     changes.compare("slots", slotsOf(before), slotsOf(after));
     for (const auto &[name, target] : before) {
@@ -111,7 +110,6 @@
             compareTarget(found->second, target, changes);
         }
     }
-    return changes.lines();
 }
 
 void compareTeams(const Configuration &before, const Configuration &after, ChangeList &changes)
@@ -133,6 +131,25 @@
     }
 }
 
+void compareHealth(const HealthSpec &before, const HealthSpec &after, ChangeList &changes)
+{
+    changes.compare("health.max_ejected_percent", before.maxEjectedPercent, after.maxEjectedPercent);
+    changes.compare("health.eject_at_failure_percent", before.ejectAtFailurePercent, after.ejectAtFailurePercent);
+    changes.compare("health.first_ejection_ms", before.firstEjection.count(), after.firstEjection.count());
+    changes.compare("health.longest_ejection_ms", before.longestEjection.count(), after.longestEjection.count());
+    changes.compare("health.stall_limit_ms", before.stallLimit.count(), after.stallLimit.count());
+}
+
+std::uint32_t entryHostsOf(const Configuration &configuration, const std::string &zone)
+{
+    for (const auto &spec : configuration.zones) {
+        if (spec.name == zone) {
+            return spec.entryHosts;
+        }
+    }
+    return 0;
+}
+
 std::vector<std::string> commonLines(const Configuration &before, const Configuration &after)
 {
     ChangeList changes;
@@ -142,6 +159,11 @@
     changes.compare("limits.max_deadline_ms", before.limits.maxDeadline.count(), after.limits.maxDeadline.count());
     changes.compare("policy.queue_order", toName(before.policy.queueOrder), toName(after.policy.queueOrder));
     changes.compare("policy.slot_sharing", toName(before.policy.slotSharing), toName(after.policy.slotSharing));
+    changes.compare("policy.overtake_ms", before.policy.overtake.count(), after.policy.overtake.count());
+    compareHealth(before.health, after.health, changes);
+    changes.compare("retries.max_attempts", before.retries.maxAttempts, after.retries.maxAttempts);
+    changes.compare("retries.budget_percent", before.retries.budgetPercent, after.retries.budgetPercent);
+    changes.compare("retries.budget_burst", before.retries.budgetBurst, after.retries.budgetBurst);
     compareTeams(before, after, changes);
     return changes.lines();
 }
@@ -161,7 +183,10 @@
 {
     std::vector<ZoneChanges> changes = {{"", commonLines(before, after)}};
     for (const auto &zone : zonesOf(before, after)) {
-        changes.push_back({zone, zoneLines(targetsOf(before, zone), targetsOf(after, zone))});
+        ChangeList zoneChanges;
+        zoneChanges.compare("entry_hosts", entryHostsOf(before, zone), entryHostsOf(after, zone));
+        compareTargets(targetsOf(before, zone), targetsOf(after, zone), zoneChanges);
+        changes.push_back({zone, zoneChanges.lines()});
     }
     std::erase_if(changes, [](const ZoneChanges &zone) {
         return zone.lines.empty();
--- a/src/config/configurationparser.cpp
+++ b/src/config/configurationparser.cpp
@@ -40,6 +40,8 @@
     {
         readLimits(root.mapping("limits"));
         readPolicy(root.mapping("policy"));
+        readHealth(root.mapping("health"));
+        readRetries(root.mapping("retries"));
         readDefaults(root.mapping("target_defaults"));
         for (auto &team : root.list("teams")) {
             readTeam(team);
@@ -50,6 +52,7 @@
     {
         const auto zone = root.text("zone");
         rejectDuplicate(root, "zone", zone, m_zones);
+        m_configuration.zones.push_back({zone, static_cast<std::uint32_t>(root.number("entry_hosts"))});
         for (auto &target : root.list("targets")) {
             readTarget(target, zone);
         }
@@ -74,6 +77,27 @@
     {
         m_configuration.policy.queueOrder = reader.choice<QueueOrderKind>("queue_order");
         m_configuration.policy.slotSharing = reader.choice<SlotSharingKind>("slot_sharing");
+        m_configuration.policy.overtake = Milliseconds(reader.number("overtake_ms"));
+        reader.rejectUnknownKeys();
+    }
+
+    void readHealth(YamlReader reader)
+    {
+        auto &health = m_configuration.health;
+        health.maxEjectedPercent = static_cast<std::uint32_t>(reader.number("max_ejected_percent"));
+        health.ejectAtFailurePercent = static_cast<std::uint32_t>(reader.number("eject_at_failure_percent"));
+        health.firstEjection = Milliseconds(reader.number("first_ejection_ms"));
+        health.longestEjection = Milliseconds(reader.number("longest_ejection_ms"));
+        health.stallLimit = Milliseconds(reader.number("stall_limit_ms"));
+        reader.rejectUnknownKeys();
+    }
+
+    void readRetries(YamlReader reader)
+    {
+        auto &retries = m_configuration.retries;
+        retries.maxAttempts = static_cast<std::uint32_t>(reader.number("max_attempts"));
+        retries.budgetPercent = static_cast<std::uint32_t>(reader.number("budget_percent"));
+        retries.budgetBurst = static_cast<std::uint32_t>(reader.number("budget_burst"));
         reader.rejectUnknownKeys();
     }
 
--- a/src/config/schema.cpp
+++ b/src/config/schema.cpp
@@ -18,6 +18,12 @@
 constexpr NumberRange JobTaskRange {1, 750};
 constexpr NumberRange QueuedTaskRange {1, 10'000'000};
 constexpr NumberRange DeadlineRangeMs {1, 3'600'000};
+constexpr NumberRange EntryHostRange {0, 1000};
+constexpr NumberRange PercentRange {0, 100};
+constexpr NumberRange AttemptRange {1, 1000};
+constexpr NumberRange BudgetPercentRange {0, 10'000};
+constexpr NumberRange BudgetBurstRange {0, 1'000'000};
+constexpr NumberRange PauseRangeMs {1, 600'000};
 constexpr NumberRange RunningTaskRange {1, 1'000'000};
 constexpr NumberRange ThreadRange {1, 64};
 constexpr NumberRange DrainRangeSeconds {1, 3600};
@@ -75,6 +81,29 @@
     section(Base, "policy", "How work is ordered and shared."),
     choice(Base, "policy.queue_order", QueueOrderNames, "fewest_unstarted_first", "The order in which waiting jobs start tasks."),
     choice(Base, "policy.slot_sharing", SlotSharingNames, "loans", "How the entry hosts of an availability zone share its slots."),
+    number(Base,
+           "policy.overtake_ms",
+           PauseRangeMs,
+           "ms",
+           "50",
+           "How much later a job may come and still overtake, for each unstarted task that the other has more."),
+    section(Base, "health", "When a target is ejected, and for how long."),
+    number(Base,
+           "health.max_ejected_percent",
+           PercentRange,
+           "%",
+           "30",
+           "The most targets of an availability zone that are ejected at once; 0 turns ejection off."),
+    number(
+        Base, "health.eject_at_failure_percent", PercentRange, "%", "50", "The failures among a target's latest outcomes that eject it."),
+    number(Base, "health.first_ejection_ms", PauseRangeMs, "ms", "1000", "The first ejection's length; it doubles with each one in a row."),
+    number(Base, "health.longest_ejection_ms", PauseRangeMs, "ms", "30000", "The longest ejection."),
+    number(
+        Base, "health.stall_limit_ms", PauseRangeMs, "ms", "10000", "A target that holds tasks and has ended none for so long is stalled."),
+    section(Base, "retries", "How often tasks that provably did not start are tried again."),
+    number(Base, "retries.max_attempts", AttemptRange, "starts", "10", "Starts of one task, the first included."),
+    number(Base, "retries.budget_percent", BudgetPercentRange, "%", "20", "Retries for each hundred first starts."),
+    number(Base, "retries.budget_burst", BudgetBurstRange, "retries", "100", "Retries that may come at once."),
     section(Base, "target_defaults", "What holds for every target that does not say otherwise."),
     number(Base, "target_defaults.slots", SlotRange, "tasks", "8", "Tasks that run on the target at once."),
     number(Base, "target_defaults.connections", ConnectionRange, "connections", "64", "Connections that the target accepts."),
@@ -90,6 +119,12 @@
            "1000000",
            "Tasks of the team that run at once, over all availability zones."),
     requiredKey(Overlay, "zone", ValueType::Text, "The availability zone that this overlay describes."),
+    number(Overlay,
+           "entry_hosts",
+           EntryHostRange,
+           "hosts",
+           "0",
+           "The most entry hosts that serve the zone at once, by which quotas are shared out; 0 means those that are heard."),
     list(Overlay, "targets", "The targets of the availability zone."),
     requiredKey(Overlay, "targets[].name", ValueType::Text, "The target's name, as in the platform's host list; used once over all files."),
     requiredKey(Overlay, "targets[].address", ValueType::Address, "Where the target listens; used once over all files."),
--- a/src/operator/hoststatus.cpp
+++ b/src/operator/hoststatus.cpp
@@ -18,7 +18,8 @@
 {
     json::array list;
     for (const auto &refusal : refusals) {
-        list.push_back(json::object {{"code", static_cast<int>(refusal.code)}, {"name", info(refusal.code).name}, {"count", refusal.count}});
+        list.push_back(
+            json::object {{"code", static_cast<int>(refusal.code)}, {"name", info(refusal.code).name}, {"count", refusal.count}});
     }
     return list;
 }
