Golden files of three operator sessions; mistakes in the order of the files

Cause: a verb's output file was appended to by the next run of the same verb, so a session showed old lines; the site's first publish took its author from the environment. Both are settled in the site's harness. Mistakes of one file are told in the order of its lines.

--- a/src/config/configurationparser.cpp
+++ b/src/config/configurationparser.cpp
@@ -3,7 +3,9 @@
 #include "config/configurationerror.h"
 #include "config/yamlreader.h"
 
+#include <algorithm>
 #include <set>
+#include <tuple>
 
 namespace Anvilcart
 {
@@ -28,6 +30,7 @@
             root.rejectUnknownKeys();
         }
         if (!m_mistakes.empty()) {
+            sortMistakes();
             return leaf::new_error(ConfigurationError {std::move(m_mistakes)});
         }
         return std::move(m_configuration);
@@ -146,6 +149,13 @@
         }
     }
 
+    void sortMistakes()
+    {
+        std::stable_sort(m_mistakes.begin(), m_mistakes.end(), [](const auto &left, const auto &right) {
+            return std::tie(left.file, left.line) < std::tie(right.file, right.line);
+        });
+    }
+
     std::vector<ConfigurationMistake> m_mistakes;
     Configuration m_configuration;
     TargetSpec m_defaults;
--- a/standins/site/site.cpp
+++ b/standins/site/site.cpp
@@ -53,7 +53,7 @@
     startPlatform();
     startTargets();
     registerHosts();
-    if (publish({"--no-wait"}) != 0) {
+    if (publish({"--no-wait", "--author", "site"}) != 0) {
         throw std::runtime_error("the configuration could not be published: " + readFile(m_folder / "publish.err"));
     }
     for (std::size_t zone = 0; zone < m_options.zones.size(); ++zone) {
@@ -169,6 +169,8 @@
     std::vector<std::string> all = {verb, "--platform", toString(platform())};
     all.insert(all.end(), options.begin(), options.end());
     all.insert(all.end(), arguments.begin(), arguments.end());
+    fs::remove(m_folder / (verb + ".out"));
+    fs::remove(m_folder / (verb + ".err"));
     const auto exitCode = start("anvilcart", all, verb)->wait();
     return {exitCode, readFile(m_folder / (verb + ".out")), readFile(m_folder / (verb + ".err"))};
 }
--- a/tests/process/operatorsessions.cpp
+++ b/tests/process/operatorsessions.cpp
@@ -63,7 +63,7 @@
     GoldenSession m_golden;
 };
 
-const std::string Base = "teams:\n  - name: field\ntarget_defaults:\n  cpus: 32\n";
+const std::string Base = "teams:\n  - name: field\n    max_running_tasks: 100000\ntarget_defaults:\n  cpus: 32\n  memory_mb: 131072\n";
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(OperatorSessionsSuite, *boost::unit_test::label("process"))
