Entry hosts of a zone act as one: membership and loans of slots over nng

Cause: every entry host had a fixed share of each target's slots, so that a job waited at one host while slots of its neighbours were idle, and the members came from the lagging host list alone.

Change: src/peer speaks over nng and protobuf; Membership (heartbeats, incarnations, own pauses) decides the members, LoanLedger lends a free slot for one task to the peer with the smallest waiting job. PlatformPlugin no longer sets the members; HostListService hands the list over. Strings are bytes on the wire, since protobuf logs a line for each invalid UTF-8 string that a peer sends.

Ruled out: leases alone.

--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -21,6 +21,7 @@
 constexpr std::array Policies = {
     Policy {"fifo, fixed shares", "fifo", "fixed_shares"},
     Policy {"fewest unstarted first, fixed shares", "fewest_unstarted_first", "fixed_shares"},
+    Policy {"fewest unstarted first, loans", "fewest_unstarted_first", "loans"},
 };
 
 constexpr std::array Loads = {0.5, 0.8, 0.95};
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -86,6 +86,17 @@
     }
 }
 
+void Dispatcher::shareSlots(SlotSharing &sharing)
+{
+    m_sharing = &sharing;
+}
+
+void Dispatcher::changeSlots(const std::function<void(const SharingView &)> &change, TimePoint now)
+{
+    change(sharingView(now));
+    pump(now);
+}
+
 void Dispatcher::applyLeavingTargets(const std::unordered_set<std::string> &names)
 {
     m_slots.applyLeaving(names);
@@ -149,6 +160,9 @@
         return;
     }
     m_slots.release(task.target);
+    if (m_sharing != nullptr) {
+        m_sharing->onSlotReleased(sharingView(now), task.target);
+    }
     --job->sent;
     std::visit(OutcomeVisitor {*this, *job, ref.task, now}, outcome);
     if (auto *remaining = m_jobs.find(ref.job)) {
@@ -197,6 +211,23 @@
 }
 
 void Dispatcher::pump(TimePoint now)
+{
+    if (m_sharing != nullptr) {
+        m_sharing->lendBeforeStarts(sharingView(now));
+    }
+    startQueuedJobs(now);
+    if (m_sharing != nullptr) {
+        m_sharing->settleAfterStarts(sharingView(now));
+    }
+}
+
+SharingView Dispatcher::sharingView(TimePoint now)
+{
+    const bool mayLend = m_configuration && m_configuration->policy.slotSharing == SlotSharingKind::Loans;
+    return {m_slots, m_queue, mayLend, now};
+}
+
+void Dispatcher::startQueuedJobs(TimePoint now)
 {
     if (m_queue.unstartedTasks() == 0 || m_slots.freeSlots(now) == 0) {
         return;
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -2,6 +2,7 @@
 
 #include "dispatch/admission.h"
 #include "dispatch/interfaces/dispatchobserver.h"
+#include "dispatch/interfaces/slotsharing.h"
 #include "dispatch/interfaces/targetport.h"
 #include "dispatch/jobqueue.h"
 #include "dispatch/jobtable.h"
@@ -37,6 +38,12 @@
     /// Takes over the entry hosts of this zone that share its slots, this one included.
     void applyMembers(std::vector<std::string> members, TimePoint now);
 
+    /// Shares slots with peers from now on. Precondition: sharing outlives the dispatcher or its last call.
+    void shareSlots(SlotSharing &sharing);
+
+    /// Changes slots on the word of a peer and starts what can start.
+    void changeSlots(const std::function<void(const SharingView &)> &change, TimePoint now);
+
     /// Takes over the names of the targets that are leaving.
     void applyLeavingTargets(const std::unordered_set<std::string> &names);
 
@@ -72,6 +79,8 @@
     friend struct OutcomeVisitor;
 
     void pump(TimePoint now);
+    void startQueuedJobs(TimePoint now);
+    SharingView sharingView(TimePoint now);
     void startQueuedTasks(JobRecord &job, TimePoint now);
     void startTask(JobRecord &job, std::uint32_t task, TargetIndex target, TimePoint now);
     void move(TaskRecord &task, TaskState to);
@@ -88,6 +97,7 @@
     HostIdentity m_identity;
     TargetPort &m_targets;
     DispatchObserver &m_observer;
+    SlotSharing *m_sharing = nullptr;
     std::shared_ptr<const Configuration> m_configuration;
     std::vector<std::string> m_members;
     SlotTable m_slots;
--- a/src/dispatch/jobqueue.cpp
+++ b/src/dispatch/jobqueue.cpp
@@ -74,6 +74,18 @@
     return m_unstarted;
 }
 
+std::vector<std::uint32_t> JobQueue::frontJobSizes(std::size_t most) const
+{
+    std::vector<std::uint32_t> sizes;
+    for (const auto &entry : m_entries) {
+        if (sizes.size() == most) {
+            break;
+        }
+        sizes.push_back(static_cast<std::uint32_t>(entry.unstarted));
+    }
+    return sizes;
+}
+
 std::size_t JobQueue::smallestJob() const
 {
     std::size_t smallest = 0;
--- a/src/dispatch/jobqueue.h
+++ b/src/dispatch/jobqueue.h
@@ -44,6 +44,9 @@
     /// The number of unstarted tasks of all jobs.
     std::size_t unstartedTasks() const;
 
+    /// The unstarted tasks of so many jobs at the front, in order.
+    std::vector<std::uint32_t> frontJobSizes(std::size_t most) const;
+
     /// The fewest unstarted tasks of any waiting job; 0 when none waits.
     std::size_t smallestJob() const;
 
--- a/src/dispatch/slottable.cpp
+++ b/src/dispatch/slottable.cpp
@@ -13,13 +13,25 @@
     return size.cpus <= capacity.cpus && size.memoryMb <= capacity.memoryMb && size.accelerators <= capacity.accelerators;
 }
 
-/// Used slots over own slots is compared as a product, so that no division is needed.
+/// Used over usable slots is compared as a product, so that no division is needed.
 bool isLessUsed(const TargetSlots &left, const TargetSlots &right)
 {
-    return static_cast<std::uint64_t>(left.used) * right.share < static_cast<std::uint64_t>(right.used) * left.share;
+    return static_cast<std::uint64_t>(left.used) * right.usable() < static_cast<std::uint64_t>(right.used) * left.usable();
 }
 } // namespace
 
+std::uint32_t TargetSlots::usable() const
+{
+    const auto held = share + borrowed;
+    return held > lent ? held - lent : 0;
+}
+
+std::uint32_t TargetSlots::free() const
+{
+    const auto most = usable();
+    return most > used ? most - used : 0;
+}
+
 std::vector<TargetIndex> SlotTable::applyTargets(const std::vector<TargetSpec> &targets, const std::string &zone)
 {
     for (auto &target : m_targets) {
@@ -64,7 +76,7 @@
     std::optional<TargetIndex> best;
     for (TargetIndex i = 0; i < m_targets.size(); ++i) {
         const auto &target = m_targets[i];
-        if (target.used >= target.share || !isInService(target, now) || !fits(size, target.spec.capacity)) {
+        if (target.free() == 0 || !isInService(target, now) || !fits(size, target.spec.capacity)) {
             continue;
         }
         if (!best || isLessUsed(target, m_targets[*best])) {
@@ -91,6 +103,51 @@
     --m_targets[target].used;
 }
 
+std::optional<TargetIndex> SlotTable::pickToLend(TimePoint now) const
+{
+    std::optional<TargetIndex> best;
+    for (TargetIndex i = 0; i < m_targets.size(); ++i) {
+        const auto &target = m_targets[i];
+        if (target.free() <= target.borrowed || !isInService(target, now)) {
+            continue;
+        }
+        if (!best || isLessUsed(target, m_targets[*best])) {
+            best = i;
+        }
+    }
+    return best;
+}
+
+std::optional<TargetIndex> SlotTable::find(const std::string &name) const
+{
+    for (TargetIndex i = 0; i < m_targets.size(); ++i) {
+        if (m_targets[i].configured && m_targets[i].spec.name == name) {
+            return i;
+        }
+    }
+    return std::nullopt;
+}
+
+void SlotTable::lend(TargetIndex target)
+{
+    ++m_targets[target].lent;
+}
+
+void SlotTable::reclaim(TargetIndex target)
+{
+    --m_targets[target].lent;
+}
+
+void SlotTable::borrow(TargetIndex target)
+{
+    ++m_targets[target].borrowed;
+}
+
+void SlotTable::returnBorrowed(TargetIndex target)
+{
+    --m_targets[target].borrowed;
+}
+
 void SlotTable::pause(TargetIndex target, TimePoint until)
 {
     m_targets[target].pausedUntil = std::max(m_targets[target].pausedUntil, until);
@@ -105,8 +162,8 @@
 {
     std::uint32_t free = 0;
     for (const auto &target : m_targets) {
-        if (isInService(target, now) && target.share > target.used) {
-            free += target.share - target.used;
+        if (isInService(target, now)) {
+            free += target.free();
         }
     }
     return free;
--- a/src/dispatch/slottable.h
+++ b/src/dispatch/slottable.h
@@ -12,15 +12,23 @@
 
 namespace Anvilcart
 {
-/// One target as this host sees it. `share` slots are this host's to use.
+/// One target as this host sees it. `share` slots are this host's own; it may use those that it has not lent, and those that it borrowed.
 struct TargetSlots
 {
     TargetSpec spec;
     std::uint32_t share = 0;
     std::uint32_t used = 0;
+    std::uint32_t lent = 0;
+    std::uint32_t borrowed = 0;
     bool configured = false;
     bool leaving = false;
     TimePoint pausedUntil;
+
+    /// Slots that this host may use now, in use or not.
+    std::uint32_t usable() const;
+
+    /// Slots that this host may use and does not use.
+    std::uint32_t free() const;
 };
 
 /// The slots of the zone's targets that this host may use, and which are in use. Not thread-safe: the decision loop's.
@@ -49,13 +57,31 @@
     /// Gives a slot back. Precondition: it was taken.
     void release(TargetIndex target);
 
+    /// The least used target in service with a free slot of this host's own, or nothing.
+    std::optional<TargetIndex> pickToLend(TimePoint now) const;
+
+    /// The configured target with this name, or nothing.
+    std::optional<TargetIndex> find(const std::string &name) const;
+
+    /// Marks a free slot as lent. Precondition: pickToLend() returned the target.
+    void lend(TargetIndex target);
+
+    /// Takes a lent slot home. Precondition: lend() was called for it.
+    void reclaim(TargetIndex target);
+
+    /// Adds a slot that a peer lent to this host.
+    void borrow(TargetIndex target);
+
+    /// Gives a borrowed slot up. Precondition: borrow() was called for it.
+    void returnBorrowed(TargetIndex target);
+
     /// Gives the target no new task until then.
     void pause(TargetIndex target, TimePoint until);
 
     /// Marks a target as leaving on its own word.
     void markLeaving(TargetIndex target);
 
-    /// Free slots of this host over all targets in service.
+    /// Free slots of this host over all targets in service, borrowed ones included.
     std::uint32_t freeSlots(TimePoint now) const;
 
     /// Slots of this host over all configured targets.
--- a/src/kernel/pluginregistry.h
+++ b/src/kernel/pluginregistry.h
@@ -14,6 +14,7 @@
     Targets,
     Decisions,
     Platform,
+    Peers,
     Doors,
 };
 
--- /dev/null
+++ b/src/peer/loanevent.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <string_view>
+
+namespace Anvilcart
+{
+/// What happens to a loan, as its lender (offered, returned, lost, expired, revoked) or its borrower (used, unused) sees it.
+enum class LoanEvent : std::uint8_t {
+    Offered,
+    Returned,
+    Lost,
+    Expired,
+    Revoked,
+    Used,
+    Unused,
+};
+
+constexpr std::size_t LoanEventCount = 7;
+
+/// The name in metrics and logs. Thread-safe.
+constexpr std::string_view toName(LoanEvent event)
+{
+    constexpr std::string_view Names[] = {"offered", "returned", "lost", "expired", "revoked", "used", "unused"};
+    return Names[static_cast<std::size_t>(event)];
+}
+} // namespace Anvilcart
--- /dev/null
+++ b/src/peer/peercodec.cpp
@@ -0,0 +1,148 @@
+#include "peer/peercodec.h"
+
+#include "peer/peer.pb.h"
+
+namespace Anvilcart
+{
+namespace
+{
+constexpr int MaxJobSizes = 64;
+constexpr int MaxLoans = 512;
+constexpr std::size_t MaxNameBytes = 255;
+
+bool isName(const std::string &text)
+{
+    return !text.empty() && text.size() <= MaxNameBytes;
+}
+
+void encodeHeartbeat(const Heartbeat &heartbeat, Wire::Heartbeat &wire)
+{
+    wire.set_host(heartbeat.host);
+    wire.set_zone(heartbeat.zone);
+    wire.set_door(toString(heartbeat.door));
+    wire.set_recipient(heartbeat.recipient);
+    wire.set_configuration_version(heartbeat.configurationVersion);
+    wire.set_free_slots(heartbeat.freeSlots);
+    wire.set_leaving(heartbeat.leaving);
+}
+
+void encodeSlots(const SlotMessage &slots, Wire::Frame &wire)
+{
+    if (slots.demand) {
+        auto &demand = *wire.mutable_demand();
+        demand.mutable_job_sizes()->Add(slots.demand->jobSizes.begin(), slots.demand->jobSizes.end());
+        demand.set_last_loan(slots.demand->lastLoan);
+    }
+    for (const auto &loan : slots.loans) {
+        auto &added = *wire.add_loans();
+        added.set_id(loan.id);
+        added.set_target(loan.target);
+    }
+    for (const auto &returned : slots.returns) {
+        auto &added = *wire.add_returns();
+        added.set_id(returned.id);
+        added.set_unused(returned.unused);
+    }
+    if (slots.holdings) {
+        wire.mutable_holdings()->mutable_loans()->Add(slots.holdings->loans.begin(), slots.holdings->loans.end());
+    }
+}
+
+std::optional<Heartbeat> decodeHeartbeat(const Wire::Heartbeat &wire)
+{
+    const auto door = parseEndpoint(wire.door());
+    if (!door || !isName(wire.host()) || !isName(wire.zone()) || !isName(wire.recipient())) {
+        return std::nullopt;
+    }
+    Heartbeat heartbeat;
+    heartbeat.host = wire.host();
+    heartbeat.zone = wire.zone();
+    heartbeat.door = *door;
+    heartbeat.recipient = wire.recipient();
+    heartbeat.configurationVersion = wire.configuration_version();
+    heartbeat.freeSlots = wire.free_slots();
+    heartbeat.leaving = wire.leaving();
+    return heartbeat;
+}
+
+bool areLoansValid(const Wire::Frame &wire)
+{
+    if (wire.loans_size() > MaxLoans || wire.returns_size() > MaxLoans || wire.holdings().loans_size() > MaxLoans) {
+        return false;
+    }
+    for (const auto &loan : wire.loans()) {
+        if (loan.id() == 0 || !isName(loan.target())) {
+            return false;
+        }
+    }
+    return true;
+}
+
+bool isDemandValid(const Wire::Demand &wire)
+{
+    for (const auto size : wire.job_sizes()) {
+        if (size == 0) {
+            return false;
+        }
+    }
+    return wire.job_sizes_size() <= MaxJobSizes;
+}
+
+SlotMessage decodeSlots(const Wire::Frame &wire)
+{
+    SlotMessage slots;
+    if (wire.has_demand()) {
+        slots.demand.emplace();
+        slots.demand->jobSizes.assign(wire.demand().job_sizes().begin(), wire.demand().job_sizes().end());
+        slots.demand->lastLoan = wire.demand().last_loan();
+    }
+    for (const auto &loan : wire.loans()) {
+        slots.loans.push_back({loan.id(), loan.target()});
+    }
+    for (const auto &returned : wire.returns()) {
+        slots.returns.push_back({returned.id(), returned.unused()});
+    }
+    if (wire.has_holdings()) {
+        slots.holdings.emplace();
+        slots.holdings->loans.assign(wire.holdings().loans().begin(), wire.holdings().loans().end());
+    }
+    return slots;
+}
+} // namespace
+
+std::string encode(const PeerFrame &frame)
+{
+    Wire::Frame wire;
+    wire.set_incarnation(frame.incarnation);
+    wire.set_recipient_incarnation(frame.recipient);
+    wire.set_sequence(frame.sequence);
+    if (frame.heartbeat) {
+        encodeHeartbeat(*frame.heartbeat, *wire.mutable_heartbeat());
+    }
+    encodeSlots(frame.slots, wire);
+    return wire.SerializeAsString();
+}
+
+std::optional<PeerFrame> decodeFrame(std::string_view bytes)
+{
+    Wire::Frame wire;
+    if (bytes.size() > MaxFrameBytes || !wire.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
+        return std::nullopt;
+    }
+    if (wire.incarnation() == 0 || wire.sequence() == 0 || !isDemandValid(wire.demand()) || !areLoansValid(wire)) {
+        return std::nullopt;
+    }
+    PeerFrame frame;
+    frame.incarnation = wire.incarnation();
+    frame.recipient = wire.recipient_incarnation();
+    frame.sequence = wire.sequence();
+    if (wire.has_heartbeat()) {
+        frame.heartbeat = decodeHeartbeat(wire.heartbeat());
+        if (!frame.heartbeat) {
+            return std::nullopt;
+        }
+    }
+    frame.slots = decodeSlots(wire);
+    return frame;
+}
+} // namespace Anvilcart
--- a/src/platform/hostlist.cpp
+++ b/src/platform/hostlist.cpp
@@ -2,8 +2,6 @@
 
 #include <boost/json.hpp>
 
-#include <algorithm>
-
 namespace Anvilcart
 {
 namespace json = boost::json;
@@ -39,18 +37,6 @@
 }
 } // namespace
 
-std::vector<std::string> HostList::liveEntryHosts(const std::string &zone) const
-{
-    std::vector<std::string> names;
-    for (const auto &host : hosts) {
-        if (host.role == HostRole::Entry && host.state == HostState::Live && host.zone == zone) {
-            names.push_back(host.name);
-        }
-    }
-    std::sort(names.begin(), names.end());
-    return names;
-}
-
 std::unordered_set<std::string> HostList::leavingTargets() const
 {
     std::unordered_set<std::string> names;
--- a/src/platform/hostlist.h
+++ b/src/platform/hostlist.h
@@ -39,9 +39,6 @@
 {
     std::vector<HostEntry> hosts;
 
-    /// The live entry hosts of one availability zone, in order of name. Thread-safe.
-    std::vector<std::string> liveEntryHosts(const std::string &zone) const;
-
     /// The names of the targets that are leaving. Thread-safe.
     std::unordered_set<std::string> leavingTargets() const;
 };
--- a/src/platform/platformplugin.cpp
+++ b/src/platform/platformplugin.cpp
@@ -5,6 +5,7 @@
 #include "net/httpclient.h"
 #include "platform/configurationservice.h"
 #include "platform/hostlist.h"
+#include "platform/hostlistservice.h"
 #include "platform/logclient.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -46,7 +47,6 @@
         const auto &settings = kernel.service<const Settings>();
         m_dispatch = &kernel.service<DispatchService>();
         m_platform = settings.platform;
-        m_zone = settings.zone;
         m_address = settings.callerDoor.address;
         m_log = std::make_unique<LogClient>(m_platform, m_address);
         m_configuration.subscribe([this](std::shared_ptr<const Configuration> configuration) {
@@ -56,6 +56,7 @@
         });
         kernel.provide<LogService>(*m_log);
         kernel.provide(m_configuration);
+        kernel.provide(m_hostList);
         auto &loop = kernel.ioLoops().at(0);
         asio::co_spawn(loop, followConfiguration(), asio::detached);
         asio::co_spawn(loop, followHostList(), asio::detached);
@@ -106,20 +107,19 @@
 
     void applyHostList(const HostList &list)
     {
-        auto members = list.liveEntryHosts(m_zone);
+        m_hostList.publish(list);
         auto leaving = list.leavingTargets();
-        m_dispatch->perform([members = std::move(members), leaving = std::move(leaving)](Dispatcher &dispatcher, TimePoint now) {
+        m_dispatch->perform([leaving = std::move(leaving)](Dispatcher &dispatcher, TimePoint) {
             dispatcher.applyLeavingTargets(leaving);
-            dispatcher.applyMembers(members, now);
         });
     }
 
     DispatchService *m_dispatch = nullptr;
     std::vector<Endpoint> m_platform;
-    std::string m_zone;
     std::string m_address;
     std::unique_ptr<LogClient> m_log;
     ConfigurationService m_configuration;
+    HostListService m_hostList;
 };
 
 const PluginRegistrar<PlatformPlugin> Registrar(PluginStage::Platform);
--- /dev/null
+++ b/tests/unit/peer/peercodec.cpp
@@ -0,0 +1,88 @@
+#include "peer/peercodec.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <random>
+
+using namespace Anvilcart;
+
+namespace
+{
+PeerFrame makeFrame()
+{
+    PeerFrame frame;
+    frame.incarnation = 11;
+    frame.recipient = 12;
+    frame.sequence = 3;
+    frame.heartbeat = Heartbeat {"entry-1", "fraser", {"127.0.0.1", 7002}, "entry-2", 5, 9, true};
+    frame.slots.demand = Demand {{1, 2, 300}, 8};
+    frame.slots.loans.push_back({4, "target-1"});
+    frame.slots.returns.push_back({2, true});
+    return frame;
+}
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(PeerCodecSuite, *boost::unit_test::label("peer"))
+
+BOOST_AUTO_TEST_CASE(A_frame_comes_back_as_it_was)
+{
+    const auto frame = decodeFrame(encode(makeFrame()));
+    BOOST_REQUIRE(frame.has_value());
+    BOOST_TEST(frame->incarnation == 11);
+    BOOST_TEST(frame->recipient == 12);
+    BOOST_TEST(frame->sequence == 3);
+    BOOST_TEST(frame->heartbeat->host == "entry-1");
+    BOOST_TEST(frame->heartbeat->leaving);
+    BOOST_TEST((frame->heartbeat->door == Endpoint {"127.0.0.1", 7002}));
+    BOOST_TEST(frame->slots.demand->jobSizes == std::vector<std::uint32_t>({1, 2, 300}));
+    BOOST_TEST(frame->slots.demand->lastLoan == 8);
+    BOOST_TEST(frame->slots.loans.at(0).target == "target-1");
+    BOOST_TEST(frame->slots.returns.at(0).unused);
+}
+
+BOOST_AUTO_TEST_CASE(A_field_of_a_newer_release_is_ignored)
+{
+    const std::string newField = {'\xf8', '\x07', '\x01'};
+    BOOST_TEST(decodeFrame(encode(makeFrame()) + newField).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(A_frame_outside_the_bounds_is_not_read)
+{
+    BOOST_TEST(!decodeFrame("").has_value());
+    BOOST_TEST(!decodeFrame(std::string(MaxFrameBytes + 1, 'x')).has_value());
+    auto frame = makeFrame();
+    frame.slots.loans.assign(513, {1, "t"});
+    BOOST_TEST(!decodeFrame(encode(frame)).has_value());
+    frame = makeFrame();
+    frame.heartbeat->host = std::string(256, 'h');
+    BOOST_TEST(!decodeFrame(encode(frame)).has_value());
+    frame = makeFrame();
+    frame.slots.demand->jobSizes = {0};
+    BOOST_TEST(!decodeFrame(encode(frame)).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(Random_bytes_and_damaged_frames_never_harm_the_decoder)
+{
+    constexpr std::uint32_t Seed = 20260;
+    BOOST_TEST_MESSAGE("seed " << Seed);
+    std::mt19937 random(Seed);
+    const auto whole = encode(makeFrame());
+    for (int i = 0; i < 20000; ++i) {
+        std::string bytes = whole;
+        if (i % 2 == 0) {
+            bytes.resize(random() % 200);
+            for (auto &byte : bytes) {
+                byte = static_cast<char>(random());
+            }
+        } else {
+            bytes[random() % bytes.size()] = static_cast<char>(random());
+            bytes.resize(1 + random() % bytes.size());
+        }
+        if (const auto frame = decodeFrame(bytes)) {
+            BOOST_TEST(frame->sequence != 0);
+            BOOST_TEST(frame->slots.loans.size() <= 512);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
