--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -43,21 +43,44 @@
 {
     TCLAP::CmdLine commandLine("Compares policies at today's size.", ' ', ANVILCART_VERSION);
     TCLAP::ValueArg<std::string> binaries("b", "binaries", "the build folder", true, "", "DIR", commandLine);
+    TCLAP::ValueArg<std::string> only("p", "policy", "only policies whose name contains this", false, "", "TEXT", commandLine);
+    TCLAP::ValueArg<double> onlyLoad("l", "load", "only this load", false, 0, "SHARE", commandLine);
     commandLine.parse(argc, argv);
-    std::printf("%-40s %5s %6s %8s %8s %8s %9s\n", "policy", "load", "jobs", "mean", "p50", "p99", "ratio");
+    std::printf("%-40s %5s %6s %8s %8s %8s %9s %8s %8s %8s %8s\n",
+                "policy",
+                "load",
+                "jobs",
+                "mean",
+                "p50",
+                "p99",
+                "ratio",
+                "wasted",
+                "loans",
+                "frames",
+                "bytes/s");
     for (const auto load : Loads) {
         double baseline = 0;
+        if (onlyLoad.isSet() && onlyLoad.getValue() != load) {
+            continue;
+        }
         for (const auto &policy : Policies) {
+            if (std::string(policy.name).find(only.getValue()) == std::string::npos) {
+                continue;
+            }
             const auto figures = run(policy, load, binaries.getValue());
             baseline = baseline == 0 ? figures.meanSlowdown : baseline;
-            std::printf("%-40s %5.2f %6lu %8.2f %8.2f %8.2f %9.3f\n",
+            std::printf("%-40s %5.2f %6lu %8.2f %8.2f %8.2f %9.3f %8.4f %8.3f %8.3f %8.0f\n",
                         policy.name,
                         load,
                         figures.jobs,
                         figures.meanSlowdown,
                         figures.p50Slowdown,
                         figures.p99Slowdown,
-                        figures.meanSlowdown / baseline);
+                        figures.meanSlowdown / baseline,
+                        figures.wastedPerTask,
+                        figures.loansPerTask,
+                        figures.peerFramesPerTask,
+                        figures.peerBytesPerHostSecond);
             std::fflush(stdout);
         }
     }
--- a/standins/site/measure.cpp
+++ b/standins/site/measure.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/json.hpp>
 
+#include <sstream>
+
 namespace Anvilcart
 {
 namespace json = boost::json;
@@ -45,6 +47,29 @@
     }
     return doubles;
 }
+/// The sum of one metric over all entry hosts; the name includes its labels.
+double sumMetric(Site &site, const std::string &name)
+{
+    double sum = 0;
+    for (std::size_t zone = 0; zone < site.options().zones.size(); ++zone) {
+        for (std::size_t host = 0; host < site.options().entryHostsPerZone; ++host) {
+            std::istringstream lines(site.call(site.callerDoor(zone, host), "GET", "/metrics").body);
+            for (std::string line; std::getline(lines, line);) {
+                sum += line.starts_with(name + " ") ? std::stod(line.substr(name.size() + 1)) : 0;
+            }
+        }
+    }
+    return sum;
+}
+
+void addPeerFigures(RunFigures &figures, Site &site, int seconds)
+{
+    const auto hosts = static_cast<double>(site.options().zones.size() * site.options().entryHostsPerZone);
+    const auto tasks = std::max(1.0, figures.wholeTasksPerSecond * seconds);
+    figures.peerBytesPerHostSecond = sumMetric(site, "anvilcart_peer_sent_bytes_total") / hosts / seconds;
+    figures.peerFramesPerTask = sumMetric(site, "anvilcart_peer_sent_frames_total") / tasks;
+    figures.loansPerTask = sumMetric(site, R"(anvilcart_loans_total{event="offered"})") / tasks;
+}
 } // namespace
 
 RunFigures measure(Site &site, const RunLoad &load)
@@ -68,6 +93,7 @@
     figures.jobs = figures.whole + figures.failed + figures.notRun + figures.unanswered;
     figures.wastedPerTask = count(counts.as_object(), "refusals") / std::max(1.0, figures.wholeTasksPerSecond);
     figures.wholeTasksPerSecond /= load.seconds;
+    addPeerFigures(figures, site, load.seconds);
     return figures;
 }
 } // namespace Anvilcart
--- a/standins/site/measure.h
+++ b/standins/site/measure.h
@@ -24,6 +24,12 @@
     /// Refused starts a finished task.
     double wastedPerTask = 0;
     double wholeTasksPerSecond = 0;
+    /// Bytes of messages between entry hosts, a host and second.
+    double peerBytesPerHostSecond = 0;
+    /// Messages between entry hosts a finished task.
+    double peerFramesPerTask = 0;
+    /// Slots lent a finished task.
+    double loansPerTask = 0;
 };
 
 /// How the callers of every zone load a site.
