A borrower keeps a slot while its smallest job is the smallest of all

Ruled out: fewer demands; most frames carried loans and returns.

Change: at a task's end the borrower compares its smallest job with the demands it was told, as the lender would, and keeps the slot without a message. Leases are renewed by heartbeats and end 2 s after the last one; a lender revokes loans that a borrower holds and that have ended, so that a thawed borrower learns it.

--- a/src/peer/loanledger.cpp
+++ b/src/peer/loanledger.cpp
@@ -9,8 +9,8 @@
 {
 namespace
 {
-/// Longer than the longest usual task; a task that outlasts it may meet a refusal at the target, which is safe.
-constexpr Milliseconds LeaseTime {10000};
+/// A loan ends when its borrower has not told for so long that it holds it.
+constexpr Milliseconds LeaseTime {2000};
 /// How long nothing is lent to a peer that had work and yet could not use a slot.
 constexpr Milliseconds PauseAfterMisfit {20};
 /// A loan that its borrower has not received by then was lost on its way.
@@ -86,6 +86,7 @@
         reconcile(found->second, *message.holdings, view);
     }
     pauseAfterMisfit(found->second, message, view.now);
+    dropRevoked(found->second, message.revoked, view);
     for (const auto &loan : message.loans) {
         borrow(found->second, loan, view);
     }
@@ -95,7 +96,7 @@
 {
     for (auto &[name, peer] : m_peers) {
         std::erase_if(peer.lent, [&](const Lent &lent) {
-            if (view.now - lent.lentAt < LeaseTime) {
+            if (view.now - lent.renewedAt < LeaseTime) {
                 return false;
             }
             view.slots.reclaim(lent.target);
@@ -107,6 +108,9 @@
 
 void LoanLedger::onSlotReleased(const SharingView &view, TargetIndex target)
 {
+    if (needsSlotMost(view)) {
+        return;
+    }
     // Slots of one target are alike, so whichever was borrowed first goes home.
     for (auto &[name, peer] : m_peers) {
         const auto held = std::find_if(peer.held.begin(), peer.held.end(), [&](const Held &candidate) {
@@ -141,7 +145,7 @@
 {
     std::vector<OutgoingSlots> outgoing;
     for (auto &[name, peer] : m_peers) {
-        const bool moves = !peer.outbox.loans.empty() || !peer.outbox.returns.empty();
+        const bool moves = !peer.outbox.loans.empty() || !peer.outbox.returns.empty() || !peer.outbox.revoked.empty();
         if (!moves && !isDemandDue(peer, now)) {
             continue;
         }
@@ -216,7 +220,7 @@
 void LoanLedger::lendOne(Peer &peer, TargetIndex target, const SharingView &view)
 {
     view.slots.lend(target);
-    peer.lent.push_back({++m_lastLoan, target, view.now});
+    peer.lent.push_back({++m_lastLoan, target, view.now, view.now});
     peer.outbox.loans.push_back({m_lastLoan, view.slots.at(target).spec.name});
     consumeOne(peer.jobSizes);
     m_observer.onLoan(LoanEvent::Offered);
@@ -237,8 +241,12 @@
 
 void LoanLedger::reconcile(Peer &peer, const Holdings &holdings, const SharingView &view)
 {
-    std::erase_if(peer.lent, [&](const Lent &lent) {
-        const bool held = std::find(holdings.loans.begin(), holdings.loans.end(), lent.id) != holdings.loans.end();
+    auto unknown = holdings.loans;
+    std::erase_if(peer.lent, [&](Lent &lent) {
+        const bool held = std::erase(unknown, lent.id) > 0;
+        if (held) {
+            lent.renewedAt = view.now;
+        }
         if (held || view.now - lent.lentAt < LostAfter) {
             return false;
         }
@@ -246,6 +254,18 @@
         m_observer.onLoan(LoanEvent::Lost);
         return true;
     });
+    peer.outbox.revoked = std::move(unknown);
+}
+
+void LoanLedger::dropRevoked(Peer &peer, const std::vector<LoanId> &revoked, const SharingView &view)
+{
+    std::erase_if(peer.held, [&](const Held &held) {
+        if (std::find(revoked.begin(), revoked.end(), held.id) == revoked.end()) {
+            return false;
+        }
+        view.slots.returnBorrowed(held.target);
+        return true;
+    });
 }
 
 void LoanLedger::pauseAfterMisfit(Peer &peer, const SlotMessage &message, TimePoint now)
@@ -308,6 +328,14 @@
     peer.held.clear();
 }
 
+bool LoanLedger::needsSlotMost(const SharingView &view) const
+{
+    const auto own = smallest(view.queue.frontJobSizes(1));
+    return view.mayLend && own != NoLimit && std::all_of(m_peers.begin(), m_peers.end(), [own](const auto &entry) {
+               return own < smallest(entry.second.jobSizes);
+           });
+}
+
 bool LoanLedger::matters(const Peer &peer) const
 {
     const auto decisive = std::min(smallest(m_jobSizes), smallest(peer.toldJobSizes));
--- a/src/peer/loanledger.h
+++ b/src/peer/loanledger.h
@@ -19,7 +19,8 @@
     SlotMessage message;
 };
 
-/// Lends free slots for one task each to the peer with the smallest waiting job, and sends borrowed ones home.
+/// Lends free slots to the peer with the smallest waiting job. A borrowed slot goes home when its task ends,
+/// unless the borrower's smallest job is still the smallest of all.
 /// All of it is soft state: a lost message costs an idle slot until the lease ends, never a second start.
 /// Has no clock of its own. Not thread-safe: the decision loop's.
 class LoanLedger
@@ -43,7 +44,7 @@
     /// Takes slots home whose lease has ended.
     void expireLeases(const SharingView &view);
 
-    /// Sends a borrowed slot home when the task that used it has ended.
+    /// Sends a borrowed slot home when the task that used it has ended and another host needs it more.
     void onSlotReleased(const SharingView &view, TargetIndex target);
 
     /// Lends where a peer's smallest job is smaller than the own one.
@@ -67,6 +68,7 @@
         LoanId id;
         TargetIndex target;
         TimePoint lentAt;
+        TimePoint renewedAt;
     };
 
     struct Held
@@ -97,6 +99,8 @@
     void borrow(Peer &peer, const Loan &loan, const SharingView &view);
     void returnIdleSlots(Peer &peer, const SharingView &view);
     void endLoans(Peer &peer, const SharingView &view);
+    void dropRevoked(Peer &peer, const std::vector<LoanId> &revoked, const SharingView &view);
+    bool needsSlotMost(const SharingView &view) const;
     bool matters(const Peer &peer) const;
     bool isDemandDue(const Peer &peer, TimePoint now) const;
     Demand tellDemand(Peer &peer);
--- a/src/peer/peercodec.cpp
+++ b/src/peer/peercodec.cpp
@@ -43,6 +43,7 @@
         added.set_id(returned.id);
         added.set_unused(returned.unused);
     }
+    wire.mutable_revoked()->Add(slots.revoked.begin(), slots.revoked.end());
     if (slots.holdings) {
         wire.mutable_holdings()->mutable_loans()->Add(slots.holdings->loans.begin(), slots.holdings->loans.end());
     }
@@ -67,7 +68,10 @@
 
 bool areLoansValid(const Wire::Frame &wire)
 {
-    if (wire.loans_size() > MaxLoans || wire.returns_size() > MaxLoans || wire.holdings().loans_size() > MaxLoans) {
+    if (wire.loans_size() > MaxLoans || wire.returns_size() > MaxLoans) {
+        return false;
+    }
+    if (wire.holdings().loans_size() > MaxLoans || wire.revoked_size() > MaxLoans) {
         return false;
     }
     for (const auto &loan : wire.loans()) {
@@ -102,6 +106,7 @@
     for (const auto &returned : wire.returns()) {
         slots.returns.push_back({returned.id(), returned.unused()});
     }
+    slots.revoked.assign(wire.revoked().begin(), wire.revoked().end());
     if (wire.has_holdings()) {
         slots.holdings.emplace();
         slots.holdings->loans.assign(wire.holdings().loans().begin(), wire.holdings().loans().end());
--- a/src/peer/peerframe.h
+++ b/src/peer/peerframe.h
@@ -62,6 +62,8 @@
     std::vector<Loan> loans;
     std::vector<LoanReturn> returns;
     std::optional<Holdings> holdings;
+    /// Loans that the recipient holds although they have ended.
+    std::vector<LoanId> revoked;
 };
 
 /// One message between two entry hosts.
