--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -8,7 +8,6 @@
 namespace
 {
 constexpr Milliseconds RetryWhenNotReady {500};
-constexpr Milliseconds PauseAfterNoSlot {5};
 constexpr Milliseconds PauseAfterRefusal {500};
 /// How long after the deadline a stopped task may take to report before its connection is cut.
 constexpr Milliseconds StopGrace {2000};
@@ -132,6 +131,17 @@
     }
 }
 
+void Dispatcher::shareSlots(SlotSharing &sharing)
+{
+    m_sharing = &sharing;
+}
+
+void Dispatcher::changeSlots(const std::function<void(const SharingView &)> &change, TimePoint now)
+{
+    change(sharingView(now));
+    pump(now);
+}
+
 void Dispatcher::applyLeavingTargets(const std::unordered_set<std::string> &names)
 {
     m_slots.applyLeaving(names);
@@ -223,6 +233,9 @@
     m_teams.onEnd(job->team);
     m_health.onOutcome(task.target, std::visit(HealthSignVisitor(), outcome), ref.job, now);
     m_slots.limitTasks(task.target, m_health.taskLimit(task.target, now));
+    if (m_sharing != nullptr) {
+        m_sharing->onSlotReleased(sharingView(now), task.target);
+    }
     --job->sent;
     std::visit(OutcomeVisitor {*this, *job, ref.task, now}, outcome);
     if (auto *remaining = m_jobs.find(ref.job)) {
@@ -305,6 +318,23 @@
 }
 
 void Dispatcher::pump(TimePoint now)
+{
+    if (m_sharing != nullptr) {
+        m_sharing->lendBeforeStarts(sharingView(now));
+    }
+    startQueuedJobs(now);
+    if (m_sharing != nullptr) {
+        m_sharing->settleAfterStarts(sharingView(now));
+    }
+}
+
+SharingView Dispatcher::sharingView(TimePoint now)
+{
+    const bool mayLend = m_configuration && m_configuration->policy.slotSharing == SlotSharingKind::Loans;
+    return {m_slots, m_queue, mayLend, now};
+}
+
+void Dispatcher::startQueuedJobs(TimePoint now)
 {
     if (m_queue.unstartedTasks() == 0) {
         return;
@@ -384,8 +414,10 @@
     const auto target = job.tasks[task].target;
     if (reason == NotStartedReason::TargetLeaving) {
         m_slots.markLeaving(target);
-    } else if (reason != NotStartedReason::ConnectFailed) {
-        m_slots.pause(target, now + (reason == NotStartedReason::NoSlot ? PauseAfterNoSlot : PauseAfterRefusal));
+    } else if (reason == NotStartedReason::NoSlot) {
+        m_slots.pauseFull(target, now);
+    } else if (reason == NotStartedReason::RefusedByTarget) {
+        m_slots.pause(target, now + PauseAfterRefusal);
     }
     if (job.answered) {
         move(job.tasks[task], TaskState::Cancelled);
@@ -410,9 +442,11 @@
 
 bool Dispatcher::mayRetry(const JobRecord &job, const TaskRecord &task, NotStartedReason reason)
 {
-    // Under blind push a full target's refusal is how a free slot is found.
-    const bool isSearch = reason == NotStartedReason::NoSlot && job.configuration->policy.slotSharing == SlotSharingKind::BlindPush;
-    return isSearch || (task.attempt < job.configuration->retries.maxAttempts && m_retryBudget.take());
+    // A full target is no fault: the task waits in the queue like any other, and the target's growing pause bounds the messages.
+    if (reason == NotStartedReason::NoSlot) {
+        return true;
+    }
+    return task.attempt < job.configuration->retries.maxAttempts && m_retryBudget.take();
 }
 
 void Dispatcher::finish(JobRecord &job, std::uint32_t task, std::string output, TimePoint now)
--- a/src/dispatch/slottable.cpp
+++ b/src/dispatch/slottable.cpp
@@ -9,16 +9,21 @@
 {
 namespace
 {
-/// Used slots over own slots is compared as a product, so that no division is needed.
+constexpr Milliseconds ShortestFullPause {5};
+constexpr Milliseconds LongestFullPause {320};
+
+/// Used over usable slots is compared as a product, so that no division is needed.
 bool isLessUsed(const TargetSlots &left, const TargetSlots &right)
 {
-    return static_cast<std::uint64_t>(left.used) * right.share < static_cast<std::uint64_t>(right.used) * left.share;
+    return static_cast<std::uint64_t>(left.used) * right.usable() < static_cast<std::uint64_t>(right.used) * left.usable();
 }
 } // namespace
 
 std::uint32_t TargetSlots::usable() const
 {
-    return std::min(share, taskLimit);
+    const auto held = share + borrowed;
+    const auto own = held > lent ? held - lent : 0;
+    return std::min(own, taskLimit);
 }
 
 std::uint32_t TargetSlots::free() const
@@ -98,11 +103,72 @@
     --m_targets[target].used;
 }
 
+std::optional<TargetIndex> SlotTable::pickToLend(TimePoint now) const
+{
+    std::optional<TargetIndex> best;
+    for (TargetIndex i = 0; i < m_targets.size(); ++i) {
+        const auto &target = m_targets[i];
+        if (target.free() <= target.borrowed || !isInService(target, now)) {
+            continue;
+        }
+        if (!best || isLessUsed(target, m_targets[*best])) {
+            best = i;
+        }
+    }
+    return best;
+}
+
+std::optional<TargetIndex> SlotTable::find(const std::string &name) const
+{
+    for (TargetIndex i = 0; i < m_targets.size(); ++i) {
+        if (m_targets[i].configured && m_targets[i].spec.name == name) {
+            return i;
+        }
+    }
+    return std::nullopt;
+}
+
+void SlotTable::lend(TargetIndex target)
+{
+    ++m_targets[target].lent;
+}
+
+void SlotTable::reclaim(TargetIndex target)
+{
+    --m_targets[target].lent;
+}
+
+void SlotTable::borrow(TargetIndex target)
+{
+    ++m_targets[target].borrowed;
+}
+
+void SlotTable::returnBorrowed(TargetIndex target)
+{
+    --m_targets[target].borrowed;
+}
+
 void SlotTable::pause(TargetIndex target, TimePoint until)
 {
     m_targets[target].pausedUntil = std::max(m_targets[target].pausedUntil, until);
 }
 
+void SlotTable::pauseFull(TargetIndex target, TimePoint now)
+{
+    auto &slots = m_targets[target];
+    // Refusals of tasks that were sent together count once.
+    if (slots.pausedUntil > now) {
+        return;
+    }
+    slots.fullPause = std::clamp<Duration>(slots.fullPause * 2, ShortestFullPause, LongestFullPause);
+    slots.pausedUntil = now + slots.fullPause;
+}
+
+void SlotTable::forgetFullPause(TargetIndex target)
+{
+    m_targets[target].fullPause = Duration::zero();
+}
+
 void SlotTable::limitTasks(TargetIndex target, std::uint32_t tasks)
 {
     m_targets[target].taskLimit = tasks;
