--- a/src/config/yamlreader.cpp
+++ b/src/config/yamlreader.cpp
@@ -33,7 +33,7 @@
         rejectValue(key, value);
         return "";
     }
-    const auto text = value && value.IsScalar() ? value.Scalar() : std::string();
+    auto text = value && value.IsScalar() ? value.Scalar() : std::string();
     if (text.empty() && schema.required) {
         reject(key, "'" + key + "' is missing or empty", "write " + key + ": and " + allowedValues(schema));
     }
@@ -100,8 +100,9 @@
 std::vector<YamlReader> YamlReader::list(const std::string &key)
 {
     std::vector<YamlReader> readers;
+    const auto path = pathOf(key) + "[]";
     for (const auto &element : sequence(key)) {
-        readers.push_back(YamlReader(element, *this, pathOf(key) + "[]"));
+        readers.push_back(YamlReader(element, *this, path));
     }
     return readers;
 }
--- a/src/dispatch/jobqueue.cpp
+++ b/src/dispatch/jobqueue.cpp
@@ -141,6 +141,16 @@
     return found != m_workByTeam.end() ? std::visit(WorkAheadVisitor {found->second, tasks}, m_order) : Duration::zero();
 }
 
+std::vector<std::uint32_t> JobQueue::smallestJobs(std::size_t most) const
+{
+    std::vector<std::uint32_t> sizes;
+    for (const auto &[size, jobs] : m_jobsBySize) {
+        const auto count = std::min(jobs, most - sizes.size());
+        sizes.insert(sizes.end(), count, static_cast<std::uint32_t>(size));
+    }
+    return sizes;
+}
+
 std::size_t JobQueue::smallestJob() const
 {
     return m_jobsBySize.empty() ? 0 : m_jobsBySize.begin()->first;
--- a/src/platform/hostlist.h
+++ b/src/platform/hostlist.h
@@ -39,9 +39,6 @@
 {
     std::vector<HostEntry> hosts;
 
-    /// The live entry hosts of one availability zone, in order of name. Thread-safe.
-    std::vector<std::string> liveEntryHosts(const std::string &zone) const;
-
     /// The operator doors of the live entry hosts of every availability zone. Thread-safe.
     std::vector<Endpoint> operatorDoors() const;
 
--- a/src/platform/platformplugin.cpp
+++ b/src/platform/platformplugin.cpp
@@ -6,6 +6,7 @@
 #include "platform/configurationfollower.h"
 #include "platform/configurationservice.h"
 #include "platform/hostlist.h"
+#include "platform/hostlistservice.h"
 #include "platform/logclient.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -45,7 +46,6 @@
         const auto &settings = kernel.service<const Settings>();
         m_dispatch = &kernel.service<DispatchService>();
         m_platform = settings.platform;
-        m_zone = settings.zone;
         m_address = settings.callerDoor.address;
         m_log = std::make_unique<LogClient>(m_platform, m_address);
         m_configuration.subscribe([this](std::shared_ptr<const Configuration> configuration) {
@@ -55,6 +55,7 @@
         });
         kernel.provide<LogService>(*m_log);
         kernel.provide(m_configuration);
+        kernel.provide(m_hostList);
         auto &loop = kernel.ioLoops().at(0);
         m_follower = std::make_unique<ConfigurationFollower>(settings, *m_log, m_configuration);
         asio::co_spawn(loop, m_follower->run(), asio::detached);
@@ -78,21 +79,20 @@
     void applyHostList(const HostList &list)
     {
         m_follower->setPeers(list.operatorDoors());
-        auto members = list.liveEntryHosts(m_zone);
+        m_hostList.publish(list);
         auto leaving = list.leavingTargets();
-        m_dispatch->perform([members = std::move(members), leaving = std::move(leaving)](Dispatcher &dispatcher, TimePoint now) {
+        m_dispatch->perform([leaving = std::move(leaving)](Dispatcher &dispatcher, TimePoint) {
             dispatcher.applyLeavingTargets(leaving);
-            dispatcher.applyMembers(members, now);
         });
     }
 
     DispatchService *m_dispatch = nullptr;
     std::vector<Endpoint> m_platform;
-    std::string m_zone;
     std::string m_address;
     std::unique_ptr<LogClient> m_log;
     ConfigurationService m_configuration;
     std::unique_ptr<ConfigurationFollower> m_follower;
+    HostListService m_hostList;
 };
 
 const PluginRegistrar<PlatformPlugin> Registrar(PluginStage::Platform);
