--- a/tests/unit/config/configurationhistory.cpp
+++ b/tests/unit/config/configurationhistory.cpp
@@ -94,6 +94,8 @@
     BOOST_TEST(fresh.version() == 3);
     fresh.expireBefore(6);
     BOOST_TEST(!fresh.isEstablished());
+    fresh.apply(carried("b", 2, 6), 6);
+    BOOST_TEST(fresh.version() == 3);
 }
 
 BOOST_AUTO_TEST_CASE(A_record_whose_content_is_of_a_later_release_still_takes_its_place)
