--- a/src/config/yamlreader.cpp
+++ b/src/config/yamlreader.cpp
@@ -100,7 +100,8 @@
 std::vector<YamlReader> YamlReader::list(const std::string &key)
 {
     std::vector<YamlReader> readers;
-    const auto path = pathOf(key) + "[]";
+    auto path = pathOf(key);
+    path += "[]";
     for (const auto &element : sequence(key)) {
         readers.push_back(YamlReader(element, *this, path));
     }
--- a/standins/site/site.cpp
+++ b/standins/site/site.cpp
@@ -53,8 +53,9 @@
     startPlatform();
     startTargets();
     registerHosts();
-    if (publish({"--no-wait", "--author", "site"}) != 0) {
-        throw std::runtime_error("the configuration could not be published: " + readFile(m_folder / "publish.err"));
+    const auto published = runVerb("publish", {configurationFolder().string()}, {"--no-wait", "--author", "site"});
+    if (published.exitCode != 0) {
+        throw std::runtime_error("the configuration could not be published: " + published.errors);
     }
     for (std::size_t zone = 0; zone < m_options.zones.size(); ++zone) {
         for (std::size_t host = 0; host < m_options.entryHostsPerZone; ++host) {
@@ -169,10 +170,9 @@
     std::vector<std::string> all = {verb, "--platform", toString(platform())};
     all.insert(all.end(), options.begin(), options.end());
     all.insert(all.end(), arguments.begin(), arguments.end());
-    fs::remove(m_folder / (verb + ".out"));
-    fs::remove(m_folder / (verb + ".err"));
-    const auto exitCode = start("anvilcart", all, verb)->wait();
-    return {exitCode, readFile(m_folder / (verb + ".out")), readFile(m_folder / (verb + ".err"))};
+    const auto logName = verb + "-" + std::to_string(m_verbRuns.fetch_add(1));
+    const auto exitCode = start("anvilcart", all, logName)->wait();
+    return {exitCode, readFile(m_folder / (logName + ".out")), readFile(m_folder / (logName + ".err"))};
 }
 
 CallResult Site::call(const Endpoint &endpoint, const std::string &method, const std::string &path, const std::string &body)
--- a/standins/site/site.h
+++ b/standins/site/site.h
@@ -5,6 +5,7 @@
 #include "site/loopbackblock.h"
 #include "site/siteoptions.h"
 
+#include <atomic>
 #include <filesystem>
 #include <map>
 #include <memory>
@@ -82,7 +83,7 @@
     /// Runs `anvilcart publish` on the configuration folder with more options and returns the exit code.
     int publish(const std::vector<std::string> &options = {});
 
-    /// Runs a verb that takes --platform to its end.
+    /// Runs a verb that takes --platform to its end. Thread-safe.
     VerbResult runVerb(const std::string &verb, const std::vector<std::string> &arguments, const std::vector<std::string> &options = {});
 
     /// One HTTP call with a generous limit.
@@ -120,6 +121,7 @@
     std::filesystem::path m_binaries;
     LoopbackBlock m_block;
     std::filesystem::path m_folder;
+    std::atomic<int> m_verbRuns = 0;
     std::unique_ptr<ChildProcess> m_platform;
     std::unique_ptr<ChildProcess> m_targets;
     std::map<std::string, std::unique_ptr<ChildProcess>> m_entryHosts;
--- a/tests/process/configuration.cpp
+++ b/tests/process/configuration.cpp
@@ -6,6 +6,7 @@
 #include <filesystem>
 #include <fstream>
 #include <functional>
+#include <future>
 #include <thread>
 
 using namespace Anvilcart;
@@ -164,6 +165,38 @@
     BOOST_TEST(it.allRun(4));
 }
 
+BOOST_AUTO_TEST_CASE(An_operator_whose_append_comes_after_anothers_gets_the_edit_all_the_same)
+{
+    ConfigurationSite it(sixHosts());
+    const auto other = it.site.folder() / "other";
+    std::filesystem::copy(it.site.configurationFolder(), other, std::filesystem::copy_options::recursive);
+    it.site.controlPlatform(R"({"late_appends":1,"late_ms":1500})");
+    it.editLimit(100);
+    std::ofstream(other / "sites" / "island.yaml", std::ios::app) << "# a note\n";
+    auto late = std::async(std::launch::async, [&] {
+        return it.site.runVerb("publish", {it.site.configurationFolder().string()});
+    });
+    // Whichever append comes first, both edits count; the pause makes it the other operator's.
+    std::this_thread::sleep_for(std::chrono::milliseconds(500));
+    BOOST_TEST(it.site.runVerb("publish", {other.string()}).exitCode == 0);
+    const auto result = late.get();
+    BOOST_TEST(result.exitCode == 0, result.errors);
+    BOOST_TEST(it.allRun(3));
+    BOOST_TEST(it.site.runVerb("diff", {it.site.configurationFolder().string()}).output.find("none") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(A_frozen_host_is_named_and_takes_the_version_when_it_goes_on)
+{
+    ConfigurationSite it(sixHosts());
+    it.site.entryHost(1, 0).freeze();
+    it.editLimit(100);
+    const auto result = it.site.runVerb("publish", {it.site.configurationFolder().string()}, {"--wait-s", "2"});
+    BOOST_TEST(result.exitCode == 5);
+    BOOST_TEST(result.errors.find("entry-island-1") != std::string::npos, result.errors);
+    it.site.entryHost(1, 0).thaw();
+    BOOST_TEST(it.allRun(2));
+}
+
 BOOST_AUTO_TEST_CASE(A_host_that_starts_while_the_platform_is_down_takes_the_version_of_its_peers)
 {
     ConfigurationSite it(sixHosts());
