--- a/src/config/yamlreader.cpp
+++ b/src/config/yamlreader.cpp
@@ -6,6 +6,15 @@
 
 namespace Anvilcart
 {
+namespace
+{
+/// What a node says, for a mistake's line.
+std::string textOf(const YAML::Node &node)
+{
+    return node.IsScalar() ? node.Scalar() : "a structure";
+}
+} // namespace
+
 YamlReader::YamlReader(const YAML::Node &node, SchemaFile schema, std::string file, std::vector<ConfigurationMistake> &mistakes)
     : m_node(node)
     , m_schema(schema)
@@ -78,11 +87,10 @@
     const auto values = sequence(key);
     std::vector<Endpoint> endpoints;
     for (const auto &value : values) {
-        const auto text = value.IsScalar() ? value.Scalar() : std::string("a structure");
-        if (const auto endpoint = parseEndpoint(text)) {
+        if (const auto endpoint = parseEndpoint(textOf(value))) {
             endpoints.push_back(*endpoint);
         } else {
-            add(value.Mark(), "'" + key + "' holds " + text, "write " + allowedValues(schema));
+            rejectElement(key, value);
         }
     }
     if (schema.required && values.size() == 0) {
@@ -115,7 +123,7 @@
     }
     std::set<std::string> seen;
     for (const auto &entry : m_node) {
-        const auto key = entry.first.IsScalar() ? entry.first.Scalar() : std::string("a structure");
+        const auto key = textOf(entry.first);
         if (!seen.insert(key).second) {
             add(entry.first.Mark(), "the key '" + key + "' stands twice", "keep one of them");
         }
@@ -196,8 +204,12 @@
 
 void YamlReader::rejectValue(const std::string &key, const YAML::Node &value)
 {
-    const auto found = value.IsScalar() ? value.Scalar() : std::string("a structure");
-    reject(key, "'" + key + "' is " + found, "write " + allowedValues(schemaOf(key)));
+    reject(key, "'" + key + "' is " + textOf(value), "write " + allowedValues(schemaOf(key)));
+}
+
+void YamlReader::rejectElement(const std::string &key, const YAML::Node &value)
+{
+    add(value.Mark(), "'" + key + "' holds " + textOf(value), "write " + allowedValues(schemaOf(key)));
 }
 
 void YamlReader::rejectUnknownKey(const YAML::Node &node, const std::string &key)
--- a/src/config/yamlreader.h
+++ b/src/config/yamlreader.h
@@ -64,6 +64,7 @@
     YAML::Node find(const std::string &key) const;
     void requireMapping();
     void rejectValue(const std::string &key, const YAML::Node &value);
+    void rejectElement(const std::string &key, const YAML::Node &value);
     void rejectUnknownKey(const YAML::Node &node, const std::string &key);
     void add(const YAML::Mark &mark, const std::string &what, const std::string &advice);
 
