Close inherited files in the processes that tests start

Ruled out: dying with the parent thread, since a child may be started from a thread that ends first.

Shown (trial): a child started by ChildProcess no longer lists a file that the parent holds open.

--- a/standins/site/childprocess.cpp
+++ b/standins/site/childprocess.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/process/args.hpp>
 #include <boost/process/child.hpp>
+#include <boost/process/handles.hpp>
 #include <boost/process/io.hpp>
 
 #include <csignal>
@@ -22,7 +23,9 @@
                            const std::string &errorFile)
     : d(std::make_unique<Private>())
 {
-    d->child = process::child(program, process::args(arguments), process::std_out > outputFile, process::std_err > errorFile);
+    // Without limit_handles the child would inherit locks that a caller of this process holds, and keep them after its death.
+    d->child = process::child(
+        program, process::args(arguments), process::std_out > outputFile, process::std_err > errorFile, process::limit_handles);
 }
 
 ChildProcess::~ChildProcess()
