--- a/src/config/configurationerror.h
+++ b/src/config/configurationerror.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <algorithm>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace Anvilcart
@@ -20,6 +22,14 @@
     std::vector<ConfigurationMistake> mistakes;
 };
 
+/// Puts mistakes into the order of the files and their lines. Thread-safe for different lists.
+inline void sortByPlace(std::vector<ConfigurationMistake> &mistakes)
+{
+    std::stable_sort(mistakes.begin(), mistakes.end(), [](const ConfigurationMistake &left, const ConfigurationMistake &right) {
+        return std::tie(left.file, left.line) < std::tie(right.file, right.line);
+    });
+}
+
 /// The one line that an operator reads: file, line, what, what to write. Thread-safe.
 inline std::string toLine(const ConfigurationMistake &mistake)
 {
--- a/src/config/configurationparser.cpp
+++ b/src/config/configurationparser.cpp
@@ -3,9 +3,7 @@
 #include "config/configurationerror.h"
 #include "config/yamlreader.h"
 
-#include <algorithm>
 #include <set>
-#include <tuple>
 
 namespace Anvilcart
 {
@@ -20,17 +18,10 @@
     leaf::result<Configuration> read(const std::vector<ConfigurationFile> &files)
     {
         for (const auto &file : files) {
-            const auto schema = file.name == BaseFileName ? SchemaFile::Base : SchemaFile::Overlay;
-            YamlReader root(parseYaml(file.content, file.name, m_mistakes), schema, file.name, m_mistakes);
-            if (schema == SchemaFile::Base) {
-                readBase(root);
-            } else {
-                readOverlay(root);
-            }
-            root.rejectUnknownKeys();
+            readFile(file);
         }
         if (!m_mistakes.empty()) {
-            sortMistakes();
+            sortByPlace(m_mistakes);
             return leaf::new_error(ConfigurationError {std::move(m_mistakes)});
         }
         return std::move(m_configuration);
@@ -39,6 +30,23 @@
 private:
     using Names = std::set<std::string>;
 
+    void readFile(const ConfigurationFile &file)
+    {
+        const auto schema = file.name == BaseFileName ? SchemaFile::Base : SchemaFile::Overlay;
+        const auto mistakesBefore = m_mistakes.size();
+        const auto node = parseYaml(file.content, file.name, m_mistakes);
+        if (m_mistakes.size() > mistakesBefore) {
+            return;
+        }
+        YamlReader root(node, schema, file.name, m_mistakes);
+        if (schema == SchemaFile::Base) {
+            readBase(root);
+        } else {
+            readOverlay(root);
+        }
+        root.rejectUnknownKeys();
+    }
+
     void readBase(YamlReader &root)
     {
         readLimits(root.mapping("limits"));
@@ -149,13 +157,6 @@
         }
     }
 
-    void sortMistakes()
-    {
-        std::stable_sort(m_mistakes.begin(), m_mistakes.end(), [](const auto &left, const auto &right) {
-            return std::tie(left.file, left.line) < std::tie(right.file, right.line);
-        });
-    }
-
     std::vector<ConfigurationMistake> m_mistakes;
     Configuration m_configuration;
     TargetSpec m_defaults;
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -23,6 +23,7 @@
     settings.carryForwardPeriod = Seconds(reader.number("carry_forward_period_s"));
     reader.rejectUnknownKeys();
     if (!mistakes.empty()) {
+        sortByPlace(mistakes);
         return leaf::new_error(ConfigurationError {std::move(mistakes)});
     }
     return settings;
