Start a non-idempotent task only under a claim that was read back from the log

Cause: TaskSpec::idempotent was ignored; such tasks started unclaimed on every host that was asked (first failing test: ClaimGateSuite). Ruled out: starting when the append is answered (the answer can be lost, and an earlier claim may stand before it); making claims part of the queue (a job would hold slots while it waits for the log). The run request carries the idempotency key, and the played targets count starts by key.

--- a/src/config/configurationparser.cpp
+++ b/src/config/configurationparser.cpp
@@ -21,6 +21,7 @@
 constexpr NumberRange JobTaskRange {1, 750};
 constexpr NumberRange QueuedTaskRange {1, 10'000'000};
 constexpr NumberRange DeadlineRangeMs {1, 3'600'000};
+constexpr NumberRange KeyExpiryRangeSeconds {60, 604'800};
 constexpr NumberRange RunningTaskRange {1, 1'000'000};
 
 /// One value of an enumeration and the name that the files use.
@@ -103,6 +104,7 @@
     limits.maxQueuedTasks = static_cast<std::uint32_t>(reader.number("max_queued_tasks", QueuedTaskRange, limits.maxQueuedTasks));
     limits.defaultDeadline = Milliseconds(reader.number("default_deadline_ms", DeadlineRangeMs, limits.defaultDeadline.count()));
     limits.maxDeadline = Milliseconds(reader.number("max_deadline_ms", DeadlineRangeMs, limits.maxDeadline.count()));
+    limits.maxKeyExpiry = Seconds(reader.number("max_key_expiry_s", KeyExpiryRangeSeconds, limits.maxKeyExpiry.count()));
     reader.rejectUnknownKeys();
     return limits;
 }
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -1,5 +1,7 @@
 #include "dispatch/dispatcher.h"
 
+#include "dispatch/keyrules.h"
+
 #include <algorithm>
 #include <cassert>
 
@@ -30,6 +32,9 @@
     void operator()(const TaskRanAndFailed &failed) const
     {
         dispatcher.move(job.tasks[task], TaskState::Finished);
+        if (dispatcher.m_claims != nullptr) {
+            dispatcher.m_claims->recordFailed(job.id, task, failed.message);
+        }
         dispatcher.fail(
             job, ResultCode::TaskFailed, ResultCode::TaskFailed, "task '" + job.spec.tasks[task].id + "' failed: " + failed.message, now);
     }
@@ -57,6 +62,36 @@
     }
 };
 
+/// Applies what came of a job's claims.
+struct ClaimVerdictVisitor
+{
+    Dispatcher &dispatcher;
+    JobRecord &job;
+    TimePoint now;
+
+    void operator()(ClaimsGranted &granted) const
+    {
+        job.startBefore = granted.startBefore;
+        for (auto &known : granted.known) {
+            std::erase(job.queued, known.task);
+            dispatcher.finish(job, known.task, std::move(known.output), now);
+        }
+        dispatcher.m_queue.update(job);
+        dispatcher.removeIfDone(job);
+    }
+
+    void operator()(const Refusal &refusal) const
+    {
+        dispatcher.cancelQueuedTasks(job);
+        JobAnswer refused;
+        refused.code = refusal.code;
+        refused.message = refusal.message;
+        refused.retryAfter = refusal.retryAfter;
+        dispatcher.answer(job, std::move(refused), now);
+        dispatcher.removeIfDone(job);
+    }
+};
+
 Dispatcher::Dispatcher(HostIdentity identity, TargetPort &targets, DispatchObserver &observer)
     : m_identity(std::move(identity))
     , m_targets(targets)
@@ -64,6 +99,11 @@
 {
 }
 
+void Dispatcher::setClaimGate(ClaimGate &gate)
+{
+    m_claims = &gate;
+}
+
 void Dispatcher::applyConfiguration(std::shared_ptr<const Configuration> configuration, TimePoint now)
 {
     m_configuration = std::move(configuration);
@@ -112,8 +152,12 @@
     job.configuration = m_configuration;
     job.deadline = now + deadline;
     m_deadlines.emplace(job.deadline, job.id);
-    m_queue.update(job);
     const auto id = job.id;
+    if (needsClaims(job.spec)) {
+        beginClaims(job, now);
+    } else {
+        m_queue.update(job);
+    }
     pump(now);
     return id;
 }
@@ -157,6 +201,17 @@
     pump(now);
 }
 
+void Dispatcher::onClaims(JobId id, ClaimVerdict verdict, TimePoint now)
+{
+    auto *job = m_jobs.find(id);
+    if (job == nullptr || !job->awaitsClaims || job->answered) {
+        return;
+    }
+    job->awaitsClaims = false;
+    std::visit(ClaimVerdictVisitor {*this, *job, now}, verdict);
+    pump(now);
+}
+
 void Dispatcher::onTick(TimePoint now)
 {
     while (!m_deadlines.empty() && m_deadlines.begin()->first <= now) {
@@ -196,6 +251,31 @@
     return m_queue;
 }
 
+void Dispatcher::beginClaims(JobRecord &job, TimePoint now)
+{
+    job.awaitsClaims = true;
+    const auto id = job.id;
+    if (const auto refusal = refuseKeys(job.spec, job.configuration->limits, job.deadline - now)) {
+        onClaims(id, *refusal, now);
+        return;
+    }
+    if (m_claims == nullptr) {
+        onClaims(id, Refusal {ResultCode::ClaimsUnavailable, "this host cannot claim idempotency keys yet", RetryAfterFailure}, now);
+        return;
+    }
+    if (auto verdict = m_claims->claim(id, job.spec, job.deadline, now)) {
+        onClaims(id, std::move(*verdict), now);
+    }
+}
+
+void Dispatcher::giveUp(JobRecord &job, std::uint32_t task)
+{
+    move(job.tasks[task], TaskState::Cancelled);
+    if (m_claims != nullptr) {
+        m_claims->abandon(job.id, task);
+    }
+}
+
 void Dispatcher::pump(TimePoint now)
 {
     if (m_queue.unstartedTasks() == 0 || m_slots.freeSlots(now) == 0) {
@@ -211,7 +291,8 @@
 
 void Dispatcher::startQueuedTasks(JobRecord &job, TimePoint now)
 {
-    while (!job.queued.empty()) {
+    // A host that was paused may hold claims that have expired; its jobs are past their deadline.
+    while (!job.queued.empty() && now < job.startBefore) {
         const auto task = job.queued.back();
         const auto target = m_slots.pick(job.spec.tasks[task].size, now);
         if (!target) {
@@ -235,9 +316,15 @@
     job.mayHaveRun = true;
     m_slots.take(target);
     m_observer.onQueueWait(now - job.arrivedAt);
-    m_targets.start(
-        target,
-        {TaskRef {job.id, task, record.attempt}, job.spec.submission, spec.id, spec.kind, spec.payload, job.deadline - now + StopGrace});
+    m_targets.start(target,
+                    {TaskRef {job.id, task, record.attempt},
+                     job.spec.submission,
+                     spec.id,
+                     spec.kind,
+                     spec.payload,
+                     job.deadline - now + StopGrace,
+                     spec.idempotencyKey,
+                     job.startBefore});
 }
 
 void Dispatcher::move(TaskRecord &task, TaskState to)
@@ -256,7 +343,7 @@
         m_slots.pause(target, now + (reason == NotStartedReason::NoSlot ? PauseAfterNoSlot : PauseAfterConnectFailure));
     }
     if (job.answered) {
-        move(job.tasks[task], TaskState::Cancelled);
+        giveUp(job, task);
         return;
     }
     move(job.tasks[task], TaskState::Queued);
@@ -273,6 +360,9 @@
 void Dispatcher::finish(JobRecord &job, std::uint32_t task, std::string output, TimePoint now)
 {
     move(job.tasks[task], TaskState::Finished);
+    if (m_claims != nullptr) {
+        m_claims->recordFinished(job.id, task, output);
+    }
     job.tasks[task].output = std::move(output);
     ++job.finished;
     if (job.answered || job.finished < job.tasks.size()) {
@@ -311,7 +401,7 @@
 void Dispatcher::cancelQueuedTasks(JobRecord &job)
 {
     for (const auto task : job.queued) {
-        move(job.tasks[task], TaskState::Cancelled);
+        giveUp(job, task);
     }
     job.queued.clear();
     m_queue.remove(job.id);
@@ -338,6 +428,9 @@
             break;
         }
     }
+    if (m_claims != nullptr) {
+        m_claims->forget(job.id);
+    }
     m_jobs.remove(job.id);
 }
 
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "dispatch/admission.h"
+#include "dispatch/interfaces/claimgate.h"
 #include "dispatch/interfaces/dispatchobserver.h"
 #include "dispatch/interfaces/targetport.h"
 #include "dispatch/jobqueue.h"
@@ -31,6 +32,9 @@
     /// The port and the observer outlive the dispatcher.
     Dispatcher(HostIdentity identity, TargetPort &targets, DispatchObserver &observer);
 
+    /// Sets who grants the right to start non-idempotent tasks; without a gate they are refused. The gate outlives the dispatcher.
+    void setClaimGate(ClaimGate &gate);
+
     /// Takes over a configuration. Jobs that are in progress keep theirs.
     void applyConfiguration(std::shared_ptr<const Configuration> configuration, TimePoint now);
 
@@ -53,6 +57,9 @@
     /// Reports what came of an attempt. Outcomes of attempts that are not in progress are ignored.
     void onOutcome(const TaskRef &ref, TaskOutcome outcome, TimePoint now);
 
+    /// Reports what came of a job's claims. Ignored when the job no longer waits for them.
+    void onClaims(JobId id, ClaimVerdict verdict, TimePoint now);
+
     /// Answers jobs whose deadline has passed and starts what can start. Call every few milliseconds.
     void onTick(TimePoint now);
 
@@ -70,7 +77,10 @@
 
 private:
     friend struct OutcomeVisitor;
+    friend struct ClaimVerdictVisitor;
 
+    void beginClaims(JobRecord &job, TimePoint now);
+    void giveUp(JobRecord &job, std::uint32_t task);
     void pump(TimePoint now);
     void startQueuedTasks(JobRecord &job, TimePoint now);
     void startTask(JobRecord &job, std::uint32_t task, TargetIndex target, TimePoint now);
@@ -88,6 +98,7 @@
     HostIdentity m_identity;
     TargetPort &m_targets;
     DispatchObserver &m_observer;
+    ClaimGate *m_claims = nullptr;
     std::shared_ptr<const Configuration> m_configuration;
     std::vector<std::string> m_members;
     SlotTable m_slots;
--- a/src/dispatch/jobtable.h
+++ b/src/dispatch/jobtable.h
@@ -37,10 +37,13 @@
     std::shared_ptr<const Configuration> configuration;
     TimePoint arrivedAt;
     TimePoint deadline;
+    /// No claimed task is started from then on.
+    TimePoint startBefore = TimePoint::max();
     std::vector<TaskRecord> tasks;
     std::vector<std::uint32_t> queued;
     std::uint32_t sent = 0;
     std::uint32_t finished = 0;
+    bool awaitsClaims = false;
     bool mayHaveRun = false;
     bool answered = false;
 };
--- a/src/dispatch/taskoutcome.h
+++ b/src/dispatch/taskoutcome.h
@@ -13,14 +13,15 @@
     NoSlot,
     TargetLeaving,
     RefusedByTarget,
+    ClaimExpired,
 };
 
-constexpr std::size_t NotStartedReasonCount = 4;
+constexpr std::size_t NotStartedReasonCount = 5;
 
 /// The name in metrics and logs. Thread-safe.
 constexpr std::string_view toName(NotStartedReason reason)
 {
-    constexpr std::string_view Names[] = {"connect_failed", "no_slot", "target_leaving", "refused_by_target"};
+    constexpr std::string_view Names[] = {"connect_failed", "no_slot", "target_leaving", "refused_by_target", "claim_expired"};
     return Names[static_cast<std::size_t>(reason)];
 }
 
--- a/src/dispatch/taskstate.h
+++ b/src/dispatch/taskstate.h
@@ -20,6 +20,7 @@
 /// The name in metrics and logs. Thread-safe.
 std::string_view toName(TaskState state);
 
-/// True where the state machine has an edge. The only way back is Sent to Queued: the target proved that it did not start. Thread-safe.
+/// True where the state machine has an edge. The only way back is Sent to Queued: the target proved that it did not start.
+/// From Queued to Finished goes a task whose idempotency key was answered before. Thread-safe.
 bool isEdge(TaskState from, TaskState to);
 } // namespace Anvilcart
--- a/src/target/taskcodec.cpp
+++ b/src/target/taskcodec.cpp
@@ -95,7 +95,8 @@
                                          {"task", start.task},
                                          {"attempt", start.ref.attempt},
                                          {"kind", start.kind},
-                                         {"payload", start.payload}});
+                                         {"payload", start.payload},
+                                         {"idempotency_key", start.idempotencyKey}});
 }
 
 std::optional<RunRequest> decodeRunRequest(const std::string &body)
@@ -108,7 +109,8 @@
                        textOf(*object, "task"),
                        numberOf(*object, "attempt"),
                        textOf(*object, "kind"),
-                       textOf(*object, "payload")};
+                       textOf(*object, "payload"),
+                       textOf(*object, "idempotency_key")};
 }
 
 std::string encodeRunReply(const RunReply &reply)
--- a/src/target/taskcodec.h
+++ b/src/target/taskcodec.h
@@ -17,6 +17,8 @@
     std::uint32_t attempt = 0;
     std::string kind;
     std::string payload;
+    /// Empty for an idempotent task.
+    std::string idempotencyKey;
 };
 
 /// What a target says of one task. A state of its own for each TaskOutcome but TaskLost.
--- a/standins/site/site.cpp
+++ b/standins/site/site.cpp
@@ -144,6 +144,11 @@
     return call(targetsControl(), "GET", "/ledger").body;
 }
 
+std::string Site::startsByKey()
+{
+    return call(targetsControl(), "GET", "/keys").body;
+}
+
 std::string Site::targetCounts()
 {
     return call(targetsControl(), "GET", "/counts").body;
--- a/standins/site/site.h
+++ b/standins/site/site.h
@@ -62,6 +62,9 @@
     /// Starts counted at the targets, by submission and task, as the JSON text of the ledger.
     std::string ledger();
 
+    /// Starts counted at the targets, by idempotency key, as a JSON object.
+    std::string startsByKey();
+
     /// Counts of all targets: starts, refusals, running, as JSON text.
     std::string targetCounts();
 
--- a/standins/targets/startledger.cpp
+++ b/standins/targets/startledger.cpp
@@ -6,11 +6,14 @@
 {
 namespace json = boost::json;
 
-void StartLedger::record(const std::string &submission, const std::string &task)
+void StartLedger::record(const std::string &submission, const std::string &task, const std::string &key)
 {
     const std::lock_guard<std::mutex> lock(m_mutex);
     ++m_starts[submission][task];
     ++m_total;
+    if (!key.empty()) {
+        ++m_startsByKey[key];
+    }
 }
 
 std::string StartLedger::toJson() const
@@ -27,6 +30,16 @@
     return json::serialize(submissions);
 }
 
+std::string StartLedger::keysToJson() const
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    json::object keys;
+    for (const auto &[key, count] : m_startsByKey) {
+        keys[key] = count;
+    }
+    return json::serialize(keys);
+}
+
 std::uint64_t StartLedger::total() const
 {
     const std::lock_guard<std::mutex> lock(m_mutex);
