--- a/src/config/configurationparser.cpp
+++ b/src/config/configurationparser.cpp
@@ -22,6 +22,12 @@
 constexpr NumberRange QueuedTaskRange {1, 10'000'000};
 constexpr NumberRange DeadlineRangeMs {1, 3'600'000};
 constexpr NumberRange KeyExpiryRangeSeconds {60, 604'800};
+constexpr NumberRange EntryHostRange {0, 1000};
+constexpr NumberRange PercentRange {0, 100};
+constexpr NumberRange AttemptRange {1, 1000};
+constexpr NumberRange BudgetPercentRange {0, 10'000};
+constexpr NumberRange BudgetBurstRange {0, 1'000'000};
+constexpr NumberRange PauseRangeMs {1, 600'000};
 constexpr NumberRange RunningTaskRange {1, 1'000'000};
 
 /// One value of an enumeration and the name that the files use.
@@ -114,10 +120,34 @@
     PolicySpec policy;
     policy.queueOrder = readChoice(reader, "queue_order", QueueOrders, policy.queueOrder);
     policy.slotSharing = readChoice(reader, "slot_sharing", SlotSharings, policy.slotSharing);
+    policy.overtake = Milliseconds(reader.number("overtake_ms", PauseRangeMs, policy.overtake.count()));
     reader.rejectUnknownKeys();
     return policy;
 }
 
+HealthSpec readHealth(YamlReader reader)
+{
+    HealthSpec health;
+    health.maxEjectedPercent = static_cast<std::uint32_t>(reader.number("max_ejected_percent", PercentRange, health.maxEjectedPercent));
+    health.ejectAtFailurePercent =
+        static_cast<std::uint32_t>(reader.number("eject_at_failure_percent", PercentRange, health.ejectAtFailurePercent));
+    health.firstEjection = Milliseconds(reader.number("first_ejection_ms", PauseRangeMs, health.firstEjection.count()));
+    health.longestEjection = Milliseconds(reader.number("longest_ejection_ms", PauseRangeMs, health.longestEjection.count()));
+    health.stallLimit = Milliseconds(reader.number("stall_limit_ms", PauseRangeMs, health.stallLimit.count()));
+    reader.rejectUnknownKeys();
+    return health;
+}
+
+RetrySpec readRetries(YamlReader reader)
+{
+    RetrySpec retries;
+    retries.maxAttempts = static_cast<std::uint32_t>(reader.number("max_attempts", AttemptRange, retries.maxAttempts));
+    retries.budgetPercent = static_cast<std::uint32_t>(reader.number("budget_percent", BudgetPercentRange, retries.budgetPercent));
+    retries.budgetBurst = static_cast<std::uint32_t>(reader.number("budget_burst", BudgetBurstRange, retries.budgetBurst));
+    reader.rejectUnknownKeys();
+    return retries;
+}
+
 TeamSpec readTeam(YamlReader &reader)
 {
     TeamSpec team;
@@ -157,12 +187,16 @@
         if (file.name == BaseFileName) {
             configuration.limits = readLimits(root.mapping("limits"));
             configuration.policy = readPolicy(root.mapping("policy"));
+            configuration.health = readHealth(root.mapping("health"));
+            configuration.retries = readRetries(root.mapping("retries"));
             defaults = readTargetDefaults(root.mapping("target_defaults"));
             for (auto &team : root.list("teams")) {
                 configuration.teams.push_back(readTeam(team));
             }
         } else {
             const auto zone = root.requiredText("zone");
+            const auto entryHosts = static_cast<std::uint32_t>(root.number("entry_hosts", EntryHostRange, 0));
+            configuration.zones.push_back({zone, entryHosts});
             for (auto &target : root.list("targets")) {
                 configuration.targets.push_back(readTarget(target, defaults, zone));
             }
--- a/src/dispatch/slottable.cpp
+++ b/src/dispatch/slottable.cpp
@@ -1,5 +1,6 @@
 #include "dispatch/slottable.h"
 
+#include "dispatch/capacityclasses.h"
 #include "dispatch/slotshares.h"
 
 #include <algorithm>
@@ -8,18 +9,29 @@
 {
 namespace
 {
-bool fits(const TaskSize &size, const TaskSize &capacity)
-{
-    return size.cpus <= capacity.cpus && size.memoryMb <= capacity.memoryMb && size.accelerators <= capacity.accelerators;
-}
+constexpr Milliseconds ShortestFullPause {5};
+constexpr Milliseconds LongestFullPause {320};
 
-/// Used slots over own slots is compared as a product, so that no division is needed.
+/// Used over usable slots is compared as a product, so that no division is needed.
 bool isLessUsed(const TargetSlots &left, const TargetSlots &right)
 {
-    return static_cast<std::uint64_t>(left.used) * right.share < static_cast<std::uint64_t>(right.used) * left.share;
+    return static_cast<std::uint64_t>(left.used) * right.usable() < static_cast<std::uint64_t>(right.used) * left.usable();
 }
 } // namespace
 
+std::uint32_t TargetSlots::usable() const
+{
+    const auto held = share + borrowed;
+    const auto own = held > lent ? held - lent : 0;
+    return std::min(own, taskLimit);
+}
+
+std::uint32_t TargetSlots::free() const
+{
+    const auto most = usable();
+    return most > used ? most - used : 0;
+}
+
 std::vector<TargetIndex> SlotTable::applyTargets(const std::vector<TargetSpec> &targets, const std::string &zone)
 {
     for (auto &target : m_targets) {
@@ -64,7 +76,7 @@
     std::optional<TargetIndex> best;
     for (TargetIndex i = 0; i < m_targets.size(); ++i) {
         const auto &target = m_targets[i];
-        if (target.used >= target.share || !isInService(target, now) || !fits(size, target.spec.capacity)) {
+        if (target.free() == 0 || !isInService(target, now) || !fits(size, target.spec.capacity)) {
             continue;
         }
         if (!best || isLessUsed(target, m_targets[*best])) {
@@ -91,11 +103,77 @@
     --m_targets[target].used;
 }
 
+std::optional<TargetIndex> SlotTable::pickToLend(TimePoint now) const
+{
+    std::optional<TargetIndex> best;
+    for (TargetIndex i = 0; i < m_targets.size(); ++i) {
+        const auto &target = m_targets[i];
+        if (target.free() <= target.borrowed || !isInService(target, now)) {
+            continue;
+        }
+        if (!best || isLessUsed(target, m_targets[*best])) {
+            best = i;
+        }
+    }
+    return best;
+}
+
+std::optional<TargetIndex> SlotTable::find(const std::string &name) const
+{
+    for (TargetIndex i = 0; i < m_targets.size(); ++i) {
+        if (m_targets[i].configured && m_targets[i].spec.name == name) {
+            return i;
+        }
+    }
+    return std::nullopt;
+}
+
+void SlotTable::lend(TargetIndex target)
+{
+    ++m_targets[target].lent;
+}
+
+void SlotTable::reclaim(TargetIndex target)
+{
+    --m_targets[target].lent;
+}
+
+void SlotTable::borrow(TargetIndex target)
+{
+    ++m_targets[target].borrowed;
+}
+
+void SlotTable::returnBorrowed(TargetIndex target)
+{
+    --m_targets[target].borrowed;
+}
+
 void SlotTable::pause(TargetIndex target, TimePoint until)
 {
     m_targets[target].pausedUntil = std::max(m_targets[target].pausedUntil, until);
 }
 
+void SlotTable::pauseFull(TargetIndex target, TimePoint now)
+{
+    auto &slots = m_targets[target];
+    // Refusals of tasks that were sent together count once.
+    if (slots.pausedUntil > now) {
+        return;
+    }
+    slots.fullPause = std::clamp<Duration>(slots.fullPause * 2, ShortestFullPause, LongestFullPause);
+    slots.pausedUntil = now + slots.fullPause;
+}
+
+void SlotTable::forgetFullPause(TargetIndex target)
+{
+    m_targets[target].fullPause = Duration::zero();
+}
+
+void SlotTable::limitTasks(TargetIndex target, std::uint32_t tasks)
+{
+    m_targets[target].taskLimit = tasks;
+}
+
 void SlotTable::markLeaving(TargetIndex target)
 {
     m_targets[target].leaving = true;
@@ -105,13 +183,31 @@
 {
     std::uint32_t free = 0;
     for (const auto &target : m_targets) {
-        if (isInService(target, now) && target.share > target.used) {
-            free += target.share - target.used;
+        if (isInService(target, now)) {
+            free += target.free();
         }
     }
     return free;
 }
 
+std::uint32_t SlotTable::servingSlots(TimePoint now) const
+{
+    std::uint32_t slots = 0;
+    for (const auto &target : m_targets) {
+        slots += isInService(target, now) ? std::min(target.share, target.taskLimit) : 0;
+    }
+    return slots;
+}
+
+std::uint32_t SlotTable::zoneSlots() const
+{
+    std::uint32_t slots = 0;
+    for (const auto &target : m_targets) {
+        slots += target.configured && !target.leaving ? target.spec.slots : 0;
+    }
+    return slots;
+}
+
 std::uint32_t SlotTable::ownSlots() const
 {
     std::uint32_t slots = 0;
--- a/src/dispatch/slottable.h
+++ b/src/dispatch/slottable.h
@@ -4,6 +4,7 @@
 #include "dispatch/interfaces/targetport.h"
 #include "kernel/time.h"
 
+#include <limits>
 #include <optional>
 #include <string>
 #include <unordered_map>
@@ -12,15 +13,30 @@
 
 namespace Anvilcart
 {
-/// One target as this host sees it. `share` slots are this host's to use.
+/// No limit but the slots.
+constexpr std::uint32_t NoTaskLimit = std::numeric_limits<std::uint32_t>::max();
+
+/// One target as this host sees it. `share` slots are this host's own; it may use those that it has not lent, and those that it borrowed.
 struct TargetSlots
 {
     TargetSpec spec;
     std::uint32_t share = 0;
     std::uint32_t used = 0;
+    /// The most tasks that the target's health allows.
+    std::uint32_t taskLimit = NoTaskLimit;
+    std::uint32_t lent = 0;
+    std::uint32_t borrowed = 0;
     bool configured = false;
     bool leaving = false;
     TimePoint pausedUntil;
+    /// The length of the last pause for want of a slot; zero after a start that was not refused.
+    Duration fullPause {};
+
+    /// Slots that this host may use now, in use or not.
+    std::uint32_t usable() const;
+
+    /// Slots that this host may use and does not use.
+    std::uint32_t free() const;
 };
 
 /// The slots of the zone's targets that this host may use, and which are in use. Not thread-safe: the decision loop's.
@@ -49,15 +65,48 @@
     /// Gives a slot back. Precondition: it was taken.
     void release(TargetIndex target);
 
+    /// The least used target in service with a free slot of this host's own, or nothing.
+    std::optional<TargetIndex> pickToLend(TimePoint now) const;
+
+    /// The configured target with this name, or nothing.
+    std::optional<TargetIndex> find(const std::string &name) const;
+
+    /// Marks a free slot as lent. Precondition: pickToLend() returned the target.
+    void lend(TargetIndex target);
+
+    /// Takes a lent slot home. Precondition: lend() was called for it.
+    void reclaim(TargetIndex target);
+
+    /// Adds a slot that a peer lent to this host.
+    void borrow(TargetIndex target);
+
+    /// Gives a borrowed slot up. Precondition: borrow() was called for it.
+    void returnBorrowed(TargetIndex target);
+
     /// Gives the target no new task until then.
     void pause(TargetIndex target, TimePoint until);
 
+    /// The target was full although this host believed in a free slot: it gets nothing for a pause that doubles each time.
+    void pauseFull(TargetIndex target, TimePoint now);
+
+    /// The target started a task: its next pause for want of a slot is short again.
+    void forgetFullPause(TargetIndex target);
+
+    /// Lets the target hold at most so many tasks of this host; NoTaskLimit lifts the limit.
+    void limitTasks(TargetIndex target, std::uint32_t tasks);
+
     /// Marks a target as leaving on its own word.
     void markLeaving(TargetIndex target);
 
-    /// Free slots of this host over all targets in service.
+    /// Free slots of this host over all targets in service, borrowed ones included.
     std::uint32_t freeSlots(TimePoint now) const;
 
+    /// Slots of this host at targets that are in service, free or not.
+    std::uint32_t servingSlots(TimePoint now) const;
+
+    /// Slots of all hosts at targets that are configured and not leaving.
+    std::uint32_t zoneSlots() const;
+
     /// Slots of this host over all configured targets.
     std::uint32_t ownSlots() const;
 
--- a/src/kernel/pluginregistry.h
+++ b/src/kernel/pluginregistry.h
@@ -15,6 +15,7 @@
     Decisions,
     Platform,
     Claims,
+    Peers,
     Doors,
 };
 
--- a/tests/unit/dispatch/claimgate.cpp
+++ b/tests/unit/dispatch/claimgate.cpp
@@ -52,6 +52,14 @@
     BOOST_TEST(gate.forgotten.size() == 1);
 }
 
+BOOST_AUTO_TEST_CASE(A_configuration_that_comes_while_claims_are_awaited_starts_nothing)
+{
+    submit(makeClaimedJob("a", 1));
+    configure(3, 4);
+    advance(Milliseconds(5));
+    BOOST_TEST(port.started.empty());
+}
+
 BOOST_AUTO_TEST_CASE(An_idempotent_job_needs_no_gate)
 {
     submit(makeJob("a", 1));
