--- a/src/config/configuration.h
+++ b/src/config/configuration.h
@@ -49,6 +49,8 @@
     std::uint32_t maxQueuedTasks = 20000;
     Milliseconds defaultDeadline {30000};
     Milliseconds maxDeadline {300000};
+    /// How long an idempotency key may last; shorter than the log's retention.
+    Seconds maxKeyExpiry {86400};
 };
 
 /// When a target is ejected, and for how long.
--- a/src/config/configurationdiff.cpp
+++ b/src/config/configurationdiff.cpp
@@ -157,6 +157,7 @@
     changes.compare("limits.max_queued_tasks", before.limits.maxQueuedTasks, after.limits.maxQueuedTasks);
     changes.compare("limits.default_deadline_ms", before.limits.defaultDeadline.count(), after.limits.defaultDeadline.count());
     changes.compare("limits.max_deadline_ms", before.limits.maxDeadline.count(), after.limits.maxDeadline.count());
+    changes.compare("limits.max_key_expiry_s", before.limits.maxKeyExpiry.count(), after.limits.maxKeyExpiry.count());
     changes.compare("policy.queue_order", toName(before.policy.queueOrder), toName(after.policy.queueOrder));
     changes.compare("policy.slot_sharing", toName(before.policy.slotSharing), toName(after.policy.slotSharing));
     changes.compare("policy.overtake_ms", before.policy.overtake.count(), after.policy.overtake.count());
--- a/src/config/configurationparser.cpp
+++ b/src/config/configurationparser.cpp
@@ -76,6 +76,7 @@
         limits.maxQueuedTasks = static_cast<std::uint32_t>(reader.number("max_queued_tasks"));
         limits.defaultDeadline = Milliseconds(reader.number("default_deadline_ms"));
         limits.maxDeadline = Milliseconds(reader.number("max_deadline_ms"));
+        limits.maxKeyExpiry = Seconds(reader.number("max_key_expiry_s"));
         if (limits.defaultDeadline > limits.maxDeadline) {
             reader.reject("default_deadline_ms",
                           "'default_deadline_ms' is " + std::to_string(limits.defaultDeadline.count()),
--- a/src/config/schema.cpp
+++ b/src/config/schema.cpp
@@ -17,6 +17,7 @@
 constexpr NumberRange AcceleratorRange {0, 64};
 constexpr NumberRange JobTaskRange {1, 750};
 constexpr NumberRange QueuedTaskRange {1, 10'000'000};
+constexpr NumberRange KeyExpiryRangeSeconds {60, 604'800};
 constexpr NumberRange DeadlineRangeMs {1, 3'600'000};
 constexpr NumberRange EntryHostRange {0, 1000};
 constexpr NumberRange PercentRange {0, 100};
@@ -78,6 +79,12 @@
            "A job that would not fit into an entry host's queue is refused."),
     number(Base, "limits.default_deadline_ms", DeadlineRangeMs, "ms", "30000", "The deadline of a job that names none."),
     number(Base, "limits.max_deadline_ms", DeadlineRangeMs, "ms", "300000", "Longer deadlines are cut to this."),
+    number(Base,
+           "limits.max_key_expiry_s",
+           KeyExpiryRangeSeconds,
+           "s",
+           "86400",
+           "The longest expiry of an idempotency key; keep it shorter than the platform's log keeps records."),
     section(Base, "policy", "How work is ordered and shared."),
     choice(Base, "policy.queue_order", QueueOrderNames, "fewest_unstarted_first", "The order in which waiting jobs start tasks."),
     choice(Base, "policy.slot_sharing", SlotSharingNames, "loans", "How the entry hosts of an availability zone share its slots."),
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -1,5 +1,7 @@
 #include "dispatch/dispatcher.h"
 
+#include "dispatch/keyrules.h"
+
 #include <algorithm>
 #include <cassert>
 
@@ -65,6 +67,9 @@
     void operator()(const TaskRanAndFailed &failed) const
     {
         dispatcher.move(job.tasks[task], TaskState::Finished);
+        if (dispatcher.m_claims != nullptr) {
+            dispatcher.m_claims->recordFailed(job.id, task, failed.message);
+        }
         dispatcher.fail(
             job, ResultCode::TaskFailed, ResultCode::TaskFailed, "task '" + job.spec.tasks[task].id + "' failed: " + failed.message, now);
     }
@@ -196,6 +201,10 @@
     job.latestStart = latestStart(job, m_slots.zoneSlots());
     m_deadlines.emplace(job.deadline, job.id);
     m_latestStarts.emplace(job.latestStart, job.id);
+    if (needsClaims(job.spec)) {
+        beginClaims(job, now);
+        return;
+    }
     m_queue.update(job);
 }
 
@@ -361,6 +370,10 @@
 
 bool Dispatcher::startNextTask(JobRecord &job, TimePoint now)
 {
+    // A host that was paused may hold claims that have expired; its jobs are past their deadline.
+    if (now >= job.startBefore) {
+        return false;
+    }
     const auto task = job.queued.back();
     const auto target = m_slots.pick(job.spec.tasks[task].size, now);
     if (!target) {
@@ -397,9 +410,15 @@
     m_teams.onStart(job.team);
     m_health.onStart(target, now);
     m_observer.onQueueWait(now - job.arrivedAt);
-    m_targets.start(
-        target,
-        {TaskRef {job.id, task, record.attempt}, job.spec.submission, spec.id, spec.kind, spec.payload, job.deadline - now + StopGrace});
+    m_targets.start(target,
+                    {TaskRef {job.id, task, record.attempt},
+                     job.spec.submission,
+                     spec.id,
+                     spec.kind,
+                     spec.payload,
+                     job.deadline - now + StopGrace,
+                     spec.idempotencyKey,
+                     job.startBefore});
 }
 
 void Dispatcher::move(TaskRecord &task, TaskState to)
@@ -420,7 +439,7 @@
         m_slots.pause(target, now + PauseAfterRefusal);
     }
     if (job.answered) {
-        move(job.tasks[task], TaskState::Cancelled);
+        giveUp(job, task);
         return;
     }
     move(job.tasks[task], TaskState::Queued);
@@ -453,6 +472,14 @@
 {
     move(job.tasks[task], TaskState::Finished);
     m_runTimes.learn(job.spec.tasks[task], now - job.tasks[task].sentAt, now);
+    if (m_claims != nullptr) {
+        m_claims->recordFinished(job.id, task, output);
+    }
+    complete(job, task, std::move(output), now);
+}
+
+void Dispatcher::complete(JobRecord &job, std::uint32_t task, std::string output, TimePoint now)
+{
     job.tasks[task].output = std::move(output);
     ++job.finished;
     if (job.answered || job.finished < job.tasks.size()) {
@@ -491,7 +518,7 @@
 void Dispatcher::cancelQueuedTasks(JobRecord &job)
 {
     for (const auto task : job.queued) {
-        move(job.tasks[task], TaskState::Cancelled);
+        giveUp(job, task);
     }
     job.queued.clear();
     job.queuedWork = Duration::zero();
@@ -514,6 +541,9 @@
     }
     m_deadlines.erase({job.deadline, job.id});
     m_latestStarts.erase({job.latestStart, job.id});
+    if (m_claims != nullptr) {
+        m_claims->forget(job.id);
+    }
     m_jobs.remove(job.id);
 }
 
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "dispatch/admission.h"
+#include "dispatch/interfaces/claimgate.h"
 #include "dispatch/interfaces/dispatchobserver.h"
 #include "dispatch/interfaces/slotsharing.h"
 #include "dispatch/interfaces/targetport.h"
@@ -35,6 +36,9 @@
     /// The port and the observer outlive the dispatcher.
     Dispatcher(HostIdentity identity, TargetPort &targets, DispatchObserver &observer);
 
+    /// Sets who grants the right to start non-idempotent tasks; without a gate they are refused. The gate outlives the dispatcher.
+    void setClaimGate(ClaimGate &gate);
+
     /// Takes over a configuration. Jobs that are in progress keep theirs.
     void applyConfiguration(std::shared_ptr<const Configuration> configuration, TimePoint now);
 
@@ -63,6 +67,9 @@
     /// Reports what came of an attempt. Outcomes of attempts that are not in progress are ignored.
     void onOutcome(const TaskRef &ref, TaskOutcome outcome, TimePoint now);
 
+    /// Reports what came of a job's claims. Ignored when the job no longer waits for them.
+    void onClaims(JobId id, ClaimVerdict verdict, TimePoint now);
+
     /// Answers jobs whose deadline has passed and starts what can start. Call every few milliseconds.
     void onTick(TimePoint now);
 
@@ -80,7 +87,11 @@
 
 private:
     friend struct OutcomeVisitor;
+    friend struct ClaimVerdictVisitor;
 
+    void beginClaims(JobRecord &job, TimePoint now);
+    void answerKnown(JobRecord &job, KnownOutput &known, TimePoint now);
+    void giveUp(JobRecord &job, std::uint32_t task);
     void applyHealth(TimePoint now);
     /// Points in time at which a job needs attention.
     using JobTimes = std::set<std::pair<TimePoint, JobId>>;
@@ -99,6 +110,7 @@
     void move(TaskRecord &task, TaskState to);
     void requeue(JobRecord &job, std::uint32_t task, NotStartedReason reason, TimePoint now);
     bool mayRetry(const JobRecord &job, const TaskRecord &task, NotStartedReason reason);
+    void complete(JobRecord &job, std::uint32_t task, std::string output, TimePoint now);
     void finish(JobRecord &job, std::uint32_t task, std::string output, TimePoint now);
     void fail(JobRecord &job, ResultCode notRun, ResultCode mayHaveRun, const std::string &message, TimePoint now);
     void answer(JobRecord &job, JobAnswer answer, TimePoint now);
@@ -111,6 +123,7 @@
     HostIdentity m_identity;
     TargetPort &m_targets;
     DispatchObserver &m_observer;
+    ClaimGate *m_claims = nullptr;
     SlotSharing *m_sharing = nullptr;
     std::shared_ptr<const Configuration> m_configuration;
     std::vector<std::string> m_members;
--- a/src/dispatch/interfaces/targetport.h
+++ b/src/dispatch/interfaces/targetport.h
@@ -20,6 +20,10 @@
     std::string kind;
     std::string payload;
     Duration timeout {};
+    /// Empty for an idempotent task.
+    std::string idempotencyKey;
+    /// The start is refused as not run from then on.
+    TimePoint startBefore = TimePoint::max();
 };
 
 /// The way from the decisions to the targets. Called on the decision loop; returns at once.
--- a/src/dispatch/jobqueue.cpp
+++ b/src/dispatch/jobqueue.cpp
@@ -56,7 +56,7 @@
 void JobQueue::update(const JobRecord &job)
 {
     remove(job.id);
-    if (job.queued.empty()) {
+    if (job.queued.empty() || job.awaitsClaims) {
         return;
     }
     Place place;
--- a/src/dispatch/jobqueue.h
+++ b/src/dispatch/jobqueue.h
@@ -40,7 +40,7 @@
     /// Replaces the policy; jobs that wait are ordered anew by update().
     void setOrder(QueueOrder order);
 
-    /// Puts the job where its unstarted tasks now place it, or takes it out when it has none. Logarithmic.
+    /// Puts the job where its unstarted tasks now place it, or takes it out when it has none or waits for its claims. Logarithmic.
     void update(const JobRecord &job);
 
     /// Takes the job out. Logarithmic.
--- a/src/dispatch/jobtable.h
+++ b/src/dispatch/jobtable.h
@@ -44,6 +44,8 @@
     TeamIndex team = 0;
     TimePoint arrivedAt;
     TimePoint deadline;
+    /// No claimed task is started from then on.
+    TimePoint startBefore = TimePoint::max();
     std::vector<TaskRecord> tasks;
     /// The tasks to start, the next one at the back.
     std::vector<std::uint32_t> queued;
@@ -53,6 +55,7 @@
     TimePoint latestStart;
     std::uint32_t sent = 0;
     std::uint32_t finished = 0;
+    bool awaitsClaims = false;
     bool mayHaveRun = false;
     bool answered = false;
 };
--- a/src/dispatch/taskstate.cpp
+++ b/src/dispatch/taskstate.cpp
@@ -17,6 +17,7 @@
 constexpr std::array Edges = {
     Edge {TaskState::Queued, TaskState::Sent},
     Edge {TaskState::Queued, TaskState::Cancelled},
+    Edge {TaskState::Queued, TaskState::Finished},
     Edge {TaskState::Sent, TaskState::Queued},
     Edge {TaskState::Sent, TaskState::Finished},
     Edge {TaskState::Sent, TaskState::Unknown},
--- a/src/target/targetclient.cpp
+++ b/src/target/targetclient.cpp
@@ -48,6 +48,11 @@
 asio::awaitable<void> TargetClient::run(TaskStart start, OutcomeHandler done)
 {
     const auto self = shared_from_this();
+    // The last look at the time before a byte is written: this process may have been paused since the decision.
+    if (Clock::now() >= start.startBefore) {
+        done(start.ref, TaskNotStarted {NotStartedReason::ClaimExpired});
+        co_return;
+    }
     auto connection = takeConnection();
     HttpCall call {"POST", RunPath, encodeRunRequest(start)};
     auto reply = co_await connection->call(std::move(call), start.timeout);
--- a/standins/targets/targetstandin.cpp
+++ b/standins/targets/targetstandin.cpp
@@ -227,7 +227,7 @@
         state.refusals.fetch_add(1);
         co_return reply(*request, RunState::NotStarted, "no_slot");
     }
-    m_ledger.record(request->submission, request->task);
+    m_ledger.record(request->submission, request->task, request->idempotencyKey);
     if (fault == TargetFault::CutAfterStart) {
         co_return cutOff();
     }
@@ -266,6 +266,9 @@
     if (request.path == "/ledger") {
         co_return success(m_ledger.toJson());
     }
+    if (request.path == "/keys") {
+        co_return success(m_ledger.keysToJson());
+    }
     if (request.path == "/counts") {
         std::uint64_t refusals = 0;
         std::uint64_t running = 0;
--- a/standins/targets/targetstandin.h
+++ b/standins/targets/targetstandin.h
@@ -67,7 +67,7 @@
 };
 
 /// Plays targets: runs tasks by waiting, refuses what exceeds the slots, stops tasks, and injects faults.
-/// POST /control with {"target": NAME or "*", "fault": NAME, "ms": N}; GET /ledger; GET /counts.
+/// POST /control with {"target": NAME or "*", "fault": NAME, "ms": N}; GET /ledger; GET /keys; GET /counts.
 class TargetStandin
 {
 public:
