--- a/src/config/configuration.h
+++ b/src/config/configuration.h
@@ -82,7 +82,7 @@
     QueueOrderKind queueOrder = QueueOrderKind::FewestUnstartedFirst;
     SlotSharingKind slotSharing = SlotSharingKind::Loans;
     /// How much later a job may come and still overtake, for each unstarted task that the other has more.
-    Milliseconds overtake {50};
+    Milliseconds overtake {200};
 };
 
 /// An availability zone as its site overlay describes it.
--- a/tests/support/dispatchfixture.h
+++ b/tests/support/dispatchfixture.h
@@ -24,6 +24,8 @@
         auto configuration = std::make_shared<Configuration>();
         configuration->version = 1;
         configuration->policy.queueOrder = order;
+        configuration->policy.overtake = overtake;
+        configuration->limits.maxQueuedTasks = maxQueuedTasks;
         configuration->teams = teams;
         for (std::uint32_t i = 0; i < targets; ++i) {
             TargetSpec target;
@@ -85,6 +87,8 @@
         dispatcher.onTick(now);
     }
 
+    Milliseconds overtake {50};
+    std::uint32_t maxQueuedTasks = 20000;
     std::vector<TeamSpec> teams = {{"field", 100000}};
     FakeTargetPort port;
     FakeObserver observer;
