Make blind push a placement of its own, two random choices

Cause: the setting blind_push existed but placed tasks like every other policy, so it was no honest baseline. Mechanism off: with the least used target in place of random choices the test of random choices fails.

--- a/src/dispatch/slottable.cpp
+++ b/src/dispatch/slottable.cpp
@@ -7,15 +7,6 @@
 
 namespace Anvilcart
 {
-namespace
-{
-/// Used slots over own slots is compared as a product, so that no division is needed.
-bool isLessUsed(const TargetSlots &left, const TargetSlots &right)
-{
-    return static_cast<std::uint64_t>(left.used) * right.share < static_cast<std::uint64_t>(right.used) * left.share;
-}
-} // namespace
-
 std::uint32_t TargetSlots::usable() const
 {
     return std::min(share, taskLimit);
@@ -53,6 +44,7 @@
 
 void SlotTable::applyMembers(const std::vector<std::string> &members, const std::string &self, SlotSharingKind sharing)
 {
+    m_placement = makePlacement(sharing, self);
     for (auto &target : m_targets) {
         const bool all = sharing == SlotSharingKind::BlindPush || members.empty();
         target.share = all ? target.spec.slots : slotShare(target.spec.name, target.spec.slots, members, self);
@@ -66,19 +58,16 @@
     }
 }
 
-std::optional<TargetIndex> SlotTable::pick(const TaskSize &size, TimePoint now) const
+std::optional<TargetIndex> SlotTable::pick(const TaskSize &size, TimePoint now)
 {
-    std::optional<TargetIndex> best;
+    m_candidates.clear();
     for (TargetIndex i = 0; i < m_targets.size(); ++i) {
         const auto &target = m_targets[i];
-        if (target.free() == 0 || !isInService(target, now) || !fits(size, target.spec.capacity)) {
-            continue;
-        }
-        if (!best || isLessUsed(target, m_targets[*best])) {
-            best = i;
+        if (target.free() > 0 && isInService(target, now) && fits(size, target.spec.capacity)) {
+            m_candidates.push_back({i, target.used, target.usable()});
         }
     }
-    return best;
+    return m_candidates.empty() ? std::nullopt : std::optional(choose(m_placement, m_candidates));
 }
 
 bool SlotTable::everFits(const TaskSize &size) const
--- a/src/dispatch/slottable.h
+++ b/src/dispatch/slottable.h
@@ -2,6 +2,7 @@
 
 #include "config/configuration.h"
 #include "dispatch/interfaces/targetport.h"
+#include "dispatch/placement.h"
 #include "kernel/time.h"
 
 #include <limits>
@@ -43,14 +44,14 @@
     /// Returns the indices that are new or changed.
     std::vector<TargetIndex> applyTargets(const std::vector<TargetSpec> &targets, const std::string &zone);
 
-    /// Computes this host's share of each target anew.
+    /// Computes this host's share of each target anew; also sets the placement that belongs to the way of sharing.
     void applyMembers(const std::vector<std::string> &members, const std::string &self, SlotSharingKind sharing);
 
     /// Marks exactly these targets as leaving.
     void applyLeaving(const std::unordered_set<std::string> &names);
 
-    /// The least used target with a free slot that fits the size, or nothing.
-    std::optional<TargetIndex> pick(const TaskSize &size, TimePoint now) const;
+    /// The target with a free slot that fits the size and that the placement chooses, or nothing.
+    std::optional<TargetIndex> pick(const TaskSize &size, TimePoint now);
 
     /// True where some target could ever hold a task of this size.
     bool everFits(const TaskSize &size) const;
@@ -89,6 +90,8 @@
     bool isInService(const TargetSlots &target, TimePoint now) const;
 
     std::vector<TargetSlots> m_targets;
+    Placement m_placement;
+    std::vector<PlacementCandidate> m_candidates;
     std::unordered_map<std::string, TargetIndex> m_byName;
 };
 } // namespace Anvilcart
--- a/tests/support/dispatchfixture.h
+++ b/tests/support/dispatchfixture.h
@@ -25,6 +25,7 @@
         configuration->version = 1;
         configuration->policy.queueOrder = order;
         configuration->policy.overtake = overtake;
+        configuration->policy.slotSharing = slotSharing;
         configuration->limits.maxQueuedTasks = maxQueuedTasks;
         configuration->teams = teams;
         for (std::uint32_t i = 0; i < targets; ++i) {
@@ -88,6 +89,7 @@
     }
 
     Milliseconds overtake {50};
+    SlotSharingKind slotSharing = SlotSharingKind::Loans;
     std::uint32_t maxQueuedTasks = 20000;
     std::vector<TeamSpec> teams = {{"field", 100000}};
     FakeTargetPort port;
