--- a/src/dispatch/jobqueue.h
+++ b/src/dispatch/jobqueue.h
@@ -67,6 +67,9 @@
     /// The part of workAhead() that is the team's own.
     Duration workAhead(std::size_t tasks, TeamIndex team) const;
 
+    /// The unstarted tasks of each of the smallest waiting jobs, at most so many, in ascending order.
+    std::vector<std::uint32_t> smallestJobs(std::size_t most) const;
+
     /// The fewest unstarted tasks of any waiting job; 0 when none waits.
     std::size_t smallestJob() const;
 
--- a/src/dispatch/slottable.h
+++ b/src/dispatch/slottable.h
@@ -17,7 +17,7 @@
 /// No limit but the slots.
 constexpr std::uint32_t NoTaskLimit = std::numeric_limits<std::uint32_t>::max();
 
-/// One target as this host sees it. `share` slots are this host's to use.
+/// One target as this host sees it. `share` slots are this host's own; it may use those that it has not lent, and those that it borrowed.
 struct TargetSlots
 {
     TargetSpec spec;
@@ -25,9 +25,13 @@
     std::uint32_t used = 0;
     /// The most tasks that the target's health allows.
     std::uint32_t taskLimit = NoTaskLimit;
+    std::uint32_t lent = 0;
+    std::uint32_t borrowed = 0;
     bool configured = false;
     bool leaving = false;
     TimePoint pausedUntil;
+    /// The length of the last pause for want of a slot; zero after a start that was not refused.
+    Duration fullPause {};
 
     /// Slots that this host may use now, in use or not.
     std::uint32_t usable() const;
@@ -62,16 +66,40 @@
     /// Gives a slot back. Precondition: it was taken.
     void release(TargetIndex target);
 
+    /// The least used target in service with a free slot of this host's own, or nothing.
+    std::optional<TargetIndex> pickToLend(TimePoint now) const;
+
+    /// The configured target with this name, or nothing.
+    std::optional<TargetIndex> find(const std::string &name) const;
+
+    /// Marks a free slot as lent. Precondition: pickToLend() returned the target.
+    void lend(TargetIndex target);
+
+    /// Takes a lent slot home. Precondition: lend() was called for it.
+    void reclaim(TargetIndex target);
+
+    /// Adds a slot that a peer lent to this host.
+    void borrow(TargetIndex target);
+
+    /// Gives a borrowed slot up. Precondition: borrow() was called for it.
+    void returnBorrowed(TargetIndex target);
+
     /// Gives the target no new task until then.
     void pause(TargetIndex target, TimePoint until);
 
+    /// The target was full although this host believed in a free slot: it gets nothing for a pause that doubles each time.
+    void pauseFull(TargetIndex target, TimePoint now);
+
+    /// The target started a task: its next pause for want of a slot is short again.
+    void forgetFullPause(TargetIndex target);
+
     /// Lets the target hold at most so many tasks of this host; NoTaskLimit lifts the limit.
     void limitTasks(TargetIndex target, std::uint32_t tasks);
 
     /// Marks a target as leaving on its own word.
     void markLeaving(TargetIndex target);
 
-    /// Free slots of this host over all targets in service.
+    /// Free slots of this host over all targets in service, borrowed ones included.
     std::uint32_t freeSlots(TimePoint now) const;
 
     /// Slots of this host at targets that are in service, free or not.
--- a/tests/unit/dispatch/placement.cpp
+++ b/tests/unit/dispatch/placement.cpp
@@ -40,14 +40,16 @@
     BOOST_TEST(port.started.size() == 8);
 }
 
-BOOST_AUTO_TEST_CASE(A_full_targets_refusals_are_not_charged_under_blind_push)
+BOOST_AUTO_TEST_CASE(Many_refusals_of_a_full_target_fail_no_job_under_blind_push)
 {
     slotSharing = SlotSharingKind::BlindPush;
     configure(1, 1);
-    submit(makeJob("a", 1));
+    auto job = makeJob("a", 1);
+    job.deadline = Seconds(300);
+    submit(job);
     for (std::size_t i = 0; i < 200; ++i) {
         report(i, TaskNotStarted {NotStartedReason::NoSlot});
-        advance(Milliseconds(6));
+        advance(Milliseconds(330));
     }
     BOOST_TEST(answers.empty());
     finish(200);
