--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -13,42 +13,6 @@
 constexpr Milliseconds StopGrace {2000};
 } // namespace
 
-/// What an outcome says of the target; a refusal for want of a slot or for leaving is no fault.
-struct HealthSignVisitor
-{
-    HealthSign operator()(const TaskFinished &) const
-    {
-        return HealthSign::Success;
-    }
-
-    HealthSign operator()(const TaskStopped &) const
-    {
-        return HealthSign::Neutral;
-    }
-
-    HealthSign operator()(const TaskRanAndFailed &) const
-    {
-        return HealthSign::Failure;
-    }
-
-    HealthSign operator()(const TaskLost &) const
-    {
-        return HealthSign::Failure;
-    }
-
-    HealthSign operator()(const TaskNotStarted &notStarted) const
-    {
-        switch (notStarted.reason) {
-        case NotStartedReason::ConnectFailed:
-            return HealthSign::ConnectFailure;
-        case NotStartedReason::RefusedByTarget:
-            return HealthSign::Failure;
-        default:
-            return HealthSign::Neutral;
-        }
-    }
-};
-
 /// Applies one outcome to the task that it belongs to.
 struct OutcomeVisitor
 {
@@ -99,6 +63,7 @@
     , m_health([this](TargetIndex, EjectionReason reason) {
         m_observer.onEjection(reason);
     })
+    , m_queue(m_teams)
 {
 }
 
@@ -194,8 +159,8 @@
     applyForecast(job, forecast);
     placeTasks(job);
     job.latestStart = latestStart(job, m_slots.zoneSlots());
-    m_deadlines.emplace(job.deadline, job.id);
-    m_latestStarts.emplace(job.latestStart, job.id);
+    m_deadlines.add(job.deadline, job.id);
+    m_latestStarts.add(job.latestStart, job.id);
     m_queue.update(job);
 }
 
@@ -242,7 +207,7 @@
     }
     m_slots.release(task.target);
     m_teams.onEnd(job->team);
-    m_health.onOutcome(task.target, std::visit(HealthSignVisitor(), outcome), ref.job, now);
+    m_health.onOutcome(task.target, healthSignOf(outcome), ref.job, now);
     m_slots.limitTasks(task.target, m_health.taskLimit(task.target, now));
     if (m_sharing != nullptr) {
         m_sharing->onSlotReleased(sharingView(now), task.target);
@@ -291,17 +256,13 @@
 
 void Dispatcher::giveUpLateJobs(TimePoint now)
 {
-    while (!m_deadlines.empty() && m_deadlines.begin()->first <= now) {
-        const auto id = m_deadlines.begin()->second;
-        m_deadlines.erase(m_deadlines.begin());
-        if (auto *job = m_jobs.find(id)) {
+    while (const auto id = m_deadlines.takeDue(now)) {
+        if (auto *job = m_jobs.find(*id)) {
             fail(*job, ResultCode::DeadlineBeforeStart, ResultCode::DeadlineExceeded, "the deadline passed", now);
         }
     }
-    while (!m_latestStarts.empty() && m_latestStarts.begin()->first <= now) {
-        const auto id = m_latestStarts.begin()->second;
-        m_latestStarts.erase(m_latestStarts.begin());
-        if (auto *job = m_jobs.find(id)) {
+    while (const auto id = m_latestStarts.takeDue(now)) {
+        if (auto *job = m_jobs.find(*id)) {
             giveUpIfUnreachable(*job, now);
         }
     }
@@ -314,7 +275,7 @@
     }
     job.latestStart = latestStart(job, m_slots.zoneSlots());
     if (job.latestStart > now) {
-        m_latestStarts.emplace(job.latestStart, job.id);
+        m_latestStarts.add(job.latestStart, job.id);
         return;
     }
     fail(job, ResultCode::DeadlineUnreachable, ResultCode::DeadlineExceeded, "the deadline can no longer be met", now);
@@ -355,7 +316,7 @@
         return;
     }
     m_queue.beginRound(fairShare(now));
-    while (const auto id = m_queue.front(m_teams)) {
+    while (const auto id = m_queue.front()) {
         if (!startNextTask(*m_jobs.find(*id), now)) {
             m_queue.block(*id);
         } else if (--free == 0) {
@@ -523,8 +484,8 @@
     if (!job.answered || job.sent > 0) {
         return;
     }
-    m_deadlines.erase({job.deadline, job.id});
-    m_latestStarts.erase({job.latestStart, job.id});
+    m_deadlines.remove(job.deadline, job.id);
+    m_latestStarts.remove(job.latestStart, job.id);
     m_jobs.remove(job.id);
 }
 
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -6,6 +6,7 @@
 #include "dispatch/interfaces/targetport.h"
 #include "dispatch/jobforecast.h"
 #include "dispatch/jobqueue.h"
+#include "dispatch/jobschedule.h"
 #include "dispatch/jobtable.h"
 #include "dispatch/retrybudget.h"
 #include "dispatch/slottable.h"
@@ -14,7 +15,6 @@
 
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -85,9 +85,6 @@
     friend struct OutcomeVisitor;
 
     void applyHealth(TimePoint now);
-    /// Points in time at which a job needs attention.
-    using JobTimes = std::set<std::pair<TimePoint, JobId>>;
-
     LoadView loadView(const JobSpec &spec, const JobForecast &forecast, TimePoint now) const;
     void admit(JobRecord &job, const JobForecast &forecast, TimePoint now);
     void giveUpLateJobs(TimePoint now);
@@ -126,8 +123,8 @@
     JobTable m_jobs;
     JobQueue m_queue;
     RunTimeEstimator m_runTimes;
-    JobTimes m_deadlines;
-    JobTimes m_latestStarts;
+    JobSchedule m_deadlines;
+    JobSchedule m_latestStarts;
     bool m_draining = false;
 };
 } // namespace Anvilcart
--- a/src/dispatch/jobqueue.cpp
+++ b/src/dispatch/jobqueue.cpp
@@ -49,6 +49,11 @@
     return FewestUnstartedFirstOrder {policy.overtake};
 }
 
+JobQueue::JobQueue(const TeamTable &teams)
+    : m_teams(teams)
+{
+}
+
 void JobQueue::setOrder(QueueOrder order)
 {
     m_order = order;
@@ -67,7 +72,7 @@
     place.work = job.queuedWork;
     m_lanes[place.lane].entries.insert(place.entry);
     m_unstarted += place.unstarted;
-    ++m_jobsBySize[place.unstarted];
+    ++m_jobsBySize[place.lane.team][place.unstarted];
     addToTotals(place, place.work);
     m_places.emplace(job.id, place);
 }
@@ -81,9 +86,10 @@
     const auto &place = found->second;
     m_lanes[place.lane].entries.erase(place.entry);
     m_unstarted -= place.unstarted;
-    const auto size = m_jobsBySize.find(place.unstarted);
+    auto &jobsBySize = m_jobsBySize[place.lane.team];
+    const auto size = jobsBySize.find(place.unstarted);
     if (--size->second == 0) {
-        m_jobsBySize.erase(size);
+        jobsBySize.erase(size);
     }
     addToTotals(place, -place.work);
     m_places.erase(found);
@@ -98,13 +104,13 @@
     });
 }
 
-std::optional<JobId> JobQueue::front(const TeamTable &teams) const
+std::optional<JobId> JobQueue::front() const
 {
     using Key = std::tuple<bool, TimePoint, std::uint32_t, JobId>;
     std::optional<Key> best;
     for (const auto &[key, lane] : m_lanes) {
-        const auto running = teams.running(key.team);
-        if (lane.entries.empty() || lane.blockedInRound == m_round || running >= teams.limit(key.team)) {
+        const auto running = m_teams.running(key.team);
+        if (lane.entries.empty() || lane.blockedInRound == m_round || isAtLimit(key.team)) {
             continue;
         }
         const auto &first = *lane.entries.begin();
@@ -145,16 +151,23 @@
 std::vector<std::uint32_t> JobQueue::smallestJobs(std::size_t most) const
 {
     std::vector<std::uint32_t> sizes;
-    for (const auto &[size, jobs] : m_jobsBySize) {
-        const auto count = std::min(jobs, most - sizes.size());
-        sizes.insert(sizes.end(), count, static_cast<std::uint32_t>(size));
+    for (const auto &[team, jobsBySize] : m_jobsBySize) {
+        auto left = isAtLimit(team) ? 0 : most;
+        for (auto entry = jobsBySize.begin(); entry != jobsBySize.end() && left > 0; ++entry) {
+            const auto count = std::min(entry->second, left);
+            sizes.insert(sizes.end(), count, static_cast<std::uint32_t>(entry->first));
+            left -= count;
+        }
     }
+    std::sort(sizes.begin(), sizes.end());
+    sizes.resize(std::min(sizes.size(), most));
     return sizes;
 }
 
 std::size_t JobQueue::smallestJob() const
 {
-    return m_jobsBySize.empty() ? 0 : m_jobsBySize.begin()->first;
+    const auto smallest = smallestJobs(1);
+    return smallest.empty() ? 0 : smallest.front();
 }
 
 std::set<TeamIndex> JobQueue::teams() const
@@ -168,6 +181,11 @@
     return teams;
 }
 
+bool JobQueue::isAtLimit(TeamIndex team) const
+{
+    return m_teams.running(team) >= m_teams.limit(team);
+}
+
 void JobQueue::addToTotals(const Place &place, Duration work)
 {
     m_work.add(place.unstarted, work);
--- a/src/dispatch/jobqueue.h
+++ b/src/dispatch/jobqueue.h
@@ -37,6 +37,9 @@
 class JobQueue
 {
 public:
+    /// The teams outlive the queue.
+    explicit JobQueue(const TeamTable &teams);
+
     /// Replaces the policy; jobs that wait are ordered anew by update().
     void setOrder(QueueOrder order);
 
@@ -50,7 +53,7 @@
     void beginRound(std::uint32_t fairShare);
 
     /// The job whose task starts next in this round, or nothing. Linear in the number of lanes.
-    std::optional<JobId> front(const TeamTable &teams) const;
+    std::optional<JobId> front() const;
 
     /// Passes over all jobs of this job's lane for the rest of the round: none of their next tasks has a slot now.
     void block(JobId id);
@@ -67,10 +70,11 @@
     /// The part of workAhead() that is the team's own.
     Duration workAhead(std::size_t tasks, TeamIndex team) const;
 
-    /// The unstarted tasks of each of the smallest waiting jobs, at most so many, in ascending order.
+    /// The unstarted tasks of each of the smallest waiting jobs, at most so many, in ascending order. Jobs of teams that have spent their
+    /// quota do not count: a slot would not help them.
     std::vector<std::uint32_t> smallestJobs(std::size_t most) const;
 
-    /// The fewest unstarted tasks of any waiting job; 0 when none waits.
+    /// The fewest unstarted tasks of any waiting job whose team has quota left; 0 when none waits.
     std::size_t smallestJob() const;
 
     /// The teams that have a job waiting.
@@ -110,10 +114,13 @@
 
     void addToTotals(const Place &place, Duration work);
 
+    bool isAtLimit(TeamIndex team) const;
+
+    const TeamTable &m_teams;
     QueueOrder m_order = FewestUnstartedFirstOrder();
     std::map<LaneKey, Lane> m_lanes;
     std::unordered_map<JobId, Place> m_places;
-    std::map<std::size_t, std::size_t> m_jobsBySize;
+    std::map<TeamIndex, std::map<std::size_t, std::size_t>> m_jobsBySize;
     std::size_t m_unstarted = 0;
     WorkTotals m_work;
     std::unordered_map<TeamIndex, WorkTotals> m_workByTeam;
--- a/src/dispatch/targethealth.h
+++ b/src/dispatch/targethealth.h
@@ -2,6 +2,7 @@
 
 #include "config/configuration.h"
 #include "dispatch/ejectionreason.h"
+#include "dispatch/healthsign.h"
 #include "dispatch/slottable.h"
 #include "kernel/time.h"
 
@@ -10,14 +11,6 @@
 
 namespace Anvilcart
 {
-/// What one outcome says of a target's health.
-enum class HealthSign : std::uint8_t {
-    Success,
-    Failure,
-    ConnectFailure,
-    Neutral,
-};
-
 /// Ejects targets that fail, stall or cannot be reached, and lets them back with one task, then twice as many after each success.
 /// Only a target that fails clearly more than the others is ejected, so that jobs which fail everywhere eject nobody.
 /// Not thread-safe: the decision loop's.
--- a/tests/unit/dispatch/teams.cpp
+++ b/tests/unit/dispatch/teams.cpp
@@ -91,6 +91,20 @@
     BOOST_TEST(startsOf("s") == 3);
 }
 
+BOOST_AUTO_TEST_CASE(Jobs_of_a_team_that_has_spent_its_quota_ask_peers_for_no_slot)
+{
+    teams = {{"small", 2}, {"field", 100}};
+    configure(1, 4);
+    submit(makeTeamJob("s", 3, "small"));
+    BOOST_TEST(dispatcher.queue().unstartedTasks() == 1);
+    BOOST_TEST(dispatcher.queue().smallestJob() == 0);
+    BOOST_TEST(dispatcher.queue().smallestJobs(4).empty());
+    submit(makeTeamJob("f", 5, "field"));
+    BOOST_TEST(dispatcher.queue().smallestJob() == 3);
+    finish(0);
+    BOOST_TEST(dispatcher.queue().unstartedTasks() == 3);
+}
+
 BOOST_AUTO_TEST_CASE(A_team_without_any_quota_on_this_host_is_refused_at_once)
 {
     teams = {{"none", 0}};
