--- a/src/dispatch/jobqueue.h
+++ b/src/dispatch/jobqueue.h
@@ -5,7 +5,6 @@
 #include "dispatch/teamtable.h"
 #include "dispatch/worktotals.h"
 
-#include <compare>
 #include <map>
 #include <optional>
 #include <set>
@@ -86,7 +85,10 @@
         TimePoint rank;
         JobId id = 0;
 
-        auto operator<=>(const Entry &) const = default;
+        bool operator<(const Entry &other) const
+        {
+            return rank != other.rank ? rank < other.rank : id < other.id;
+        }
     };
 
     struct LaneKey
@@ -94,7 +96,10 @@
         TeamIndex team = 0;
         TargetMask targets = 0;
 
-        auto operator<=>(const LaneKey &) const = default;
+        bool operator<(const LaneKey &other) const
+        {
+            return team != other.team ? team < other.team : targets < other.targets;
+        }
     };
 
     struct Lane
