--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -7,6 +7,7 @@
 #include "dispatch/interfaces/targetport.h"
 #include "dispatch/jobforecast.h"
 #include "dispatch/jobqueue.h"
+#include "dispatch/jobschedule.h"
 #include "dispatch/jobtable.h"
 #include "dispatch/retrybudget.h"
 #include "dispatch/slottable.h"
@@ -15,7 +16,6 @@
 
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -64,6 +64,9 @@
     /// Gives up on a job because its caller went away. False when it is not in progress.
     bool cancel(JobId id, TimePoint now);
 
+    /// Gives up on many jobs whose callers went away; what their slots can run starts once, after the last.
+    void cancel(const std::vector<JobId> &ids, TimePoint now);
+
     /// Reports what came of an attempt. Outcomes of attempts that are not in progress are ignored.
     void onOutcome(const TaskRef &ref, TaskOutcome outcome, TimePoint now);
 
@@ -93,9 +96,6 @@
     void answerKnown(JobRecord &job, KnownOutput &known, TimePoint now);
     void giveUp(JobRecord &job, std::uint32_t task);
     void applyHealth(TimePoint now);
-    /// Points in time at which a job needs attention.
-    using JobTimes = std::set<std::pair<TimePoint, JobId>>;
-
     LoadView loadView(const JobSpec &spec, const JobForecast &forecast, TimePoint now) const;
     void admit(JobRecord &job, const JobForecast &forecast, TimePoint now);
     void giveUpLateJobs(TimePoint now);
@@ -118,6 +118,7 @@
     void stopSentTasks(JobRecord &job);
     void removeIfDone(JobRecord &job);
     void cancel(JobRecord &job, TimePoint now);
+    void failCancelled(JobRecord &job, TimePoint now);
     void refuseNow(const JobSpec &spec, const AnswerHandler &answer, const Refusal &refusal);
 
     HostIdentity m_identity;
@@ -135,8 +136,8 @@
     JobTable m_jobs;
     JobQueue m_queue;
     RunTimeEstimator m_runTimes;
-    JobTimes m_deadlines;
-    JobTimes m_latestStarts;
+    JobSchedule m_deadlines;
+    JobSchedule m_latestStarts;
     bool m_draining = false;
 };
 } // namespace Anvilcart
