--- a/src/platform/hostlist.h
+++ b/src/platform/hostlist.h
@@ -39,6 +39,9 @@
 {
     std::vector<HostEntry> hosts;
 
+    /// The operator doors of the live entry hosts of every availability zone. Thread-safe.
+    std::vector<Endpoint> operatorDoors() const;
+
     /// The names of the targets that are leaving. Thread-safe.
     std::unordered_set<std::string> leavingTargets() const;
 };
