--- a/src/config/configuration.h
+++ b/src/config/configuration.h
@@ -51,11 +51,47 @@
     Milliseconds maxDeadline {300000};
 };
 
+/// When a target is ejected, and for how long.
+struct HealthSpec
+{
+    /// The most targets of a zone that are ejected at once; 0 turns ejection off.
+    std::uint32_t maxEjectedPercent = 30;
+    /// The failures among a target's latest outcomes that eject it.
+    std::uint32_t ejectAtFailurePercent = 50;
+    /// Doubles with each ejection in a row.
+    Milliseconds firstEjection {1000};
+    Milliseconds longestEjection {30000};
+    /// A target that holds tasks and has ended none for so long is stalled.
+    Milliseconds stallLimit {10000};
+};
+
+/// How often tasks that provably did not start are tried again.
+struct RetrySpec
+{
+    /// Starts of one task, the first included.
+    std::uint32_t maxAttempts = 10;
+    /// Retries for each hundred first starts.
+    std::uint32_t budgetPercent = 20;
+    /// Retries that may come at once.
+    std::uint32_t budgetBurst = 100;
+};
+
 /// The policies that the operator chose.
 struct PolicySpec
 {
     QueueOrderKind queueOrder = QueueOrderKind::FewestUnstartedFirst;
     SlotSharingKind slotSharing = SlotSharingKind::Loans;
+    /// How much later a job may come and still overtake, for each unstarted task that the other has more.
+    Milliseconds overtake {50};
+};
+
+/// An availability zone as its site overlay describes it.
+struct ZoneSpec
+{
+    std::string name;
+    /// The most entry hosts that serve the zone at once; 0 means those that are heard. With it, quotas hold also when hosts do not hear
+    /// each other.
+    std::uint32_t entryHosts = 0;
 };
 
 /// One version of the whole configuration: base file and every overlay, merged.
@@ -64,7 +100,10 @@
     std::uint64_t version = 0;
     LimitSpec limits;
     PolicySpec policy;
+    HealthSpec health;
+    RetrySpec retries;
     std::vector<TeamSpec> teams;
+    std::vector<ZoneSpec> zones;
     std::vector<TargetSpec> targets;
 };
 } // namespace Anvilcart
--- a/src/dispatch/slottable.cpp
+++ b/src/dispatch/slottable.cpp
@@ -1,5 +1,6 @@
 #include "dispatch/slottable.h"
 
+#include "dispatch/capacityclasses.h"
 #include "dispatch/slotshares.h"
 
 #include <algorithm>
@@ -8,10 +9,8 @@
 {
 namespace
 {
-bool fits(const TaskSize &size, const TaskSize &capacity)
-{
-    return size.cpus <= capacity.cpus && size.memoryMb <= capacity.memoryMb && size.accelerators <= capacity.accelerators;
-}
+constexpr Milliseconds ShortestFullPause {5};
+constexpr Milliseconds LongestFullPause {320};
 
 /// Used over usable slots is compared as a product, so that no division is needed.
 bool isLessUsed(const TargetSlots &left, const TargetSlots &right)
@@ -23,7 +22,8 @@
 std::uint32_t TargetSlots::usable() const
 {
     const auto held = share + borrowed;
-    return held > lent ? held - lent : 0;
+    const auto own = held > lent ? held - lent : 0;
+    return std::min(own, taskLimit);
 }
 
 std::uint32_t TargetSlots::free() const
@@ -153,6 +153,27 @@
     m_targets[target].pausedUntil = std::max(m_targets[target].pausedUntil, until);
 }
 
+void SlotTable::pauseFull(TargetIndex target, TimePoint now)
+{
+    auto &slots = m_targets[target];
+    // Refusals of tasks that were sent together count once.
+    if (slots.pausedUntil > now) {
+        return;
+    }
+    slots.fullPause = std::clamp<Duration>(slots.fullPause * 2, ShortestFullPause, LongestFullPause);
+    slots.pausedUntil = now + slots.fullPause;
+}
+
+void SlotTable::forgetFullPause(TargetIndex target)
+{
+    m_targets[target].fullPause = Duration::zero();
+}
+
+void SlotTable::limitTasks(TargetIndex target, std::uint32_t tasks)
+{
+    m_targets[target].taskLimit = tasks;
+}
+
 void SlotTable::markLeaving(TargetIndex target)
 {
     m_targets[target].leaving = true;
@@ -169,6 +190,24 @@
     return free;
 }
 
+std::uint32_t SlotTable::servingSlots(TimePoint now) const
+{
+    std::uint32_t slots = 0;
+    for (const auto &target : m_targets) {
+        slots += isInService(target, now) ? std::min(target.share, target.taskLimit) : 0;
+    }
+    return slots;
+}
+
+std::uint32_t SlotTable::zoneSlots() const
+{
+    std::uint32_t slots = 0;
+    for (const auto &target : m_targets) {
+        slots += target.configured && !target.leaving ? target.spec.slots : 0;
+    }
+    return slots;
+}
+
 std::uint32_t SlotTable::ownSlots() const
 {
     std::uint32_t slots = 0;
--- a/src/peer/loanledger.cpp
+++ b/src/peer/loanledger.cpp
@@ -128,7 +128,7 @@
 
 void LoanLedger::lendBeforeStarts(const SharingView &view)
 {
-    const auto own = view.queue.frontJobSizes(1);
+    const auto own = view.queue.smallestJobs(1);
     lendFreeSlots(view, smallest(own));
 }
 
@@ -138,7 +138,7 @@
         returnIdleSlots(peer, view);
     }
     lendFreeSlots(view, NoLimit);
-    m_jobSizes = view.mayLend ? view.queue.frontJobSizes(ToldJobs) : std::vector<std::uint32_t>();
+    m_jobSizes = view.mayLend ? view.queue.smallestJobs(ToldJobs) : std::vector<std::uint32_t>();
 }
 
 std::vector<OutgoingSlots> LoanLedger::takeOutgoing(TimePoint now)
@@ -330,7 +330,7 @@
 
 bool LoanLedger::needsSlotMost(const SharingView &view) const
 {
-    const auto own = smallest(view.queue.frontJobSizes(1));
+    const auto own = smallest(view.queue.smallestJobs(1));
     return view.mayLend && own != NoLimit && std::all_of(m_peers.begin(), m_peers.end(), [own](const auto &entry) {
                return own < smallest(entry.second.jobSizes);
            });
