Loans follow the queue's rank; quotas and ejected targets send no slot astray

Cause: the merged queue ranks jobs by size and age and holds teams to quotas, and targets are ejected; loans compared raw sizes, told the demand of teams that may not start anything, and a borrowed slot at an ejected target never went home, since an ejected target has no free slot.

Change: a demand carries rank and unstarted tasks of the leading jobs below their team's limit; ranks travel from the time of sending, since hosts' clocks differ. A borrowed slot is idle when the host holds more slots than it uses, whatever the target's health allows.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -331,7 +331,7 @@
 SharingView Dispatcher::sharingView(TimePoint now)
 {
     const bool mayLend = m_configuration && m_configuration->policy.slotSharing == SlotSharingKind::Loans;
-    return {m_slots, m_queue, mayLend, now};
+    return {m_slots, m_queue, m_teams, mayLend, now};
 }
 
 void Dispatcher::startQueuedJobs(TimePoint now)
--- a/src/dispatch/interfaces/slotsharing.h
+++ b/src/dispatch/interfaces/slotsharing.h
@@ -7,12 +7,14 @@
 {
 class JobQueue;
 class SlotTable;
+class TeamTable;
 
 /// What slot sharing sees of the dispatcher during one call.
 struct SharingView
 {
     SlotTable &slots;
     const JobQueue &queue;
+    const TeamTable &teams;
     bool mayLend;
     TimePoint now;
 };
--- a/src/dispatch/jobqueue.cpp
+++ b/src/dispatch/jobqueue.cpp
@@ -1,5 +1,7 @@
 #include "dispatch/jobqueue.h"
 
+#include <algorithm>
+#include <iterator>
 #include <tuple>
 
 namespace Anvilcart
@@ -141,14 +143,22 @@
     return found != m_workByTeam.end() ? std::visit(WorkAheadVisitor {found->second, tasks}, m_order) : Duration::zero();
 }
 
-std::vector<std::uint32_t> JobQueue::smallestJobs(std::size_t most) const
+std::vector<WaitingJob> JobQueue::frontJobs(std::size_t most, const TeamTable &teams) const
 {
-    std::vector<std::uint32_t> sizes;
-    for (const auto &[size, jobs] : m_jobsBySize) {
-        const auto count = std::min(jobs, most - sizes.size());
-        sizes.insert(sizes.end(), count, static_cast<std::uint32_t>(size));
+    std::vector<Entry> entries;
+    for (const auto &[key, lane] : m_lanes) {
+        if (teams.running(key.team) >= teams.limit(key.team)) {
+            continue;
+        }
+        std::copy_n(lane.entries.begin(), std::min(most, lane.entries.size()), std::back_inserter(entries));
+    }
+    std::sort(entries.begin(), entries.end());
+    entries.resize(std::min(most, entries.size()));
+    std::vector<WaitingJob> jobs;
+    for (const auto &entry : entries) {
+        jobs.push_back({static_cast<std::uint32_t>(m_places.at(entry.id).unstarted), entry.rank});
     }
-    return sizes;
+    return jobs;
 }
 
 std::size_t JobQueue::smallestJob() const
--- a/src/dispatch/jobqueue.h
+++ b/src/dispatch/jobqueue.h
@@ -27,6 +27,15 @@
     Duration overtake {};
 };
 
+/// A job that waits: its unstarted tasks, and its rank; the lower rank starts first.
+struct WaitingJob
+{
+    std::uint32_t unstarted = 0;
+    TimePoint rank;
+
+    bool operator==(const WaitingJob &) const = default;
+};
+
 using QueueOrder = std::variant<FifoOrder, FewestUnstartedFirstOrder>;
 
 /// The order that the configuration names. Thread-safe.
@@ -67,8 +76,8 @@
     /// The part of workAhead() that is the team's own.
     Duration workAhead(std::size_t tasks, TeamIndex team) const;
 
-    /// The unstarted tasks of each of the smallest waiting jobs, at most so many, in ascending order.
-    std::vector<std::uint32_t> smallestJobs(std::size_t most) const;
+    /// So many jobs that come next, in order; jobs of teams at their limit are left out.
+    std::vector<WaitingJob> frontJobs(std::size_t most, const TeamTable &teams) const;
 
     /// The fewest unstarted tasks of any waiting job; 0 when none waits.
     std::size_t smallestJob() const;
--- a/src/dispatch/slottable.cpp
+++ b/src/dispatch/slottable.cpp
@@ -21,9 +21,13 @@
 
 std::uint32_t TargetSlots::usable() const
 {
-    const auto held = share + borrowed;
-    const auto own = held > lent ? held - lent : 0;
-    return std::min(own, taskLimit);
+    return std::min(held(), taskLimit);
+}
+
+std::uint32_t TargetSlots::held() const
+{
+    const auto most = share + borrowed;
+    return most > lent ? most - lent : 0;
 }
 
 std::uint32_t TargetSlots::free() const
--- a/src/dispatch/slottable.h
+++ b/src/dispatch/slottable.h
@@ -32,6 +32,9 @@
     /// The length of the last pause for want of a slot; zero after a start that was not refused.
     Duration fullPause {};
 
+    /// Slots that are this host's for now: its own less those lent, and borrowed ones.
+    std::uint32_t held() const;
+
     /// Slots that this host may use now, in use or not.
     std::uint32_t usable() const;
 
--- a/src/peer/loanledger.cpp
+++ b/src/peer/loanledger.cpp
@@ -1,7 +1,5 @@
 #include "peer/loanledger.h"
 
-#include "dispatch/jobqueue.h"
-
 #include <algorithm>
 #include <limits>
 
@@ -18,17 +16,18 @@
 constexpr std::size_t ToldJobs = 8;
 /// Bounds what demands alone cost: so many frames a second over all peers.
 constexpr int DemandFramesPerSecond = 100;
-constexpr std::size_t NoLimit = std::numeric_limits<std::size_t>::max();
+constexpr TimePoint Never = TimePoint::max();
 
-std::size_t smallest(const std::vector<std::uint32_t> &jobSizes)
+/// The rank of the job that starts next; Never when none waits.
+TimePoint firstRank(const std::vector<WaitingJob> &jobs)
 {
-    return jobSizes.empty() ? NoLimit : jobSizes.front();
+    return jobs.empty() ? Never : jobs.front().rank;
 }
 
-void consumeOne(std::vector<std::uint32_t> &jobSizes)
+void consumeOne(std::vector<WaitingJob> &jobs)
 {
-    if (!jobSizes.empty() && --jobSizes.front() == 0) {
-        jobSizes.erase(jobSizes.begin());
+    if (!jobs.empty() && --jobs.front().unstarted == 0) {
+        jobs.erase(jobs.begin());
     }
 }
 } // namespace
@@ -66,7 +65,7 @@
 {
     const auto found = m_peers.find(peer);
     if (found != m_peers.end()) {
-        found->second.jobSizes.clear();
+        found->second.jobs.clear();
     }
 }
 
@@ -80,7 +79,7 @@
         takeHome(found->second, returned, view);
     }
     if (message.demand) {
-        applyDemand(found->second, *message.demand);
+        applyDemand(found->second, *message.demand, view.now);
     }
     if (message.holdings) {
         reconcile(found->second, *message.holdings, view);
@@ -128,8 +127,8 @@
 
 void LoanLedger::lendBeforeStarts(const SharingView &view)
 {
-    const auto own = view.queue.smallestJobs(1);
-    lendFreeSlots(view, smallest(own));
+    const auto own = view.queue.frontJobs(1, view.teams);
+    lendFreeSlots(view, firstRank(own));
 }
 
 void LoanLedger::settleAfterStarts(const SharingView &view)
@@ -137,8 +136,8 @@
     for (auto &[name, peer] : m_peers) {
         returnIdleSlots(peer, view);
     }
-    lendFreeSlots(view, NoLimit);
-    m_jobSizes = view.mayLend ? view.queue.smallestJobs(ToldJobs) : std::vector<std::uint32_t>();
+    lendFreeSlots(view, Never);
+    m_jobs = view.mayLend ? view.queue.frontJobs(ToldJobs, view.teams) : std::vector<WaitingJob>();
 }
 
 std::vector<OutgoingSlots> LoanLedger::takeOutgoing(TimePoint now)
@@ -149,8 +148,8 @@
         if (!moves && !isDemandDue(peer, now)) {
             continue;
         }
-        if (peer.toldJobSizes != m_jobSizes) {
-            peer.outbox.demand = tellDemand(peer);
+        if (peer.toldJobs != m_jobs) {
+            peer.outbox.demand = tellDemand(peer, now);
             peer.demandDueAt = now + demandGap();
         }
         outgoing.push_back({name, std::move(peer.outbox)});
@@ -168,18 +167,18 @@
     for (const auto &loan : unsent.message.loans) {
         takeHome(found->second, {loan.id, true}, view);
     }
-    found->second.jobSizes.clear();
-    found->second.toldJobSizes.clear();
+    found->second.jobs.clear();
+    found->second.toldJobs.clear();
 }
 
-SlotMessage LoanLedger::repeatState(const std::string &peer)
+SlotMessage LoanLedger::repeatState(const std::string &peer, TimePoint now)
 {
     SlotMessage state;
     const auto found = m_peers.find(peer);
     if (found == m_peers.end()) {
         return state;
     }
-    state.demand = tellDemand(found->second);
+    state.demand = tellDemand(found->second, now);
     state.holdings.emplace();
     for (const auto &held : found->second.held) {
         state.holdings->loans.push_back(held.id);
@@ -187,15 +186,15 @@
     return state;
 }
 
-LoanLedger::Peer *LoanLedger::smallestDemand(TimePoint now)
+LoanLedger::Peer *LoanLedger::firstDemand(TimePoint now)
 {
     Peer *best = nullptr;
     for (auto &[name, peer] : m_peers) {
-        if (peer.jobSizes.empty() || peer.pausedUntil > now) {
+        if (peer.jobs.empty() || peer.pausedUntil > now) {
             continue;
         }
-        const bool smaller = best == nullptr || peer.jobSizes.front() < best->jobSizes.front();
-        const bool equal = best != nullptr && peer.jobSizes.front() == best->jobSizes.front();
+        const bool smaller = best == nullptr || peer.jobs.front().rank < best->jobs.front().rank;
+        const bool equal = best != nullptr && peer.jobs.front().rank == best->jobs.front().rank;
         if (smaller || (equal && peer.lent.size() < best->lent.size())) {
             best = &peer;
         }
@@ -203,12 +202,12 @@
     return best;
 }
 
-void LoanLedger::lendFreeSlots(const SharingView &view, std::size_t limit)
+void LoanLedger::lendFreeSlots(const SharingView &view, TimePoint limit)
 {
     if (!view.mayLend) {
         return;
     }
-    for (auto *peer = smallestDemand(view.now); peer != nullptr && peer->jobSizes.front() < limit; peer = smallestDemand(view.now)) {
+    for (auto *peer = firstDemand(view.now); peer != nullptr && peer->jobs.front().rank < limit; peer = firstDemand(view.now)) {
         const auto target = view.slots.pickToLend(view.now);
         if (!target) {
             return;
@@ -222,7 +221,7 @@
     view.slots.lend(target);
     peer.lent.push_back({++m_lastLoan, target, view.now, view.now});
     peer.outbox.loans.push_back({m_lastLoan, view.slots.at(target).spec.name});
-    consumeOne(peer.jobSizes);
+    consumeOne(peer.jobs);
     m_observer.onLoan(LoanEvent::Offered);
 }
 
@@ -273,18 +272,21 @@
     const bool anyUnused = std::any_of(message.returns.begin(), message.returns.end(), [](const LoanReturn &returned) {
         return returned.unused;
     });
-    if (anyUnused && !peer.jobSizes.empty()) {
+    if (anyUnused && !peer.jobs.empty()) {
         peer.pausedUntil = now + PauseAfterMisfit;
     }
 }
 
-void LoanLedger::applyDemand(Peer &peer, const Demand &demand)
+void LoanLedger::applyDemand(Peer &peer, const Demand &demand, TimePoint now)
 {
-    peer.jobSizes = demand.jobSizes;
+    peer.jobs.clear();
+    for (const auto &job : demand.jobs) {
+        peer.jobs.push_back({job.unstarted, now + job.rank});
+    }
     // Loans that the peer had not received when it spoke will still take tasks off its queue.
     for (const auto &lent : peer.lent) {
         if (lent.id > demand.lastLoan) {
-            consumeOne(peer.jobSizes);
+            consumeOne(peer.jobs);
         }
     }
 }
@@ -305,7 +307,8 @@
 void LoanLedger::returnIdleSlots(Peer &peer, const SharingView &view)
 {
     std::erase_if(peer.held, [&](const Held &held) {
-        if (view.slots.at(held.target).free() == 0) {
+        const auto &target = view.slots.at(held.target);
+        if (target.held() <= target.used) {
             return false;
         }
         view.slots.returnBorrowed(held.target);
@@ -330,27 +333,32 @@
 
 bool LoanLedger::needsSlotMost(const SharingView &view) const
 {
-    const auto own = smallest(view.queue.smallestJobs(1));
-    return view.mayLend && own != NoLimit && std::all_of(m_peers.begin(), m_peers.end(), [own](const auto &entry) {
-               return own < smallest(entry.second.jobSizes);
+    const auto own = firstRank(view.queue.frontJobs(1, view.teams));
+    return view.mayLend && own != Never && std::all_of(m_peers.begin(), m_peers.end(), [own](const auto &entry) {
+               return own < firstRank(entry.second.jobs);
            });
 }
 
 bool LoanLedger::matters(const Peer &peer) const
 {
-    const auto decisive = std::min(smallest(m_jobSizes), smallest(peer.toldJobSizes));
-    return decisive < smallest(peer.jobSizes);
+    const auto decisive = std::min(firstRank(m_jobs), firstRank(peer.toldJobs));
+    return decisive < firstRank(peer.jobs);
 }
 
 bool LoanLedger::isDemandDue(const Peer &peer, TimePoint now) const
 {
-    return peer.toldJobSizes != m_jobSizes && peer.demandDueAt <= now && matters(peer);
+    return peer.toldJobs != m_jobs && peer.demandDueAt <= now && matters(peer);
 }
 
-Demand LoanLedger::tellDemand(Peer &peer)
+Demand LoanLedger::tellDemand(Peer &peer, TimePoint now)
 {
-    peer.toldJobSizes = m_jobSizes;
-    return {m_jobSizes, peer.lastReceived};
+    peer.toldJobs = m_jobs;
+    Demand demand;
+    demand.lastLoan = peer.lastReceived;
+    for (const auto &job : m_jobs) {
+        demand.jobs.push_back({job.unstarted, std::chrono::duration_cast<Milliseconds>(job.rank - now)});
+    }
+    return demand;
 }
 
 Duration LoanLedger::demandGap() const
--- a/src/peer/loanledger.h
+++ b/src/peer/loanledger.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "dispatch/interfaces/slotsharing.h"
+#include "dispatch/jobqueue.h"
 #include "dispatch/slottable.h"
 #include "kernel/time.h"
 #include "peer/interfaces/peerobserver.h"
@@ -19,8 +20,8 @@
     SlotMessage message;
 };
 
-/// Lends free slots to the peer with the smallest waiting job. A borrowed slot goes home when its task ends,
-/// unless the borrower's smallest job is still the smallest of all.
+/// Lends free slots to the peer whose next job ranks first. A borrowed slot goes home when its task ends,
+/// unless the borrower's next job still ranks first of all.
 /// All of it is soft state: a lost message costs an idle slot until the lease ends, never a second start.
 /// Has no clock of its own. Not thread-safe: the decision loop's.
 class LoanLedger
@@ -47,7 +48,7 @@
     /// Sends a borrowed slot home when the task that used it has ended and another host needs it more.
     void onSlotReleased(const SharingView &view, TargetIndex target);
 
-    /// Lends where a peer's smallest job is smaller than the own one.
+    /// Lends where a peer's next job ranks before the own one.
     void lendBeforeStarts(const SharingView &view);
 
     /// Sends unused slots home, lends what is free and notes the own demand.
@@ -60,7 +61,7 @@
     void takeBack(const OutgoingSlots &unsent, const SharingView &view);
 
     /// The whole state to repeat to a peer, so that lost messages are made up for.
-    SlotMessage repeatState(const std::string &peer);
+    SlotMessage repeatState(const std::string &peer, TimePoint now);
 
 private:
     struct Lent
@@ -79,23 +80,23 @@
 
     struct Peer
     {
-        std::vector<std::uint32_t> jobSizes;
+        std::vector<WaitingJob> jobs;
         std::vector<Lent> lent;
         std::vector<Held> held;
         SlotMessage outbox;
-        std::vector<std::uint32_t> toldJobSizes;
+        std::vector<WaitingJob> toldJobs;
         LoanId lastReceived = 0;
         TimePoint demandDueAt;
         TimePoint pausedUntil;
     };
 
-    Peer *smallestDemand(TimePoint now);
-    void lendFreeSlots(const SharingView &view, std::size_t limit);
+    Peer *firstDemand(TimePoint now);
+    void lendFreeSlots(const SharingView &view, TimePoint limit);
     void lendOne(Peer &peer, TargetIndex target, const SharingView &view);
     void takeHome(Peer &peer, const LoanReturn &returned, const SharingView &view);
     void reconcile(Peer &peer, const Holdings &holdings, const SharingView &view);
     void pauseAfterMisfit(Peer &peer, const SlotMessage &message, TimePoint now);
-    void applyDemand(Peer &peer, const Demand &demand);
+    void applyDemand(Peer &peer, const Demand &demand, TimePoint now);
     void borrow(Peer &peer, const Loan &loan, const SharingView &view);
     void returnIdleSlots(Peer &peer, const SharingView &view);
     void endLoans(Peer &peer, const SharingView &view);
@@ -103,12 +104,12 @@
     bool needsSlotMost(const SharingView &view) const;
     bool matters(const Peer &peer) const;
     bool isDemandDue(const Peer &peer, TimePoint now) const;
-    Demand tellDemand(Peer &peer);
+    Demand tellDemand(Peer &peer, TimePoint now);
     Duration demandGap() const;
 
     PeerObserver &m_observer;
     std::map<std::string, Peer> m_peers;
-    std::vector<std::uint32_t> m_jobSizes;
+    std::vector<WaitingJob> m_jobs;
     LoanId m_lastLoan = 0;
 };
 } // namespace Anvilcart
--- a/src/peer/peercodec.cpp
+++ b/src/peer/peercodec.cpp
@@ -30,7 +30,10 @@
 {
     if (slots.demand) {
         auto &demand = *wire.mutable_demand();
-        demand.mutable_job_sizes()->Add(slots.demand->jobSizes.begin(), slots.demand->jobSizes.end());
+        for (const auto &job : slots.demand->jobs) {
+            demand.add_job_sizes(job.unstarted);
+            demand.add_job_ranks_ms(static_cast<std::int32_t>(job.rank.count()));
+        }
         demand.set_last_loan(slots.demand->lastLoan);
     }
     for (const auto &loan : slots.loans) {
@@ -89,7 +92,7 @@
             return false;
         }
     }
-    return wire.job_sizes_size() <= MaxJobSizes;
+    return wire.job_sizes_size() <= MaxJobSizes && wire.job_ranks_ms_size() == wire.job_sizes_size();
 }
 
 SlotMessage decodeSlots(const Wire::Frame &wire)
@@ -97,7 +100,9 @@
     SlotMessage slots;
     if (wire.has_demand()) {
         slots.demand.emplace();
-        slots.demand->jobSizes.assign(wire.demand().job_sizes().begin(), wire.demand().job_sizes().end());
+        for (int i = 0; i < wire.demand().job_sizes_size(); ++i) {
+            slots.demand->jobs.push_back({wire.demand().job_sizes(i), Milliseconds(wire.demand().job_ranks_ms(i))});
+        }
         slots.demand->lastLoan = wire.demand().last_loan();
     }
     for (const auto &loan : wire.loans()) {
--- a/src/peer/peerframe.h
+++ b/src/peer/peerframe.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "kernel/time.h"
 #include "model/endpoint.h"
 
 #include <cstdint>
@@ -27,10 +28,20 @@
     bool leaving = false;
 };
 
-/// The unstarted tasks of the sender's leading jobs, the smallest job first; empty when none waits for a slot.
+/// A job that waits for slots at the sender.
+struct DemandedJob
+{
+    std::uint32_t unstarted = 0;
+    /// The rank in the queue, from the time of sending; the lower rank starts first.
+    Milliseconds rank {0};
+
+    bool operator==(const DemandedJob &) const = default;
+};
+
+/// The sender's leading jobs, the next one first; empty when none waits for a slot.
 struct Demand
 {
-    std::vector<std::uint32_t> jobSizes;
+    std::vector<DemandedJob> jobs;
     /// The last loan that the sender has received from the recipient.
     LoanId lastLoan = 0;
 };
--- a/src/peer/peernode.cpp
+++ b/src/peer/peernode.cpp
@@ -182,7 +182,7 @@
     frame.heartbeat =
         Heartbeat {self.host, self.zone, self.door, host, m_configurationVersion, m_dispatcher.slots().freeSlots(now), leaving};
     if (!leaving && record.zone == self.zone) {
-        frame.slots = m_ledger.repeatState(host);
+        frame.slots = m_ledger.repeatState(host, now);
     }
     send(host, std::move(frame));
 }
--- a/tests/unit/peer/loans.cpp
+++ b/tests/unit/peer/loans.cpp
@@ -228,6 +228,44 @@
     BOOST_TEST((at("entry-2").answers.at(0).code == ResultCode::Complete));
 }
 
+BOOST_AUTO_TEST_CASE(A_borrowed_slot_at_a_target_that_is_ejected_goes_home)
+{
+    start(2, 1, 8);
+    submit("entry-1", "a", 40);
+    run(Milliseconds(150));
+    BOOST_TEST(totalLent() == 4);
+    at("entry-1").dispatcher.changeSlots(
+        [](const SharingView &view) {
+            view.slots.limitTasks(0, 0);
+        },
+        now);
+    for (const auto &task : running) {
+        at("entry-1").dispatcher.cancel("a", now);
+        at("entry-1").dispatcher.onOutcome(task.ref, TaskStopped {}, now);
+        at("entry-1").dispatcher.changeSlots(
+            [](const SharingView &view) {
+                view.slots.limitTasks(0, 0);
+            },
+            now);
+    }
+    run(Milliseconds(50));
+    BOOST_TEST(totalLent() == 0);
+}
+
+BOOST_AUTO_TEST_CASE(A_team_at_its_limit_borrows_nothing)
+{
+    start(2, 2, 8);
+    configuration = std::make_shared<Configuration>(*configuration);
+    configuration->version = 2;
+    configuration->teams[0].maxRunningTasks = 8;
+    for (auto &[name, host] : hosts) {
+        host->dispatcher.applyConfiguration(configuration, now);
+    }
+    submit("entry-1", "a", 40);
+    run(Milliseconds(900));
+    BOOST_TEST(totalLoans(LoanEvent::Unused) == 0);
+}
+
 BOOST_AUTO_TEST_CASE(A_draining_host_lends_its_free_slots)
 {
     start(2, 2, 8);
--- a/tests/unit/peer/peercodec.cpp
+++ b/tests/unit/peer/peercodec.cpp
@@ -15,7 +15,7 @@
     frame.recipient = 12;
     frame.sequence = 3;
     frame.heartbeat = Heartbeat {"entry-1", "fraser", {"127.0.0.1", 7002}, "entry-2", 5, 9, true};
-    frame.slots.demand = Demand {{1, 2, 300}, 8};
+    frame.slots.demand = Demand {{{1, Milliseconds(-40)}, {300, Milliseconds(15000)}}, 8};
     frame.slots.loans.push_back({4, "target-1"});
     frame.slots.returns.push_back({2, true});
     return frame;
@@ -34,7 +34,7 @@
     BOOST_TEST(frame->heartbeat->host == "entry-1");
     BOOST_TEST(frame->heartbeat->leaving);
     BOOST_TEST((frame->heartbeat->door == Endpoint {"127.0.0.1", 7002}));
-    BOOST_TEST(frame->slots.demand->jobSizes == std::vector<std::uint32_t>({1, 2, 300}));
+    BOOST_TEST((frame->slots.demand->jobs == makeFrame().slots.demand->jobs));
     BOOST_TEST(frame->slots.demand->lastLoan == 8);
     BOOST_TEST(frame->slots.loans.at(0).target == "target-1");
     BOOST_TEST(frame->slots.returns.at(0).unused);
@@ -57,7 +57,7 @@
     frame.heartbeat->host = std::string(256, 'h');
     BOOST_TEST(!decodeFrame(encode(frame)).has_value());
     frame = makeFrame();
-    frame.slots.demand->jobSizes = {0};
+    frame.slots.demand->jobs = {{0, Milliseconds(1)}};
     BOOST_TEST(!decodeFrame(encode(frame)).has_value());
 }
 
