--- a/src/peer/loanledger.cpp
+++ b/src/peer/loanledger.cpp
@@ -13,7 +13,7 @@
 constexpr Milliseconds PauseAfterMisfit {20};
 /// A loan that its borrower has not received by then was lost on its way.
 constexpr Milliseconds LostAfter {1000};
-constexpr std::size_t ToldJobs = 8;
+constexpr std::size_t ToldJobs = 4;
 /// Bounds what demands alone cost: so many frames a second over all peers.
 constexpr int DemandFramesPerSecond = 100;
 constexpr TimePoint Never = TimePoint::max();
--- a/tests/unit/peer/loans.cpp
+++ b/tests/unit/peer/loans.cpp
@@ -58,10 +58,17 @@
 BOOST_AUTO_TEST_CASE(Fixed_shares_lend_nothing)
 {
     start(4, 4, 8, SlotSharingKind::FixedShares);
-    submit("entry-1", "a", 32);
+    submit("entry-1", "a", 200);
     run(Milliseconds(20));
     BOOST_TEST(running.size() == 8);
     BOOST_TEST(totalLoans(LoanEvent::Offered) == 0);
+    // A peer that has another version in force already asks for slots.
+    configuration = std::make_shared<Configuration>(*configuration);
+    configuration->version = 2;
+    configuration->policy.slotSharing = SlotSharingKind::Loans;
+    at("entry-1").dispatcher.applyConfiguration(configuration, now);
+    run(Milliseconds(700));
+    BOOST_TEST(at("entry-2").peerObserver.loans[LoanEvent::Offered] == 0);
 }
 
 BOOST_AUTO_TEST_CASE(A_freed_slot_goes_to_the_peer_with_the_smaller_job)
@@ -105,8 +112,8 @@
     BOOST_TEST(at("entry-2").peerObserver.loans[LoanEvent::Expired] == 8);
     BOOST_TEST(totalLent() == 0);
     at("entry-1").frozen = false;
-    submit("entry-2", "b", 4);
-    run(Milliseconds(800));
+    run(Milliseconds(600));
+    BOOST_TEST(totalLent() > 0);
     std::uint32_t borrowed = 0;
     for (TargetIndex i = 0; i < 2; ++i) {
         borrowed += at("entry-1").dispatcher.slots().at(i).borrowed;
@@ -228,28 +235,55 @@
     BOOST_TEST((at("entry-2").answers.at(0).code == ResultCode::Complete));
 }
 
-BOOST_AUTO_TEST_CASE(A_borrowed_slot_at_a_target_that_is_ejected_goes_home)
+BOOST_AUTO_TEST_CASE(A_slot_that_is_offered_at_an_ejected_target_goes_home)
 {
     start(2, 1, 8);
-    submit("entry-1", "a", 40);
-    run(Milliseconds(150));
-    BOOST_TEST(totalLent() == 4);
-    at("entry-1").dispatcher.changeSlots(
-        [](const SharingView &view) {
-            view.slots.limitTasks(0, 0);
-        },
-        now);
-    for (const auto &task : running) {
-        at("entry-1").dispatcher.cancel("a", now);
-        at("entry-1").dispatcher.onOutcome(task.ref, TaskStopped {}, now);
-        at("entry-1").dispatcher.changeSlots(
-            [](const SharingView &view) {
-                view.slots.limitTasks(0, 0);
-            },
-            now);
-    }
+    SlotTable slots;
+    slots.applyTargets(configuration->targets, "fraser");
+    slots.applyMembers({"entry-1", "entry-2"}, "entry-1", SlotSharingKind::Loans);
+    slots.limitTasks(0, 0);
+    const JobQueue queue;
+    const TeamTable teams;
+    const SharingView view {slots, queue, teams, true, now};
+    FakePeerObserver observer;
+    LoanLedger ledger(observer);
+    ledger.setPeers({"entry-2"}, view);
+    SlotMessage offer;
+    offer.loans.push_back({1, "target-0"});
+    ledger.receive("entry-2", offer, view);
+    ledger.settleAfterStarts(view);
+    const auto outgoing = ledger.takeOutgoing(now);
+    BOOST_REQUIRE_EQUAL(outgoing.size(), 1);
+    BOOST_REQUIRE_EQUAL(outgoing[0].message.returns.size(), 1);
+    BOOST_TEST(outgoing[0].message.returns[0].unused);
+    BOOST_TEST(slots.at(0).borrowed == 0);
+}
+
+BOOST_AUTO_TEST_CASE(A_restarted_borrower_holds_no_loan_of_its_earlier_run)
+{
+    start(2, 2, 8);
+    taskTime = Seconds(8);
+    submit("entry-1", "a", 16);
+    run(Milliseconds(50));
+    BOOST_TEST(totalLent() == 8);
+    kill("entry-1");
+    startHost("entry-1");
+    run(Milliseconds(300));
+    BOOST_TEST(totalLent() == 0);
+    BOOST_TEST(totalLoans(LoanEvent::Revoked) == 8);
+}
+
+BOOST_AUTO_TEST_CASE(A_host_that_is_taken_off_the_list_holds_no_loan)
+{
+    start(2, 2, 8);
+    taskTime = Seconds(8);
+    submit("entry-1", "a", 16);
     run(Milliseconds(50));
+    BOOST_TEST(totalLent() == 8);
+    listed.erase(listed.begin());
+    run(Milliseconds(300));
     BOOST_TEST(totalLent() == 0);
+    BOOST_TEST(at("entry-2").dispatcher.slots().ownSlots() == 16);
 }
 
 BOOST_AUTO_TEST_CASE(A_team_at_its_limit_borrows_nothing)
@@ -266,6 +300,28 @@
     BOOST_TEST(totalLoans(LoanEvent::Unused) == 0);
 }
 
+BOOST_AUTO_TEST_CASE(A_peer_that_cannot_use_an_offer_is_not_offered_again_at_once)
+{
+    start(2, 2, 8);
+    configuration = std::make_shared<Configuration>(*configuration);
+    configuration->version = 2;
+    configuration->targets[1].capacity.cpus = 1;
+    for (auto &[name, host] : hosts) {
+        host->dispatcher.applyConfiguration(configuration, now);
+    }
+    auto job = DispatchFixture::makeJob("a", 60);
+    for (auto &task : job.tasks) {
+        task.size.cpus = 32;
+    }
+    at("entry-1").dispatcher.submit(
+        job, [](const JobAnswer &) {}, now);
+    run(Seconds(1));
+    const auto roundsPerSecond = 50;
+    BOOST_TEST(totalLoans(LoanEvent::Unused) > 0);
+    BOOST_TEST(totalLoans(LoanEvent::Unused) <= 5 * roundsPerSecond);
+    requireSingleStarts();
+}
+
 BOOST_AUTO_TEST_CASE(A_draining_host_lends_its_free_slots)
 {
     start(2, 2, 8);
