--- a/tests/unit/peer/loans.cpp
+++ b/tests/unit/peer/loans.cpp
@@ -36,6 +36,27 @@
         }
     }
 };
+
+/// A ledger of entry-1 with one target, whose slots it shares with entry-2.
+struct LedgerFixture
+{
+    LedgerFixture()
+    {
+        TargetSpec target;
+        target.name = "target-0";
+        target.zone = "fraser";
+        slots.applyTargets({target}, "fraser");
+        slots.applyMembers({"entry-1", "entry-2"}, "entry-1", SlotSharingKind::Loans);
+        ledger.setPeers({"entry-2"}, view);
+    }
+
+    SlotTable slots;
+    JobQueue queue;
+    TeamTable teams;
+    FakePeerObserver observer;
+    LoanLedger ledger {observer};
+    SharingView view {slots, queue, teams, true, TimePoint() + Seconds(1000)};
+};
 } // namespace
 
 BOOST_FIXTURE_TEST_SUITE(LoansSuite, LoansFixture, *boost::unit_test::label("peer"))
@@ -235,30 +256,37 @@
     BOOST_TEST((at("entry-2").answers.at(0).code == ResultCode::Complete));
 }
 
-BOOST_AUTO_TEST_CASE(A_slot_that_is_offered_at_an_ejected_target_goes_home)
+BOOST_FIXTURE_TEST_CASE(A_slot_that_is_offered_at_an_ejected_target_goes_home, LedgerFixture)
 {
-    start(2, 1, 8);
-    SlotTable slots;
-    slots.applyTargets(configuration->targets, "fraser");
-    slots.applyMembers({"entry-1", "entry-2"}, "entry-1", SlotSharingKind::Loans);
     slots.limitTasks(0, 0);
-    const JobQueue queue;
-    const TeamTable teams;
-    const SharingView view {slots, queue, teams, true, now};
-    FakePeerObserver observer;
-    LoanLedger ledger(observer);
-    ledger.setPeers({"entry-2"}, view);
     SlotMessage offer;
     offer.loans.push_back({1, "target-0"});
     ledger.receive("entry-2", offer, view);
     ledger.settleAfterStarts(view);
-    const auto outgoing = ledger.takeOutgoing(now);
+    const auto outgoing = ledger.takeOutgoing(view.now);
     BOOST_REQUIRE_EQUAL(outgoing.size(), 1);
     BOOST_REQUIRE_EQUAL(outgoing[0].message.returns.size(), 1);
     BOOST_TEST(outgoing[0].message.returns[0].unused);
     BOOST_TEST(slots.at(0).borrowed == 0);
 }
 
+BOOST_FIXTURE_TEST_CASE(A_loan_that_has_ended_is_revoked_and_given_up, LedgerFixture)
+{
+    SlotMessage state;
+    state.holdings = Holdings {{7}};
+    ledger.receive("entry-2", state, view);
+    const auto outgoing = ledger.takeOutgoing(view.now);
+    BOOST_REQUIRE_EQUAL(outgoing.size(), 1);
+    BOOST_TEST(outgoing[0].message.revoked == std::vector<LoanId>({7}));
+
+    SlotMessage offer;
+    offer.loans.push_back({7, "target-0"});
+    ledger.receive("entry-2", offer, view);
+    BOOST_TEST(slots.at(0).borrowed == 1);
+    ledger.receive("entry-2", outgoing[0].message, view);
+    BOOST_TEST(slots.at(0).borrowed == 0);
+}
+
 BOOST_AUTO_TEST_CASE(A_restarted_borrower_holds_no_loan_of_its_earlier_run)
 {
     start(2, 2, 8);
