--- a/src/dispatch/jobqueue.cpp
+++ b/src/dispatch/jobqueue.cpp
@@ -1,6 +1,7 @@
 #include "dispatch/jobqueue.h"
 
 #include <algorithm>
+#include <iterator>
 #include <tuple>
 
 namespace Anvilcart
@@ -148,26 +149,35 @@
     return found != m_workByTeam.end() ? std::visit(WorkAheadVisitor {found->second, tasks}, m_order) : Duration::zero();
 }
 
-std::vector<std::uint32_t> JobQueue::smallestJobs(std::size_t most) const
+std::vector<WaitingJob> JobQueue::frontJobs(std::size_t most) const
 {
-    std::vector<std::uint32_t> sizes;
-    for (const auto &[team, jobsBySize] : m_jobsBySize) {
-        auto left = isAtLimit(team) ? 0 : most;
-        for (auto entry = jobsBySize.begin(); entry != jobsBySize.end() && left > 0; ++entry) {
-            const auto count = std::min(entry->second, left);
-            sizes.insert(sizes.end(), count, static_cast<std::uint32_t>(entry->first));
-            left -= count;
+    std::vector<Entry> entries;
+    for (const auto &[key, lane] : m_lanes) {
+        if (isAtLimit(key.team)) {
+            continue;
         }
+        std::copy_n(lane.entries.begin(), std::min(most, lane.entries.size()), std::back_inserter(entries));
+    }
+    std::sort(entries.begin(), entries.end());
+    entries.resize(std::min(most, entries.size()));
+    std::vector<WaitingJob> jobs;
+    for (const auto &entry : entries) {
+        jobs.push_back({static_cast<std::uint32_t>(m_places.at(entry.id).unstarted), entry.rank});
     }
-    std::sort(sizes.begin(), sizes.end());
-    sizes.resize(std::min(sizes.size(), most));
-    return sizes;
+    return jobs;
 }
 
 std::size_t JobQueue::smallestJob() const
 {
-    const auto smallest = smallestJobs(1);
-    return smallest.empty() ? 0 : smallest.front();
+    std::size_t smallest = 0;
+    for (const auto &[team, jobsBySize] : m_jobsBySize) {
+        if (jobsBySize.empty() || isAtLimit(team)) {
+            continue;
+        }
+        const auto size = jobsBySize.begin()->first;
+        smallest = smallest == 0 ? size : std::min(smallest, size);
+    }
+    return smallest;
 }
 
 std::set<TeamIndex> JobQueue::teams() const
--- a/src/dispatch/jobqueue.h
+++ b/src/dispatch/jobqueue.h
@@ -26,6 +26,15 @@
     Duration overtake {};
 };
 
+/// A job that waits: its unstarted tasks, and its rank; the lower rank starts first.
+struct WaitingJob
+{
+    std::uint32_t unstarted = 0;
+    TimePoint rank;
+
+    bool operator==(const WaitingJob &) const = default;
+};
+
 using QueueOrder = std::variant<FifoOrder, FewestUnstartedFirstOrder>;
 
 /// The order that the configuration names. Thread-safe.
@@ -69,9 +78,8 @@
     /// The part of workAhead() that is the team's own.
     Duration workAhead(std::size_t tasks, TeamIndex team) const;
 
-    /// The unstarted tasks of each of the smallest waiting jobs, at most so many, in ascending order. Jobs of teams that have spent their
-    /// quota do not count: a slot would not help them.
-    std::vector<std::uint32_t> smallestJobs(std::size_t most) const;
+    /// So many jobs that come next, in order; jobs of teams at their limit are left out.
+    std::vector<WaitingJob> frontJobs(std::size_t most) const;
 
     /// The fewest unstarted tasks of any waiting job whose team has quota left; 0 when none waits.
     std::size_t smallestJob() const;
--- a/tests/unit/dispatch/teams.cpp
+++ b/tests/unit/dispatch/teams.cpp
@@ -98,7 +98,7 @@
     submit(makeTeamJob("s", 3, "small"));
     BOOST_TEST(dispatcher.queue().unstartedTasks() == 1);
     BOOST_TEST(dispatcher.queue().smallestJob() == 0);
-    BOOST_TEST(dispatcher.queue().smallestJobs(4).empty());
+    BOOST_TEST(dispatcher.queue().frontJobs(4).empty());
     submit(makeTeamJob("f", 5, "field"));
     BOOST_TEST(dispatcher.queue().smallestJob() == 3);
     finish(0);
