--- a/src/platform/hostlist.cpp
+++ b/src/platform/hostlist.cpp
@@ -37,6 +37,17 @@
 }
 } // namespace
 
+std::vector<Endpoint> HostList::operatorDoors() const
+{
+    std::vector<Endpoint> doors;
+    for (const auto &host : hosts) {
+        if (host.role == HostRole::Entry && host.state == HostState::Live && host.operatorDoor) {
+            doors.push_back(*host.operatorDoor);
+        }
+    }
+    return doors;
+}
+
 std::unordered_set<std::string> HostList::leavingTargets() const
 {
     std::unordered_set<std::string> names;
--- a/src/platform/platformplugin.cpp
+++ b/src/platform/platformplugin.cpp
@@ -3,6 +3,7 @@
 #include "kernel/kernel.h"
 #include "kernel/pluginregistry.h"
 #include "net/httpclient.h"
+#include "platform/configurationfollower.h"
 #include "platform/configurationservice.h"
 #include "platform/hostlist.h"
 #include "platform/hostlistservice.h"
@@ -22,8 +23,6 @@
 
 namespace
 {
-constexpr Seconds LongPoll {10};
-constexpr Milliseconds RetryDelay {250};
 constexpr Milliseconds HostListPeriod {1000};
 constexpr Milliseconds HostListTimeout {2000};
 
@@ -58,40 +57,12 @@
         kernel.provide(m_configuration);
         kernel.provide(m_hostList);
         auto &loop = kernel.ioLoops().at(0);
-        asio::co_spawn(loop, followConfiguration(), asio::detached);
+        m_follower = std::make_unique<ConfigurationFollower>(settings, *m_log, m_configuration);
+        asio::co_spawn(loop, m_follower->run(), asio::detached);
         asio::co_spawn(loop, followHostList(), asio::detached);
     }
 
 private:
-    asio::awaitable<void> followConfiguration()
-    {
-        std::uint64_t next = 0;
-        for (;;) {
-            auto result = co_await m_log->read(ConfigurationStream, next, LongPoll);
-            if (const auto *failure = std::get_if<LogFailure>(&result)) {
-                LOG_EVERY_N(WARNING, 20) << "platform: the log does not answer: " << failure->error;
-                co_await sleepFor(RetryDelay);
-                continue;
-            }
-            const auto &page = std::get<LogPage>(result);
-            for (const auto &record : page.records) {
-                applyRecord(record);
-            }
-            next = page.next;
-        }
-    }
-
-    void applyRecord(const LogRecord &record)
-    {
-        const auto decoded = decodeConfigurationRecord(record.body);
-        if (!decoded) {
-            LOG(ERROR) << "configuration: record at offset " << record.offset << " cannot be read";
-            m_configuration.countSkipped();
-            return;
-        }
-        m_configuration.apply(*decoded);
-    }
-
     asio::awaitable<void> followHostList()
     {
         for (;;) {
@@ -107,6 +78,7 @@
 
     void applyHostList(const HostList &list)
     {
+        m_follower->setPeers(list.operatorDoors());
         m_hostList.publish(list);
         auto leaving = list.leavingTargets();
         m_dispatch->perform([leaving = std::move(leaving)](Dispatcher &dispatcher, TimePoint) {
@@ -119,6 +91,7 @@
     std::string m_address;
     std::unique_ptr<LogClient> m_log;
     ConfigurationService m_configuration;
+    std::unique_ptr<ConfigurationFollower> m_follower;
     HostListService m_hostList;
 };
 
