Answer slow requests with 408, and count a request in flight from its first byte

Cause: Beast closes a stream whose limit has passed, so the 408 for a half-sent header or body was never written (unit tests with the limit at 100 ms saw the connection end without an answer: 0 in place of 408). A request that had come in part did not count as in flight, so a drain could end under it. A body's limit held for one connection only. A second answer on a pooled connection would have been read as the next call's. Change: an own timer ends the reading and leaves the connection open; in flight counts from the first byte; the bodies of a door share 24 MB while they are read; the accept queue is emptied before the listener closes; a connection with bytes left over is not reused; connecting has a limit of 1 s of its own. Conclusion: partial writes were already classified as sent; a test now says so.

--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -12,6 +12,8 @@
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <algorithm>
+
 namespace Anvilcart
 {
 namespace asio = boost::asio;
@@ -23,6 +25,7 @@
 {
 constexpr auto Awaitable = asio::as_tuple(asio::use_awaitable);
 constexpr std::uint64_t ReplyBodyLimit = 64 * 1024 * 1024;
+constexpr Milliseconds ConnectLimit {1000};
 
 HttpReply failure(CallProgress progress, const boost::system::error_code &error)
 {
@@ -75,7 +78,8 @@
 
 bool HttpConnection::isReusable() const
 {
-    if (!d->connected) {
+    // A server that answered twice has left bytes that would be read as the next call's answer.
+    if (!d->connected || d->buffer.size() > 0) {
         return false;
     }
     char byte = 0;
@@ -88,8 +92,9 @@
 
 asio::awaitable<HttpReply> HttpConnection::call(HttpCall call, Duration timeout)
 {
-    d->stream.expires_after(timeout);
+    const auto limit = Clock::now() + timeout;
     if (!d->connected) {
+        d->stream.expires_after(std::min<Duration>(timeout, ConnectLimit));
         const auto error = co_await d->connect();
         if (error) {
             close();
@@ -97,6 +102,7 @@
         }
         d->connected = true;
     }
+    d->stream.expires_at(limit);
     http::request<http::string_body> request(http::string_to_verb(call.method), call.target, 11);
     request.set(http::field::host, d->server.address);
     request.body() = std::move(call.body);
--- a/src/net/httpclient.h
+++ b/src/net/httpclient.h
@@ -51,11 +51,11 @@
     HttpConnection(const boost::asio::any_io_executor &executor, Endpoint server, std::string sourceAddress);
     ~HttpConnection();
 
-    /// True when an earlier answer left the connection open and the server has not closed it since.
+    /// True when an earlier answer left the connection open, and the server has neither closed it nor sent anything since.
     bool isReusable() const;
 
-    /// Sends the call and waits for the answer. After a reply that is not Answered the connection is closed.
-    /// Precondition: no other call is in progress.
+    /// Sends the call and waits for the answer; connecting has a shorter limit of its own. After a reply that is not Answered the
+    /// connection is closed. Precondition: no other call is in progress.
     boost::asio::awaitable<HttpReply> call(HttpCall call, Duration timeout);
 
     /// Cuts the connection; a call in progress ends with an error.
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -1,10 +1,15 @@
 #include "net/httpserver.h"
 
+#include "net/counted.h"
+#include "net/disconnectwatch.h"
+#include "net/readtimeout.h"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -48,75 +53,40 @@
     tcp::acceptor acceptor;
     std::atomic<std::size_t> connections = 0;
     std::atomic<std::size_t> inFlight = 0;
+    std::atomic<std::size_t> bodyBytes = 0;
     std::atomic<bool> draining = false;
 };
 
 namespace
 {
-/// Counts itself in an atomic for as long as it lives.
-class Counted
+/// Holds a part of the memory that the bodies of a door may take, for as long as it lives.
+class BodyReservation
 {
 public:
-    explicit Counted(std::atomic<std::size_t> &counter)
-        : m_counter(counter)
+    BodyReservation(HttpServer::Shared &shared, std::size_t bytes)
+        : m_shared(shared)
+        , m_bytes(bytes)
+        , m_granted(shared.bodyBytes.fetch_add(bytes) + bytes <= shared.limits.bodyBytesInTotal)
     {
-        m_counter.fetch_add(1);
     }
 
-    ~Counted()
+    ~BodyReservation()
     {
-        m_counter.fetch_sub(1);
+        m_shared.bodyBytes.fetch_sub(m_bytes);
     }
 
-    Counted(const Counted &) = delete;
-    Counted &operator=(const Counted &) = delete;
-
-private:
-    std::atomic<std::size_t> &m_counter;
-};
+    BodyReservation(const BodyReservation &) = delete;
+    BodyReservation &operator=(const BodyReservation &) = delete;
 
-/// Watches a connection while its request is handled.
-class DisconnectWatch : public HttpPeer, public std::enable_shared_from_this<DisconnectWatch>
-{
-public:
-    explicit DisconnectWatch(tcp::socket &socket)
-        : m_socket(socket)
+    bool isGranted() const
     {
-    }
-
-    void onDisconnect(std::function<void()> action) override
-    {
-        m_action = std::move(action);
-        m_socket.async_wait(tcp::socket::wait_read, [self = shared_from_this()](const boost::system::error_code &error) {
-            if (!error && !self->m_ended) {
-                self->readable();
-            }
-        });
-    }
-
-    void end()
-    {
-        if (m_action) {
-            m_socket.cancel();
-        }
-        m_ended = true;
+        return m_granted;
     }
 
 private:
-    void readable()
-    {
-        char byte = 0;
-        boost::system::error_code error;
-        m_socket.non_blocking(true, error);
-        const auto count = m_socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
-        if (count == 0 && error != asio::error::would_block) {
-            m_action();
-        }
-    }
-
-    tcp::socket &m_socket;
-    std::function<void()> m_action;
-    bool m_ended = false;
+    HttpServer::Shared &m_shared;
+    std::size_t m_bytes;
+    bool m_granted;
 };
 
 ResultCode codeOf(const boost::system::error_code &error)
@@ -127,18 +97,12 @@
     if (error == http::error::header_limit) {
         return ResultCode::HeaderTooLarge;
     }
-    if (error == beast::error::timeout) {
-        return ResultCode::RequestTimeout;
-    }
     return ResultCode::MalformedBody;
 }
 
-bool deservesAnswer(const boost::system::error_code &error, bool partlyRead)
+bool deservesAnswer(const boost::system::error_code &error)
 {
-    if (error == http::error::end_of_stream || error == asio::error::connection_reset || error == asio::error::operation_aborted) {
-        return false;
-    }
-    return error != beast::error::timeout || partlyRead;
+    return error != http::error::end_of_stream && error != asio::error::connection_reset && error != asio::error::operation_aborted;
 }
 
 HttpRequest toRequest(http::request<http::string_body> &&message, const std::string &remoteAddress)
@@ -173,6 +137,7 @@
 public:
     Session(tcp::socket socket, std::shared_ptr<HttpServer::Shared> shared)
         : m_stream(std::move(socket))
+        , m_timeout(std::make_shared<ReadTimeout>(m_stream.socket()))
         , m_shared(std::move(shared))
     {
         boost::system::error_code error;
@@ -181,6 +146,14 @@
         m_remoteAddress = error ? std::string() : remote.address().to_string();
     }
 
+    ~Session()
+    {
+        m_timeout->end();
+    }
+
+    Session(const Session &) = delete;
+    Session &operator=(const Session &) = delete;
+
     asio::awaitable<void> run()
     {
         const Counted connection(m_shared->connections);
@@ -195,13 +168,16 @@
 private:
     asio::awaitable<bool> serveOne()
     {
+        if (!co_await waitForFirstBytes()) {
+            co_return false;
+        }
+        const Counted request(m_shared->inFlight);
         http::request_parser<http::string_body> parser;
         parser.header_limit(static_cast<std::uint32_t>(m_shared->limits.headerBytes));
         parser.body_limit(m_shared->limits.bodyBytes);
         if (!co_await readWhole(parser)) {
             co_return false;
         }
-        const Counted request(m_shared->inFlight);
         const bool keepAlive = parser.get().keep_alive();
         auto watch = std::make_shared<DisconnectWatch>(m_stream.socket());
         auto response = co_await m_shared->handler(toRequest(parser.release(), m_remoteAddress), *watch);
@@ -212,28 +188,63 @@
         co_return co_await write(std::move(response), keepAlive && !m_shared->draining.load());
     }
 
-    asio::awaitable<bool> readWhole(http::request_parser<http::string_body> &parser)
+    /// The first byte may take the idle time; from then on the request has its own, shorter limit.
+    asio::awaitable<bool> waitForFirstBytes()
     {
-        // The first byte may take the idle time; from then on the request has its own, shorter limit.
+        if (m_buffer.size() > 0) {
+            co_return true;
+        }
         m_stream.expires_after(m_shared->limits.idleTime);
-        if (m_buffer.size() == 0) {
-            auto [waitError, count] = co_await m_stream.async_read_some(m_buffer.prepare(ReadChunk), Awaitable);
-            if (waitError) {
-                co_return false;
-            }
-            m_buffer.commit(count);
+        auto [error, count] = co_await m_stream.async_read_some(m_buffer.prepare(ReadChunk), Awaitable);
+        m_buffer.commit(count);
+        co_return !error;
+    }
+
+    asio::awaitable<bool> readWhole(http::request_parser<http::string_body> &parser)
+    {
+        m_stream.expires_never();
+        m_timeout->begin(m_shared->limits.requestTime);
+        auto [headerError, headerBytes] = co_await http::async_read_header(m_stream, m_buffer, parser, Awaitable);
+        if (headerError) {
+            co_return co_await refuse(headerError);
+        }
+        const BodyReservation reservation(*m_shared, bodyBytesOf(parser));
+        if (!reservation.isGranted()) {
+            co_return co_await refuse(ResultCode::QueueFull);
         }
-        m_stream.expires_after(m_shared->limits.requestTime);
         auto [error, count] = co_await http::async_read(m_stream, m_buffer, parser, Awaitable);
-        if (!error) {
-            m_stream.expires_never();
-            co_return true;
+        if (error) {
+            co_return co_await refuse(error);
+        }
+        m_timeout->end();
+        co_return true;
+    }
+
+    /// The memory that the body may take; one without a declared length may take the whole limit.
+    std::size_t bodyBytesOf(const http::request_parser<http::string_body> &parser) const
+    {
+        if (parser.is_done()) {
+            return 0;
+        }
+        return parser.content_length() ? static_cast<std::size_t>(*parser.content_length()) : m_shared->limits.bodyBytes;
+    }
+
+    asio::awaitable<bool> refuse(boost::system::error_code error)
+    {
+        if (m_timeout->hasPassed()) {
+            co_return co_await refuse(ResultCode::RequestTimeout);
         }
-        if (deservesAnswer(error, true)) {
-            m_stream.expires_after(m_shared->limits.requestTime);
-            co_await write(m_shared->refusal(codeOf(error)), false);
-            co_await discardRest();
+        if (!deservesAnswer(error)) {
+            co_return false;
         }
+        co_return co_await refuse(codeOf(error));
+    }
+
+    asio::awaitable<bool> refuse(ResultCode code)
+    {
+        m_timeout->end();
+        co_await write(m_shared->refusal(code), false);
+        co_await discardRest();
         co_return false;
     }
 
@@ -264,6 +275,7 @@
 
     beast::tcp_stream m_stream;
     beast::flat_buffer m_buffer;
+    std::shared_ptr<ReadTimeout> m_timeout;
     std::shared_ptr<HttpServer::Shared> m_shared;
     std::string m_remoteAddress;
 };
@@ -274,6 +286,22 @@
     co_await session.run();
 }
 
+/// Takes what waits in the accept queue, then closes it: closing alone would reset those connections.
+void closeAcceptor(const std::shared_ptr<HttpServer::Shared> &shared)
+{
+    boost::system::error_code error;
+    shared->acceptor.non_blocking(true, error);
+    while (!error) {
+        auto &loop = shared->loops.next();
+        tcp::socket socket(loop);
+        shared->acceptor.accept(socket, error);
+        if (!error) {
+            asio::co_spawn(loop, serve(std::move(socket), shared), asio::detached);
+        }
+    }
+    shared->acceptor.close(error);
+}
+
 asio::awaitable<void> accept(std::shared_ptr<HttpServer::Shared> shared)
 {
     while (shared->acceptor.is_open()) {
@@ -313,8 +341,7 @@
 void HttpServer::stop()
 {
     asio::post(m_shared->acceptor.get_executor(), [shared = m_shared] {
-        boost::system::error_code error;
-        shared->acceptor.close(error);
+        closeAcceptor(shared);
     });
 }
 } // namespace Anvilcart
--- a/src/net/httpserver.h
+++ b/src/net/httpserver.h
@@ -16,6 +16,8 @@
 {
     std::size_t headerBytes = 8 * 1024;
     std::size_t bodyBytes = 8 * 1024 * 1024;
+    /// Bodies of all connections together while they are read.
+    std::size_t bodyBytesInTotal = 24 * 1024 * 1024;
     std::size_t connections = 4096;
     Duration idleTime = Seconds(60);
     Duration requestTime = Seconds(10);
@@ -32,13 +34,13 @@
     HttpServer(EventLoops &loops, const Endpoint &endpoint, const HttpLimits &limits, HttpHandler handler, HttpRefusal refusal);
     ~HttpServer();
 
-    /// Requests that are being handled or answered. Thread-safe.
+    /// Requests of which a byte has come and that are not yet answered. Thread-safe.
     std::size_t requestsInFlight() const;
 
     /// Closes each connection after its current answer. Thread-safe.
     void beginDrain();
 
-    /// Accepts no more connections. Thread-safe.
+    /// Takes the connections that wait to be accepted and no more. Thread-safe.
     void stop();
 
     struct Shared;
--- /dev/null
+++ b/tests/unit/net/http.cpp
@@ -0,0 +1,214 @@
+#include "net/httpclient.h"
+#include "net/httpserver.h"
+#include "net/runcoroutine.h"
+#include "rawconnection.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <future>
+#include <thread>
+#include <unistd.h>
+
+using namespace Anvilcart;
+namespace asio = boost::asio;
+
+namespace
+{
+constexpr int AddressBlock = 9;
+constexpr int ByteRange = 250;
+
+/// An address of this process alone.
+Endpoint freeEndpoint()
+{
+    static std::uint16_t port = 7900;
+    const auto process = ::getpid();
+    const auto third = std::to_string(process / ByteRange % ByteRange);
+    return {"127." + std::to_string(AddressBlock) + "." + third + "." + std::to_string(process % ByteRange + 1), ++port};
+}
+
+/// A door that answers every request at once and counts them.
+class Door
+{
+public:
+    explicit Door(const HttpLimits &limits)
+        : endpoint(freeEndpoint())
+        , loops(1)
+        , server(
+              loops,
+              endpoint,
+              limits,
+              [this](HttpRequest, HttpPeer &) -> asio::awaitable<HttpResponse> {
+                  ++handled;
+                  co_return HttpResponse();
+              },
+              [](ResultCode code) {
+                  HttpResponse response;
+                  response.status = info(code).httpStatus;
+                  return response;
+              })
+    {
+    }
+
+    ~Door()
+    {
+        loops.stop();
+    }
+
+    Endpoint endpoint;
+    EventLoops loops;
+    std::atomic<int> handled = 0;
+    HttpServer server;
+};
+
+/// Takes one connection, answers the first request with the given text and keeps the connection open.
+class ScriptedServer
+{
+public:
+    explicit ScriptedServer(const Endpoint &endpoint)
+        : m_acceptor(m_context, {asio::ip::make_address(endpoint.address), endpoint.port})
+        , m_socket(m_context)
+    {
+    }
+
+    void answerFirst(const std::string &text)
+    {
+        m_acceptor.accept(m_socket);
+        char request[4096];
+        m_socket.read_some(asio::buffer(request));
+        asio::write(m_socket, asio::buffer(text));
+    }
+
+private:
+    asio::io_context m_context;
+    asio::ip::tcp::acceptor m_acceptor;
+    asio::ip::tcp::socket m_socket;
+};
+
+int statusOf(const std::string &answer)
+{
+    return answer.size() < 12 ? 0 : std::stoi(answer.substr(9, 3));
+}
+
+void waitFor(const std::function<bool()> &condition)
+{
+    const auto limit = Clock::now() + Seconds(30);
+    while (!condition() && Clock::now() < limit) {
+        std::this_thread::sleep_for(Milliseconds(5));
+    }
+    BOOST_TEST(condition());
+}
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(HttpSuite, *boost::unit_test::label("net"))
+
+BOOST_AUTO_TEST_CASE(A_request_of_which_a_byte_has_come_counts_as_in_flight)
+{
+    Door door {HttpLimits()};
+    RawConnection caller(door.endpoint);
+    caller.send("GET / HT");
+    waitFor([&] {
+        return door.server.requestsInFlight() == 1;
+    });
+    door.server.beginDrain();
+    caller.send("TP/1.1\r\nHost: h\r\n\r\n");
+    BOOST_TEST(statusOf(caller.readAll()) == 200);
+    waitFor([&] {
+        return door.server.requestsInFlight() == 0;
+    });
+}
+
+BOOST_AUTO_TEST_CASE(A_half_sent_header_is_refused_when_its_time_is_over)
+{
+    HttpLimits limits;
+    limits.requestTime = Milliseconds(100);
+    Door door {limits};
+    RawConnection caller(door.endpoint);
+    caller.send("GET / HTTP/1.1\r\nHo");
+    BOOST_TEST(statusOf(caller.readAll()) == 408);
+    BOOST_TEST(door.handled == 0);
+}
+
+BOOST_AUTO_TEST_CASE(A_half_sent_body_is_refused_when_its_time_is_over)
+{
+    HttpLimits limits;
+    limits.requestTime = Milliseconds(100);
+    Door door {limits};
+    RawConnection caller(door.endpoint);
+    caller.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\nabc");
+    BOOST_TEST(statusOf(caller.readAll()) == 408);
+    BOOST_TEST(door.handled == 0);
+}
+
+BOOST_AUTO_TEST_CASE(A_huge_header_is_refused)
+{
+    Door door {HttpLimits()};
+    RawConnection caller(door.endpoint);
+    caller.send("GET / HTTP/1.1\r\nHost: " + std::string(20000, 'h') + "\r\n\r\n");
+    BOOST_TEST(statusOf(caller.readAll()) == 431);
+    BOOST_TEST(door.handled == 0);
+}
+
+BOOST_AUTO_TEST_CASE(Bodies_that_exceed_the_memory_of_the_door_together_are_refused)
+{
+    HttpLimits limits;
+    limits.bodyBytesInTotal = 15;
+    limits.requestTime = Milliseconds(500);
+    Door door {limits};
+    RawConnection first(door.endpoint);
+    first.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\nabc");
+    waitFor([&] {
+        return door.server.requestsInFlight() == 1;
+    });
+    RawConnection second(door.endpoint);
+    second.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\nabc");
+    BOOST_TEST(statusOf(second.readAll()) == 503);
+}
+
+BOOST_AUTO_TEST_CASE(Connections_beyond_the_limit_are_closed)
+{
+    HttpLimits limits;
+    limits.connections = 1;
+    Door door {limits};
+    RawConnection first(door.endpoint);
+    first.send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    waitFor([&] {
+        return door.handled == 1;
+    });
+    RawConnection second(door.endpoint);
+    BOOST_TEST(second.readAll().empty());
+    BOOST_TEST(door.handled == 1);
+}
+
+BOOST_AUTO_TEST_CASE(A_connection_on_which_a_second_answer_came_is_not_reused)
+{
+    const auto endpoint = freeEndpoint();
+    ScriptedServer server(endpoint);
+    const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
+    auto answered = std::async(std::launch::async, [&] {
+        server.answerFirst(answer + answer);
+    });
+    asio::io_context loop;
+    HttpConnection connection(loop.get_executor(), endpoint, "");
+    auto reply = asio::co_spawn(loop, connection.call(HttpCall("GET", "/"), Seconds(30)), asio::use_future);
+    loop.run();
+    answered.get();
+    BOOST_TEST((reply.get().progress == CallProgress::Answered));
+    BOOST_TEST(!connection.isReusable());
+}
+
+BOOST_AUTO_TEST_CASE(A_call_that_could_not_connect_was_not_sent)
+{
+    const auto reply = runCoroutine(callOnce(freeEndpoint(), HttpCall("GET", "/"), Seconds(30)));
+    BOOST_TEST((reply.progress == CallProgress::NotSent));
+}
+
+BOOST_AUTO_TEST_CASE(A_call_of_which_a_part_was_written_counts_as_sent)
+{
+    const auto endpoint = freeEndpoint();
+    asio::io_context context;
+    asio::ip::tcp::acceptor silent(context, {asio::ip::make_address(endpoint.address), endpoint.port});
+    const auto reply = runCoroutine(callOnce(endpoint, HttpCall("POST", "/", std::string(32'000'000, 'x')), Milliseconds(300)));
+    BOOST_TEST((reply.progress == CallProgress::Sent));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
