Bound the memory of one parsed body, send stops over one connection, close the door after a notice

Cause: a body of 8 MB of tiny values parses into many times its length; each stopped task opened a connection of its own, so that a wave of cancellations exceeds a target's 64; a drained host ended the moment that it was idle, before the balancer could notice /readyz. Change: one parse may take 32 MB, beyond that the answer is body_too_large; stops wait in a queue on one connection; idle connections older than 4 s are not reused, since a target may just be closing them; the door takes connections for 1 s after the drain began.

--- a/src/caller/callerdoor.cpp
+++ b/src/caller/callerdoor.cpp
@@ -3,7 +3,12 @@
 #include "caller/jobcodec.h"
 #include "net/oneshot.h"
 
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <boost/leaf/handle_errors.hpp>
 
 namespace Anvilcart
@@ -16,6 +21,8 @@
 constexpr const char *JobsPath = "/v1/jobs";
 constexpr const char *JobPathPrefix = "/v1/jobs/";
 constexpr const char *PlainText = "text/plain; version=0.0.4";
+constexpr Milliseconds BalancerNotice {1000};
+constexpr Milliseconds LastRequestsTime {100};
 constexpr int StatusOk = 200;
 constexpr int StatusUnavailable = 503;
 
@@ -57,6 +64,7 @@
     EventLoops &loops, const Endpoint &endpoint, DispatchService &dispatch, ConfigurationService &configuration, Metrics &metrics)
     : m_dispatch(dispatch)
     , m_configuration(configuration)
+    , m_loops(loops)
     , m_metrics(metrics)
     , m_server(
           loops,
@@ -75,11 +83,12 @@
 {
     m_draining.store(true);
     m_server.beginDrain();
+    asio::co_spawn(m_loops.at(0), closeAfterNotice(), asio::detached);
 }
 
-bool CallerDoor::isIdle() const
+bool CallerDoor::isDrained() const
 {
-    return m_server.requestsInFlight() == 0;
+    return m_closed.load() && m_server.requestsInFlight() == 0;
 }
 
 void CallerDoor::stop()
@@ -144,6 +153,16 @@
     co_return response;
 }
 
+asio::awaitable<void> CallerDoor::closeAfterNotice()
+{
+    asio::steady_timer timer(co_await asio::this_coro::executor, BalancerNotice);
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    m_server.stop();
+    timer.expires_after(LastRequestsTime);
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    m_closed.store(true);
+}
+
 HttpResponse CallerDoor::readiness() const
 {
     if (m_draining.load()) {
--- a/src/caller/callerdoor.h
+++ b/src/caller/callerdoor.h
@@ -19,11 +19,12 @@
     CallerDoor(
         EventLoops &loops, const Endpoint &endpoint, DispatchService &dispatch, ConfigurationService &configuration, Metrics &metrics);
 
-    /// Answers /readyz with 503 from now on; submissions in progress go on. Thread-safe.
+    /// Answers /readyz with 503 from now on; submissions in progress go on. For as long as the balancer needs to notice, connections
+    /// are still taken. Thread-safe.
     void beginDrain();
 
-    /// True when no request is being handled. Thread-safe.
-    bool isIdle() const;
+    /// True when the drain has closed the door and no request is being handled. Thread-safe.
+    bool isDrained() const;
 
     /// Accepts no more connections. Thread-safe.
     void stop();
@@ -33,11 +34,14 @@
     boost::asio::awaitable<HttpResponse> submit(const HttpRequest &request, HttpPeer &peer);
     boost::asio::awaitable<HttpResponse> cancel(std::string submission);
     HttpResponse readiness() const;
+    boost::asio::awaitable<void> closeAfterNotice();
 
     DispatchService &m_dispatch;
     ConfigurationService &m_configuration;
+    EventLoops &m_loops;
     Metrics &m_metrics;
     std::atomic<bool> m_draining = false;
+    std::atomic<bool> m_closed = false;
     HttpServer m_server;
 };
 } // namespace Anvilcart
--- a/src/caller/callerplugin.cpp
+++ b/src/caller/callerplugin.cpp
@@ -32,7 +32,7 @@
 
     bool isDrained() const override
     {
-        return m_door->isIdle();
+        return m_door->isDrained();
     }
 
     void stop() override
--- a/src/caller/jobcodec.cpp
+++ b/src/caller/jobcodec.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/json.hpp>
 
+#include <array>
+#include <new>
 #include <optional>
 #include <unordered_set>
 
@@ -17,8 +19,53 @@
 constexpr std::int64_t MaxTimeMs = 3'600'000;
 constexpr std::int64_t MaxKeyExpirySeconds = 7 * 24 * 3600;
 constexpr std::int64_t MaxSize = 16'777'216;
+constexpr std::size_t MaxParsedBytes = 32 * 1024 * 1024;
+constexpr std::size_t ParseBlockBytes = 4096;
 constexpr auto MillisecondsPerSecond = 1000;
 
+/// Memory for one parsed body; a body of many tiny values would otherwise take many times its own length.
+class BoundedMemory : public json::memory_resource
+{
+private:
+    void *do_allocate(std::size_t bytes, std::size_t alignment) override
+    {
+        if (bytes > m_left) {
+            throw std::bad_alloc();
+        }
+        m_left -= bytes;
+        return m_upstream->allocate(bytes, alignment);
+    }
+
+    void do_deallocate(void *block, std::size_t bytes, std::size_t alignment) override
+    {
+        m_left += bytes;
+        m_upstream->deallocate(block, bytes, alignment);
+    }
+
+    bool do_is_equal(const json::memory_resource &other) const noexcept override
+    {
+        return this == &other;
+    }
+
+    std::size_t m_left = MaxParsedBytes;
+    json::storage_ptr m_upstream;
+};
+
+/// Parses with all memory from the resource; json::error::exception when it is used up.
+json::value parseBounded(const std::string &body, boost::system::error_code &error, json::memory_resource *memory)
+{
+    try {
+        std::array<unsigned char, ParseBlockBytes> stack {};
+        json::parser parser(json::storage_ptr(memory), json::parse_options(), stack.data(), stack.size());
+        parser.reset(json::storage_ptr(memory));
+        parser.write(body, error);
+        return error ? json::value() : parser.release();
+    } catch (const std::bad_alloc &) {
+        error = json::error::exception;
+        return {};
+    }
+}
+
 /// Reads fields of one JSON object and keeps the first mistake.
 class FieldReader
 {
@@ -201,7 +248,12 @@
 leaf::result<JobSpec> decodeJob(const std::string &body)
 {
     boost::system::error_code error;
-    const auto value = json::parse(body, error);
+    BoundedMemory memory;
+    json::monotonic_resource arena(ParseBlockBytes, json::storage_ptr(&memory));
+    const auto value = parseBounded(body, error, &arena);
+    if (error == json::error::exception) {
+        return leaf::new_error(RequestError {ResultCode::BodyTooLarge, "the body holds too many values"});
+    }
     if (error) {
         return leaf::new_error(RequestError {ResultCode::MalformedBody, "the body is not valid JSON: " + error.message()});
     }
--- a/src/target/targetclient.cpp
+++ b/src/target/targetclient.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
 
 namespace Anvilcart
 {
@@ -14,6 +15,7 @@
 constexpr const char *RunPath = "/v1/tasks/run";
 constexpr const char *StopPath = "/v1/tasks/stop";
 constexpr Milliseconds StopTimeout {1000};
+constexpr Seconds MaxIdleTime {4};
 
 /// True where the answer leaves no doubt about what the connection carries next.
 bool isInOrder(const TaskOutcome &outcome)
@@ -41,8 +43,28 @@
 
 void TargetClient::stop(const std::string &submission, const std::string &task)
 {
-    HttpCall call {"POST", StopPath, encodeStopRequest(submission, task)};
-    asio::co_spawn(m_loop, callOnce(m_endpoint, std::move(call), StopTimeout, m_sourceAddress), asio::detached);
+    asio::post(m_loop, [self = shared_from_this(), body = encodeStopRequest(submission, task)]() mutable {
+        self->m_stops.push_back(std::move(body));
+        if (!self->m_sendingStops) {
+            self->m_sendingStops = true;
+            asio::co_spawn(self->m_loop, self->sendStops(), asio::detached);
+        }
+    });
+}
+
+asio::awaitable<void> TargetClient::sendStops()
+{
+    const auto self = shared_from_this();
+    while (!m_stops.empty()) {
+        HttpCall call("POST", StopPath, std::move(m_stops.front()));
+        m_stops.pop_front();
+        auto connection = takeConnection();
+        const auto reply = co_await connection->call(std::move(call), StopTimeout);
+        if (reply.progress == CallProgress::Answered) {
+            giveBack(std::move(connection));
+        }
+    }
+    m_sendingStops = false;
 }
 
 asio::awaitable<void> TargetClient::run(TaskStart start, OutcomeHandler done)
@@ -61,10 +83,11 @@
 TargetClient::Connection TargetClient::takeConnection()
 {
     while (!m_idle.empty()) {
-        auto connection = std::move(m_idle.back());
+        auto idle = std::move(m_idle.back());
         m_idle.pop_back();
-        if (connection->isReusable()) {
-            return connection;
+        // A target that closes idle connections could close one just while a task is written, which leaves its outcome unknown.
+        if (Clock::now() - idle.since < MaxIdleTime && idle.connection->isReusable()) {
+            return std::move(idle.connection);
         }
     }
     return std::make_unique<HttpConnection>(m_loop.get_executor(), m_endpoint, m_sourceAddress);
@@ -73,7 +96,7 @@
 void TargetClient::giveBack(Connection connection)
 {
     if (connection->isReusable()) {
-        m_idle.push_back(std::move(connection));
+        m_idle.push_back({std::move(connection), Clock::now()});
     }
 }
 } // namespace Anvilcart
--- a/src/target/targetclient.h
+++ b/src/target/targetclient.h
@@ -7,6 +7,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <deque>
 #include <functional>
 #include <memory>
 #include <vector>
@@ -25,19 +26,29 @@
     /// Runs one task; done is called once, on this client's loop. Thread-safe.
     void start(TaskStart start, OutcomeHandler done);
 
-    /// Asks the target to stop a task. Thread-safe.
+    /// Asks the target to stop a task, one request after the other, so that a wave of them takes one connection. Thread-safe.
     void stop(const std::string &submission, const std::string &task);
 
 private:
     using Connection = std::unique_ptr<HttpConnection>;
 
+    /// A pooled connection that waits for its next call.
+    struct IdleConnection
+    {
+        Connection connection;
+        TimePoint since;
+    };
+
     boost::asio::awaitable<void> run(TaskStart start, OutcomeHandler done);
+    boost::asio::awaitable<void> sendStops();
     Connection takeConnection();
     void giveBack(Connection connection);
 
     boost::asio::io_context &m_loop;
     Endpoint m_endpoint;
     std::string m_sourceAddress;
-    std::vector<Connection> m_idle;
+    std::vector<IdleConnection> m_idle;
+    std::deque<std::string> m_stops;
+    bool m_sendingStops = false;
 };
 } // namespace Anvilcart
