Keep a target's own word that it is leaving, whatever the lagging host list says

Cause: each reading of the host list overwrote the target's own refusal, so a target that leaves while the list still calls it live got a new task every second. The process test of that name failed with it (refusals at the target went on after 3 s) and passes now. Change: the word holds for 60 s, then one task may ask again.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -9,6 +9,7 @@
 {
 constexpr Milliseconds RetryAfterFailure {500};
 constexpr Milliseconds PauseAfterNoSlot {5};
+constexpr Seconds OwnLeavingWord {60};
 constexpr Milliseconds PauseAfterConnectFailure {500};
 /// How long after the deadline a stopped task may take to report before its connection is cut.
 constexpr Milliseconds StopGrace {2000};
@@ -251,7 +252,7 @@
 {
     const auto target = job.tasks[task].target;
     if (reason == NotStartedReason::TargetLeaving) {
-        m_slots.markLeaving(target);
+        m_slots.markLeaving(target, now + OwnLeavingWord);
     } else {
         m_slots.pause(target, now + (reason == NotStartedReason::NoSlot ? PauseAfterNoSlot : PauseAfterConnectFailure));
     }
--- a/src/dispatch/slottable.cpp
+++ b/src/dispatch/slottable.cpp
@@ -96,9 +96,9 @@
     m_targets[target].pausedUntil = std::max(m_targets[target].pausedUntil, until);
 }
 
-void SlotTable::markLeaving(TargetIndex target)
+void SlotTable::markLeaving(TargetIndex target, TimePoint until)
 {
-    m_targets[target].leaving = true;
+    m_targets[target].saidLeavingUntil = until;
 }
 
 std::uint32_t SlotTable::freeSlots(TimePoint now) const
@@ -133,6 +133,6 @@
 
 bool SlotTable::isInService(const TargetSlots &target, TimePoint now) const
 {
-    return target.configured && !target.leaving && target.pausedUntil <= now;
+    return target.configured && !target.leaving && target.saidLeavingUntil <= now && target.pausedUntil <= now;
 }
 } // namespace Anvilcart
--- a/src/dispatch/slottable.h
+++ b/src/dispatch/slottable.h
@@ -20,6 +20,7 @@
     std::uint32_t used = 0;
     bool configured = false;
     bool leaving = false;
+    TimePoint saidLeavingUntil;
     TimePoint pausedUntil;
 };
 
@@ -52,8 +53,8 @@
     /// Gives the target no new task until then.
     void pause(TargetIndex target, TimePoint until);
 
-    /// Marks a target as leaving on its own word.
-    void markLeaving(TargetIndex target);
+    /// Marks a target as leaving on its own word, whatever the lagging host list says of it until then.
+    void markLeaving(TargetIndex target, TimePoint until);
 
     /// Free slots of this host over all targets in service.
     std::uint32_t freeSlots(TimePoint now) const;
