Prove the promises under failure by real processes, counted at the targets

The callers' stand-in picks doors as a balancer would: /readyz every 200 ms, next door when it cannot connect.

--- a/standins/callers/main.cpp
+++ b/standins/callers/main.cpp
@@ -1,3 +1,4 @@
+#include "callers/balancer.h"
 #include "callers/report.h"
 #include "callers/workload.h"
 
@@ -23,6 +24,7 @@
 using namespace std::chrono;
 
 constexpr Seconds AnswerGrace {30};
+constexpr Milliseconds EndPollInterval {10};
 
 /// What one run of the callers does.
 struct RunOptions
@@ -55,17 +57,39 @@
     return true;
 }
 
-asio::awaitable<void> sendJob(GeneratedJob job, Endpoint door, microseconds clientDelay, Report &report)
+/// Sends the job to one ready door after the other until one takes it; a call that was sent is never repeated.
+asio::awaitable<std::optional<HttpReply>> sendToReadyDoor(const JobSpec &job, Balancer &balancer)
+{
+    const auto body = encodeJob(job);
+    for (std::size_t tried = 0; tried < balancer.size(); ++tried) {
+        const auto door = balancer.next();
+        if (!door) {
+            break;
+        }
+        auto reply = co_await callOnce(balancer.door(*door), HttpCall("POST", "/v1/jobs", body), job.deadline + AnswerGrace);
+        if (reply.progress != CallProgress::NotSent) {
+            co_return reply;
+        }
+        balancer.markDown(*door);
+    }
+    co_return std::nullopt;
+}
+
+asio::awaitable<void> sendJob(GeneratedJob job, Balancer &balancer, microseconds clientDelay, Report &report)
 {
     const auto sentAt = Clock::now();
     co_await sleepFor(clientDelay);
-    const auto reply = co_await callOnce(door, HttpCall("POST", "/v1/jobs", encodeJob(job.spec)), job.spec.deadline + AnswerGrace);
+    const auto reply = co_await sendToReadyDoor(job.spec, balancer);
     co_await sleepFor(clientDelay);
-    if (reply.progress != CallProgress::Answered) {
+    if (!reply) {
+        report.addNotSent(job.spec.submission);
+        co_return;
+    }
+    if (reply->progress != CallProgress::Answered) {
         report.addUnanswered();
         co_return;
     }
-    const auto answer = decodeAnswer(reply.body);
+    const auto answer = decodeAnswer(reply->body);
     if (answer.code != ResultCode::Complete) {
         report.addRefused(job.spec.submission, answer.code);
         co_return;
@@ -75,8 +99,8 @@
     report.addWhole(slowdown, job.spec.tasks.size(), isCorrect(job.spec, answer));
 }
 
-/// Sends jobs at random times, each to the next door, as a balancer would.
-asio::awaitable<void> sendJobs(const RunOptions &options, Report &report)
+/// Sends jobs at random times, each through the balancer, until the time is over and every job has come back.
+asio::awaitable<void> sendJobs(const RunOptions &options, Balancer &balancer, Report &report)
 {
     const auto executor = co_await asio::this_coro::executor;
     Workload workload(WorkloadSpec(), options.seed);
@@ -84,15 +108,17 @@
         microseconds(static_cast<std::int64_t>(static_cast<double>(workload.meanWork().count()) / (options.load * options.slots)));
     const auto end = Clock::now() + options.duration;
     auto next = Clock::now();
-    std::size_t door = 0;
+    std::size_t sent = 0;
     while (next < end) {
         asio::steady_timer timer(executor, next);
         co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
-        asio::co_spawn(executor,
-                       sendJob(workload.next(options.prefix), options.doors[door++ % options.doors.size()], options.clientDelay, report),
-                       asio::detached);
+        asio::co_spawn(executor, sendJob(workload.next(options.prefix), balancer, options.clientDelay, report), asio::detached);
+        ++sent;
         next += workload.nextGap(meanGap);
     }
+    while (report.jobs() < sent) {
+        co_await sleepFor(EndPollInterval);
+    }
 }
 } // namespace
 
@@ -122,7 +148,13 @@
     std::cerr << "callers: seed " << options.seed << "\n";
     Report report;
     asio::io_context loop;
-    asio::co_spawn(loop, sendJobs(options, report), asio::detached);
+    Balancer balancer(options.doors);
+    for (std::size_t i = 0; i < balancer.size(); ++i) {
+        asio::co_spawn(loop, balancer.watch(i), asio::detached);
+    }
+    asio::co_spawn(loop, sendJobs(options, balancer, report), [&loop](const std::exception_ptr &) {
+        loop.stop();
+    });
     loop.run();
     std::cout << report.toJson() << std::endl;
     return 0;
--- a/standins/callers/report.cpp
+++ b/standins/callers/report.cpp
@@ -23,6 +23,7 @@
 
 void Report::addWhole(double slowdown, std::uint64_t tasks, bool correct)
 {
+    ++m_jobs;
     m_slowdowns.push_back(slowdown);
     m_tasks += tasks;
     m_wrong += correct ? 0 : 1;
@@ -30,6 +31,7 @@
 
 void Report::addRefused(const std::string &submission, ResultCode code)
 {
+    ++m_jobs;
     ++m_codes[static_cast<int>(code)];
     if (isNotRun(code)) {
         m_notRun.push_back(submission);
@@ -38,9 +40,22 @@
 
 void Report::addUnanswered()
 {
+    ++m_jobs;
     ++m_unanswered;
 }
 
+void Report::addNotSent(const std::string &submission)
+{
+    ++m_jobs;
+    ++m_notSent;
+    m_notRun.push_back(submission);
+}
+
+std::size_t Report::jobs() const
+{
+    return m_jobs;
+}
+
 std::string Report::toJson() const
 {
     auto sorted = m_slowdowns;
@@ -61,7 +76,8 @@
                                          {"wrong", m_wrong},
                                          {"unanswered", m_unanswered},
                                          {"failed", failed},
-                                         {"not_run", m_notRun.size()},
+                                         {"not_run", m_notRun.size() - m_notSent},
+                                         {"not_sent", m_notSent},
                                          {"codes", std::move(codes)},
                                          {"mean", sorted.empty() ? 0 : sum / static_cast<double>(sorted.size())},
                                          {"p50", quantile(sorted, 0.5)},
--- a/standins/callers/report.h
+++ b/standins/callers/report.h
@@ -23,6 +23,12 @@
     /// Counts a job whose connection ended without an answer.
     void addUnanswered();
 
+    /// Counts a job that no door took: nothing of it was sent, which the ledger must confirm.
+    void addNotSent(const std::string &submission);
+
+    /// The number of jobs counted so far.
+    std::size_t jobs() const;
+
     /// All figures as a JSON object, in one line.
     std::string toJson() const;
 
@@ -31,6 +37,8 @@
     std::uint64_t m_tasks = 0;
     std::uint64_t m_wrong = 0;
     std::uint64_t m_unanswered = 0;
+    std::uint64_t m_notSent = 0;
+    std::size_t m_jobs = 0;
     std::map<int, std::uint64_t> m_codes;
     std::vector<std::string> m_notRun;
 };
--- a/standins/site/measure.cpp
+++ b/standins/site/measure.cpp
@@ -20,6 +20,7 @@
     figures.failed += count(report, "failed");
     figures.notRun += count(report, "not_run");
     figures.unanswered += count(report, "unanswered");
+    figures.notSent += count(report, "not_sent");
     figures.wrong += count(report, "wrong");
     const auto sum = static_cast<double>(figures.whole + whole);
     if (sum > 0) {
@@ -47,12 +48,15 @@
 }
 } // namespace
 
-RunFigures measure(Site &site, const RunLoad &load)
+RunFigures measure(Site &site, const RunLoad &load, const std::function<void()> &whileRunning)
 {
     std::vector<std::unique_ptr<ChildProcess>> callers;
     for (std::size_t zone = 0; zone < site.options().zones.size(); ++zone) {
         callers.push_back(site.startCallers(zone, load.load, load.seconds, load.seed + static_cast<int>(zone), load.clientDelay));
     }
+    if (whileRunning) {
+        whileRunning();
+    }
     for (auto &caller : callers) {
         caller->wait();
     }
@@ -65,7 +69,7 @@
     }
     const auto counts = json::parse(site.targetCounts());
     figures.doubleStarts = countDoubleStarts(ledger);
-    figures.jobs = figures.whole + figures.failed + figures.notRun + figures.unanswered;
+    figures.jobs = figures.whole + figures.failed + figures.notRun + figures.unanswered + figures.notSent;
     figures.wastedPerTask = count(counts.as_object(), "refusals") / std::max(1.0, figures.wholeTasksPerSecond);
     figures.wholeTasksPerSecond /= load.seconds;
     return figures;
--- a/standins/site/measure.h
+++ b/standins/site/measure.h
@@ -3,6 +3,7 @@
 #include "site/site.h"
 
 #include <cstdint>
+#include <functional>
 #include <string>
 
 namespace Anvilcart
@@ -14,7 +15,10 @@
     std::uint64_t whole = 0;
     std::uint64_t failed = 0;
     std::uint64_t notRun = 0;
+    /// The connection ended after the job was sent.
     std::uint64_t unanswered = 0;
+    /// No door took the job.
+    std::uint64_t notSent = 0;
     std::uint64_t wrong = 0;
     std::uint64_t doubleStarts = 0;
     std::uint64_t untrueNotRun = 0;
@@ -36,5 +40,6 @@
 };
 
 /// Runs callers in every zone of the site to their end and adds up their reports.
-RunFigures measure(Site &site, const RunLoad &load);
+/// The action, if any, runs while the callers send; it injects faults.
+RunFigures measure(Site &site, const RunLoad &load, const std::function<void()> &whileRunning = {});
 } // namespace Anvilcart
--- a/standins/targets/targetstandin.cpp
+++ b/standins/targets/targetstandin.cpp
@@ -41,6 +41,7 @@
     FaultName {"answer_other", TargetFault::AnswerOther},
     FaultName {"answer_late", TargetFault::AnswerLate},
     FaultName {"slow", TargetFault::Slow},
+    FaultName {"dead", TargetFault::Dead},
 };
 
 std::optional<TargetFault> faultFromName(std::string_view name)
@@ -215,7 +216,7 @@
         co_return cutOff();
     }
     const auto fault = state.fault.load();
-    if (fault == TargetFault::CutBeforeStart) {
+    if (fault == TargetFault::CutBeforeStart || fault == TargetFault::Dead) {
         co_return cutOff();
     }
     if (fault == TargetFault::Refuse || fault == TargetFault::Leaving) {
@@ -228,6 +229,7 @@
         co_return reply(*request, RunState::NotStarted, "no_slot");
     }
     m_ledger.record(request->submission, request->task);
+    state.starts.fetch_add(1);
     if (fault == TargetFault::CutAfterStart) {
         co_return cutOff();
     }
@@ -249,7 +251,7 @@
         const std::lock_guard<std::mutex> lock(state.mutex);
         state.stops.erase(key);
     }
-    if (fault == TargetFault::CutAfterRun) {
+    if (fault == TargetFault::CutAfterRun || state.fault.load() == TargetFault::Dead) {
         co_return cutOff();
     }
     if (fault == TargetFault::AnswerLate) {
@@ -267,17 +269,37 @@
         co_return success(m_ledger.toJson());
     }
     if (request.path == "/counts") {
-        std::uint64_t refusals = 0;
-        std::uint64_t running = 0;
-        for (const auto &target : m_targets) {
-            refusals += target->refusals.load();
-            running += target->running.load();
-        }
-        co_return success(json::serialize(json::object {{"starts", m_ledger.total()}, {"refusals", refusals}, {"running", running}}));
+        co_return counts();
     }
     co_return setFault(request.body);
 }
 
+void TargetStandin::kill(TargetState &state)
+{
+    if (state.server) {
+        state.server->stop();
+        state.server.reset();
+    }
+    const std::lock_guard<std::mutex> lock(state.mutex);
+    for (const auto &[key, task] : state.stops) {
+        stopTask(task);
+    }
+}
+
+HttpResponse TargetStandin::counts() const
+{
+    std::uint64_t refusals = 0;
+    std::uint64_t running = 0;
+    json::object targets;
+    for (const auto &target : m_targets) {
+        refusals += target->refusals.load();
+        running += target->running.load();
+        targets[target->target.name] = json::object {{"starts", target->starts.load()}, {"refusals", target->refusals.load()}};
+    }
+    return success(json::serialize(
+        json::object {{"starts", m_ledger.total()}, {"refusals", refusals}, {"running", running}, {"targets", std::move(targets)}}));
+}
+
 HttpResponse TargetStandin::setFault(const std::string &body)
 {
     const auto value = json::parse(body);
@@ -293,6 +315,11 @@
         if (name == "*" || name == target->target.name) {
             target->faultMs.store(ms != nullptr ? ms->to_number<std::int64_t>() : 0);
             target->fault.store(*fault);
+            if (*fault == TargetFault::Dead) {
+                kill(*target);
+            } else if (!target->server) {
+                listen(*target);
+            }
         }
     }
     return response;
--- a/standins/targets/targetstandin.h
+++ b/standins/targets/targetstandin.h
@@ -39,6 +39,7 @@
     AnswerOther,
     AnswerLate,
     Slow,
+    Dead,
 };
 
 /// One task that runs at a played target; its timer belongs to the connection's loop.
@@ -60,6 +61,7 @@
     std::atomic<std::uint32_t> running = 0;
     std::atomic<TargetFault> fault = TargetFault::None;
     std::atomic<std::int64_t> faultMs = 0;
+    std::atomic<std::uint64_t> starts = 0;
     std::atomic<std::uint64_t> refusals = 0;
     std::mutex mutex;
     std::map<std::string, std::shared_ptr<RunningTask>> stops;
@@ -82,8 +84,10 @@
     Answer handle(TargetState &state, HttpRequest request);
     Answer run(TargetState &state, std::string body);
     Answer handleControl(HttpRequest request);
+    HttpResponse counts() const;
     HttpResponse setFault(const std::string &body);
     void listen(TargetState &state);
+    void kill(TargetState &state);
 
     EventLoops &m_loops;
     std::chrono::microseconds m_zoneDelay;
