--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -7,14 +7,50 @@
 {
 namespace
 {
-constexpr Milliseconds RetryAfterFailure {500};
+constexpr Milliseconds RetryWhenNotReady {500};
 constexpr Milliseconds PauseAfterNoSlot {5};
 constexpr Seconds OwnLeavingWord {60};
-constexpr Milliseconds PauseAfterConnectFailure {500};
+constexpr Milliseconds PauseAfterRefusal {500};
 /// How long after the deadline a stopped task may take to report before its connection is cut.
 constexpr Milliseconds StopGrace {2000};
 } // namespace
 
+/// What an outcome says of the target; a refusal for want of a slot or for leaving is no fault.
+struct HealthSignVisitor
+{
+    HealthSign operator()(const TaskFinished &) const
+    {
+        return HealthSign::Success;
+    }
+
+    HealthSign operator()(const TaskStopped &) const
+    {
+        return HealthSign::Neutral;
+    }
+
+    HealthSign operator()(const TaskRanAndFailed &) const
+    {
+        return HealthSign::Failure;
+    }
+
+    HealthSign operator()(const TaskLost &) const
+    {
+        return HealthSign::Failure;
+    }
+
+    HealthSign operator()(const TaskNotStarted &notStarted) const
+    {
+        switch (notStarted.reason) {
+        case NotStartedReason::ConnectFailed:
+            return HealthSign::ConnectFailure;
+        case NotStartedReason::RefusedByTarget:
+            return HealthSign::Failure;
+        default:
+            return HealthSign::Neutral;
+        }
+    }
+};
+
 /// Applies one outcome to the task that it belongs to.
 struct OutcomeVisitor
 {
@@ -62,18 +98,27 @@
     : m_identity(std::move(identity))
     , m_targets(targets)
     , m_observer(observer)
+    , m_health([this](TargetIndex, EjectionReason reason) {
+        m_observer.onEjection(reason);
+    })
 {
 }
 
 void Dispatcher::applyConfiguration(std::shared_ptr<const Configuration> configuration, TimePoint now)
 {
     m_configuration = std::move(configuration);
-    m_queue.setOrder(makeQueueOrder(m_configuration->policy.queueOrder));
-    for (const auto index : m_slots.applyTargets(m_configuration->targets, m_identity.zone)) {
+    m_queue.setOrder(makeQueueOrder(m_configuration->policy));
+    const auto targets = m_slots.applyTargets(m_configuration->targets, m_identity.zone);
+    for (const auto index : targets) {
         m_targets.configure(index, m_slots.at(index).spec);
     }
-    for (const auto id : m_queue.inOrder()) {
-        m_queue.update(*m_jobs.find(id));
+    m_retryBudget.configure(m_configuration->retries);
+    m_health.configure(m_configuration->health, targets);
+    m_capacities.apply(m_configuration->targets, m_identity.zone);
+    for (const auto id : m_jobs.ids()) {
+        auto &job = *m_jobs.find(id);
+        placeTasks(job);
+        m_queue.update(job);
     }
     applyMembers(m_members, now);
 }
@@ -83,6 +128,7 @@
     m_members = std::move(members);
     if (m_configuration) {
         m_slots.applyMembers(m_members, m_identity.host, m_configuration->policy.slotSharing);
+        m_teams.apply(*m_configuration, m_identity.zone, m_members, m_identity.host);
         pump(now);
     }
 }
@@ -95,30 +141,55 @@
 std::optional<JobId> Dispatcher::submit(JobSpec spec, AnswerHandler answer, TimePoint now)
 {
     if (!m_configuration) {
-        refuseNow(spec, answer, {ResultCode::NotReady, "no configuration is known yet", RetryAfterFailure});
+        refuseNow(spec, answer, {ResultCode::NotReady, "no configuration is known yet", RetryWhenNotReady});
         return std::nullopt;
     }
     if (m_jobs.contains(spec.submission)) {
         refuseNow(spec, answer, {ResultCode::DuplicateSubmission, "submission '" + spec.submission + "' is in progress", Milliseconds(0)});
         return std::nullopt;
     }
-    const LoadView load {m_queue.unstartedTasks(), m_draining};
-    if (const auto refusal = refuse(spec, *m_configuration, m_slots, load)) {
+    const auto expected = forecast(spec, m_runTimes, now);
+    if (const auto refusal = refuse(spec, *m_configuration, m_slots, loadView(spec, expected, now))) {
         refuseNow(spec, answer, *refusal);
         return std::nullopt;
     }
-    auto deadline = spec.deadline.count() > 0 ? spec.deadline : m_configuration->limits.defaultDeadline;
-    deadline = std::min(deadline, m_configuration->limits.maxDeadline);
     auto &job = m_jobs.add(std::move(spec), std::move(answer), now);
-    job.configuration = m_configuration;
-    job.deadline = now + deadline;
-    m_deadlines.emplace(job.deadline, job.id);
-    m_queue.update(job);
     const auto id = job.id;
+    admit(job, expected, now);
     pump(now);
     return id;
 }
 
+LoadView Dispatcher::loadView(const JobSpec &spec, const JobForecast &forecast, TimePoint now) const
+{
+    LoadView load;
+    load.unstartedTasks = m_queue.unstartedTasks();
+    load.queuedWork = m_queue.work();
+    load.workAhead = m_queue.workAhead(spec.tasks.size());
+    load.jobWork = forecast.learnedWork;
+    load.longestTask = forecast.longestTask;
+    load.slots = m_slots.servingSlots(now);
+    if (const auto team = m_teams.find(spec.team)) {
+        load.teamSlots = m_teams.limit(*team);
+        load.teamWorkAhead = m_queue.workAhead(spec.tasks.size(), *team);
+    }
+    load.draining = m_draining;
+    return load;
+}
+
+void Dispatcher::admit(JobRecord &job, const JobForecast &forecast, TimePoint now)
+{
+    job.configuration = m_configuration;
+    job.deadline = now + deadlineOf(job.spec, m_configuration->limits);
+    job.team = *m_teams.find(job.spec.team);
+    applyForecast(job, forecast);
+    placeTasks(job);
+    job.latestStart = latestStart(job, m_slots.zoneSlots());
+    m_deadlines.emplace(job.deadline, job.id);
+    m_latestStarts.emplace(job.latestStart, job.id);
+    m_queue.update(job);
+}
+
 bool Dispatcher::cancel(const std::string &submission, TimePoint now)
 {
     auto *job = m_jobs.find(submission);
@@ -150,6 +221,9 @@
         return;
     }
     m_slots.release(task.target);
+    m_teams.onEnd(job->team);
+    m_health.onOutcome(task.target, std::visit(HealthSignVisitor(), outcome), ref.job, now);
+    m_slots.limitTasks(task.target, m_health.taskLimit(task.target, now));
     --job->sent;
     std::visit(OutcomeVisitor {*this, *job, ref.task, now}, outcome);
     if (auto *remaining = m_jobs.find(ref.job)) {
@@ -160,13 +234,8 @@
 
 void Dispatcher::onTick(TimePoint now)
 {
-    while (!m_deadlines.empty() && m_deadlines.begin()->first <= now) {
-        const auto id = m_deadlines.begin()->second;
-        m_deadlines.erase(m_deadlines.begin());
-        if (auto *job = m_jobs.find(id)) {
-            fail(*job, ResultCode::DeadlineBeforeStart, ResultCode::DeadlineExceeded, "the deadline passed", now);
-        }
-    }
+    giveUpLateJobs(now);
+    applyHealth(now);
     pump(now);
 }
 
@@ -197,31 +266,89 @@
     return m_queue;
 }
 
+void Dispatcher::giveUpLateJobs(TimePoint now)
+{
+    while (!m_deadlines.empty() && m_deadlines.begin()->first <= now) {
+        const auto id = m_deadlines.begin()->second;
+        m_deadlines.erase(m_deadlines.begin());
+        if (auto *job = m_jobs.find(id)) {
+            fail(*job, ResultCode::DeadlineBeforeStart, ResultCode::DeadlineExceeded, "the deadline passed", now);
+        }
+    }
+    while (!m_latestStarts.empty() && m_latestStarts.begin()->first <= now) {
+        const auto id = m_latestStarts.begin()->second;
+        m_latestStarts.erase(m_latestStarts.begin());
+        if (auto *job = m_jobs.find(id)) {
+            giveUpIfUnreachable(*job, now);
+        }
+    }
+}
+
+void Dispatcher::giveUpIfUnreachable(JobRecord &job, TimePoint now)
+{
+    if (job.answered || job.queued.empty()) {
+        return;
+    }
+    job.latestStart = latestStart(job, m_slots.zoneSlots());
+    if (job.latestStart > now) {
+        m_latestStarts.emplace(job.latestStart, job.id);
+        return;
+    }
+    fail(job, ResultCode::DeadlineUnreachable, ResultCode::DeadlineExceeded, "the deadline can no longer be met", now);
+}
+
+void Dispatcher::applyHealth(TimePoint now)
+{
+    m_health.onTick(now);
+    for (TargetIndex i = 0; i < m_slots.size(); ++i) {
+        m_slots.limitTasks(i, m_health.taskLimit(i, now));
+    }
+}
+
 void Dispatcher::pump(TimePoint now)
 {
-    if (m_queue.unstartedTasks() == 0 || m_slots.freeSlots(now) == 0) {
+    if (m_queue.unstartedTasks() == 0) {
+        return;
+    }
+    auto free = m_slots.freeSlots(now);
+    if (free == 0) {
         return;
     }
-    for (const auto id : m_queue.inOrder()) {
-        startQueuedTasks(*m_jobs.find(id), now);
-        if (m_slots.freeSlots(now) == 0) {
+    m_queue.beginRound(fairShare(now));
+    while (const auto id = m_queue.front(m_teams)) {
+        if (!startNextTask(*m_jobs.find(*id), now)) {
+            m_queue.block(*id);
+        } else if (--free == 0) {
             return;
         }
     }
 }
 
-void Dispatcher::startQueuedTasks(JobRecord &job, TimePoint now)
+std::uint32_t Dispatcher::fairShare(TimePoint now) const
 {
-    while (!job.queued.empty()) {
-        const auto task = job.queued.back();
-        const auto target = m_slots.pick(job.spec.tasks[task].size, now);
-        if (!target) {
-            break;
-        }
-        job.queued.pop_back();
-        startTask(job, task, *target, now);
+    const auto teams = static_cast<std::uint32_t>(m_queue.teams().size());
+    return m_slots.servingSlots(now) / std::max(teams, 1U);
+}
+
+bool Dispatcher::startNextTask(JobRecord &job, TimePoint now)
+{
+    const auto task = job.queued.back();
+    const auto target = m_slots.pick(job.spec.tasks[task].size, now);
+    if (!target) {
+        return false;
     }
+    job.queued.pop_back();
+    job.queuedWork -= job.tasks[task].runTime.expected;
+    startTask(job, task, *target, now);
     m_queue.update(job);
+    return true;
+}
+
+void Dispatcher::placeTasks(JobRecord &job) const
+{
+    for (std::size_t i = 0; i < job.tasks.size(); ++i) {
+        job.tasks[i].targets = m_capacities.maskOf(job.spec.tasks[i].size);
+    }
 }
 
 void Dispatcher::startTask(JobRecord &job, std::uint32_t task, TargetIndex target, TimePoint now)
@@ -230,11 +357,16 @@
     auto &record = job.tasks[task];
     move(record, TaskState::Sent);
     ++record.attempt;
+    if (record.attempt == 1) {
+        m_retryBudget.onFirstStart();
+    }
     record.target = target;
     record.sentAt = now;
     ++job.sent;
     job.mayHaveRun = true;
     m_slots.take(target);
+    m_teams.onStart(job.team);
+    m_health.onStart(target, now);
     m_observer.onQueueWait(now - job.arrivedAt);
     m_targets.start(
         target,
@@ -253,27 +385,41 @@
     const auto target = job.tasks[task].target;
     if (reason == NotStartedReason::TargetLeaving) {
         m_slots.markLeaving(target, now + OwnLeavingWord);
-    } else {
-        m_slots.pause(target, now + (reason == NotStartedReason::NoSlot ? PauseAfterNoSlot : PauseAfterConnectFailure));
+    } else if (reason != NotStartedReason::ConnectFailed) {
+        m_slots.pause(target, now + (reason == NotStartedReason::NoSlot ? PauseAfterNoSlot : PauseAfterRefusal));
     }
     if (job.answered) {
         move(job.tasks[task], TaskState::Cancelled);
         return;
     }
     move(job.tasks[task], TaskState::Queued);
-    m_observer.onRetry(reason);
     job.queued.push_back(task);
-    // Every earlier attempt of the job was proved not to have started: nothing of it has run.
-    const bool anyRan = std::any_of(job.tasks.begin(), job.tasks.end(), [](const TaskRecord &record) {
-        return record.state != TaskState::Queued;
-    });
-    job.mayHaveRun = anyRan;
+    job.queuedWork += job.tasks[task].runTime.expected;
+    // Without another task at a target or finished, every earlier attempt of the job was proved not to have started.
+    job.mayHaveRun = job.sent + job.finished > 0;
+    if (!mayRetry(job, job.tasks[task], reason)) {
+        fail(job,
+             ResultCode::RetryBudgetExhausted,
+             ResultCode::RetriesExhausted,
+             "task '" + job.spec.tasks[task].id + "' was refused by targets too often",
+             now);
+        return;
+    }
+    m_observer.onRetry(reason);
     m_queue.update(job);
 }
 
+bool Dispatcher::mayRetry(const JobRecord &job, const TaskRecord &task, NotStartedReason reason)
+{
+    // Under blind push a full target's refusal is how a free slot is found.
+    const bool isSearch = reason == NotStartedReason::NoSlot && job.configuration->policy.slotSharing == SlotSharingKind::BlindPush;
+    return isSearch || (task.attempt < job.configuration->retries.maxAttempts && m_retryBudget.take());
+}
+
 void Dispatcher::finish(JobRecord &job, std::uint32_t task, std::string output, TimePoint now)
 {
     move(job.tasks[task], TaskState::Finished);
+    m_runTimes.learn(job.spec.tasks[task], now - job.tasks[task].sentAt, now);
     job.tasks[task].output = std::move(output);
     ++job.finished;
     if (job.answered || job.finished < job.tasks.size()) {
@@ -294,8 +440,8 @@
     JobAnswer failed;
     failed.code = job.mayHaveRun ? mayHaveRun : notRun;
     failed.message = message;
-    failed.retryAfter = RetryAfterFailure;
     cancelQueuedTasks(job);
+    failed.retryAfter = drainTime(m_queue.work(), m_slots.servingSlots(now));
     stopSentTasks(job);
     answer(job, std::move(failed), now);
     removeIfDone(job);
@@ -315,6 +461,7 @@
         move(job.tasks[task], TaskState::Cancelled);
     }
     job.queued.clear();
+    job.queuedWork = Duration::zero();
     m_queue.remove(job.id);
 }
 
@@ -332,13 +479,8 @@
     if (!job.answered || job.sent > 0) {
         return;
     }
-    const auto [first, last] = m_deadlines.equal_range(job.deadline);
-    for (auto entry = first; entry != last; ++entry) {
-        if (entry->second == job.id) {
-            m_deadlines.erase(entry);
-            break;
-        }
-    }
+    m_deadlines.erase({job.deadline, job.id});
+    m_latestStarts.erase({job.latestStart, job.id});
     m_jobs.remove(job.id);
 }
 
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -3,14 +3,17 @@
 #include "dispatch/admission.h"
 #include "dispatch/interfaces/dispatchobserver.h"
 #include "dispatch/interfaces/targetport.h"
+#include "dispatch/jobforecast.h"
 #include "dispatch/jobqueue.h"
 #include "dispatch/jobtable.h"
+#include "dispatch/retrybudget.h"
 #include "dispatch/slottable.h"
+#include "dispatch/targethealth.h"
 #include "dispatch/taskoutcome.h"
 
-#include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -71,11 +74,22 @@
 private:
     friend struct OutcomeVisitor;
 
+    void applyHealth(TimePoint now);
+    /// Points in time at which a job needs attention.
+    using JobTimes = std::set<std::pair<TimePoint, JobId>>;
+
+    LoadView loadView(const JobSpec &spec, const JobForecast &forecast, TimePoint now) const;
+    void admit(JobRecord &job, const JobForecast &forecast, TimePoint now);
+    void giveUpLateJobs(TimePoint now);
+    void giveUpIfUnreachable(JobRecord &job, TimePoint now);
     void pump(TimePoint now);
-    void startQueuedTasks(JobRecord &job, TimePoint now);
+    std::uint32_t fairShare(TimePoint now) const;
+    bool startNextTask(JobRecord &job, TimePoint now);
+    void placeTasks(JobRecord &job) const;
     void startTask(JobRecord &job, std::uint32_t task, TargetIndex target, TimePoint now);
     void move(TaskRecord &task, TaskState to);
     void requeue(JobRecord &job, std::uint32_t task, NotStartedReason reason, TimePoint now);
+    bool mayRetry(const JobRecord &job, const TaskRecord &task, NotStartedReason reason);
     void finish(JobRecord &job, std::uint32_t task, std::string output, TimePoint now);
     void fail(JobRecord &job, ResultCode notRun, ResultCode mayHaveRun, const std::string &message, TimePoint now);
     void answer(JobRecord &job, JobAnswer answer, TimePoint now);
@@ -91,9 +105,15 @@
     std::shared_ptr<const Configuration> m_configuration;
     std::vector<std::string> m_members;
     SlotTable m_slots;
+    CapacityClasses m_capacities;
+    TeamTable m_teams;
+    TargetHealth m_health;
+    RetryBudget m_retryBudget;
     JobTable m_jobs;
     JobQueue m_queue;
-    std::multimap<TimePoint, JobId> m_deadlines;
+    RunTimeEstimator m_runTimes;
+    JobTimes m_deadlines;
+    JobTimes m_latestStarts;
     bool m_draining = false;
 };
 } // namespace Anvilcart
--- a/src/dispatch/jobtable.h
+++ b/src/dispatch/jobtable.h
@@ -1,8 +1,11 @@
 #pragma once
 
 #include "config/configuration.h"
+#include "dispatch/capacityclasses.h"
 #include "dispatch/interfaces/targetport.h"
+#include "dispatch/runtimeestimator.h"
 #include "dispatch/taskstate.h"
+#include "dispatch/teamtable.h"
 #include "kernel/time.h"
 #include "model/job.h"
 
@@ -25,6 +28,9 @@
     std::uint32_t attempt = 0;
     TargetIndex target = 0;
     TimePoint sentAt;
+    RunTimeEstimate runTime;
+    /// The capacities that hold the task.
+    TargetMask targets = 0;
     std::string output;
 };
 
@@ -35,10 +41,16 @@
     JobSpec spec;
     AnswerHandler answer;
     std::shared_ptr<const Configuration> configuration;
+    TeamIndex team = 0;
     TimePoint arrivedAt;
     TimePoint deadline;
     std::vector<TaskRecord> tasks;
+    /// The tasks to start, the next one at the back.
     std::vector<std::uint32_t> queued;
+    /// The expected run times of the queued tasks, added up.
+    Duration queuedWork {};
+    /// When the deadline becomes unreachable unless more tasks have started by then.
+    TimePoint latestStart;
     std::uint32_t sent = 0;
     std::uint32_t finished = 0;
     bool mayHaveRun = false;
--- a/src/observe/metrics.h
+++ b/src/observe/metrics.h
@@ -24,6 +24,7 @@
     void onTransition(TaskState from, TaskState to) override;
     void onAnswer(ResultCode code, Duration response) override;
     void onRetry(NotStartedReason reason) override;
+    void onEjection(EjectionReason reason) override;
     void onQueueWait(Duration wait) override;
 
     /// How often each code was answered, in ascending order of code. Thread-safe.
