--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -2,6 +2,7 @@
 
 #include "dispatch/admission.h"
 #include "dispatch/interfaces/dispatchobserver.h"
+#include "dispatch/interfaces/slotsharing.h"
 #include "dispatch/interfaces/targetport.h"
 #include "dispatch/jobforecast.h"
 #include "dispatch/jobqueue.h"
@@ -40,6 +41,12 @@
     /// Takes over the entry hosts of this zone that share its slots, this one included.
     void applyMembers(std::vector<std::string> members, TimePoint now);
 
+    /// Shares slots with peers from now on. Precondition: sharing outlives the dispatcher or its last call.
+    void shareSlots(SlotSharing &sharing);
+
+    /// Changes slots on the word of a peer and starts what can start.
+    void changeSlots(const std::function<void(const SharingView &)> &change, TimePoint now);
+
     /// Takes over the names of the targets that are leaving.
     void applyLeavingTargets(const std::unordered_set<std::string> &names);
 
@@ -83,6 +90,8 @@
     void giveUpLateJobs(TimePoint now);
     void giveUpIfUnreachable(JobRecord &job, TimePoint now);
     void pump(TimePoint now);
+    void startQueuedJobs(TimePoint now);
+    SharingView sharingView(TimePoint now);
     std::uint32_t fairShare(TimePoint now) const;
     bool startNextTask(JobRecord &job, TimePoint now);
     void placeTasks(JobRecord &job) const;
@@ -102,6 +111,7 @@
     HostIdentity m_identity;
     TargetPort &m_targets;
     DispatchObserver &m_observer;
+    SlotSharing *m_sharing = nullptr;
     std::shared_ptr<const Configuration> m_configuration;
     std::vector<std::string> m_members;
     SlotTable m_slots;
