bench: rows for each policy, load and fault; modes for throughput and slopes; definitions of the measures

Wasted now counts starts whose output was thrown away besides refusals. Throughput, processor time a start, added latency against a direct call in the same run; slopes over targets, teams, entry hosts, waiting tasks.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BUILD ?= build
 BUILD_TYPE ?= RelWithDebInfo
 
-.PHONY: all install build test demo bench format lint clean
+.PHONY: all install build test demo bench bench-faults format lint clean
 
 all: build
 
@@ -22,7 +22,12 @@
 	$(BUILD)/anvilcart-demo --binaries $(BUILD)
 
 bench: build
-	$(BUILD)/anvilcart-bench --binaries $(BUILD)
+	$(BUILD)/anvilcart-bench --binaries $(BUILD) --mode throughput
+	$(BUILD)/anvilcart-bench --binaries $(BUILD) --mode slopes
+	$(BUILD)/anvilcart-bench --binaries $(BUILD) --fault none --load 0.8 --load 0.95 --plot $(BUILD)/slowdown.svg
+
+bench-faults: build
+	$(BUILD)/anvilcart-bench --binaries $(BUILD) --plot $(BUILD)/slowdown.svg
 
 format:
 	.ci/format --fix
--- a/standins/site/measure.cpp
+++ b/standins/site/measure.cpp
@@ -95,7 +95,9 @@
     const auto counts = json::parse(site.targetCounts());
     figures.doubleStarts = countDoubleStarts(ledger);
     figures.jobs = figures.whole + figures.failed + figures.notRun + figures.unanswered + figures.notSent;
-    figures.wastedPerTask = count(counts.as_object(), "refusals") / std::max(1.0, figures.wholeTasksPerSecond);
+    const auto started = static_cast<double>(count(counts.as_object(), "starts"));
+    const auto refused = static_cast<double>(count(counts.as_object(), "refusals"));
+    figures.wastedPerTask = (refused + started - figures.wholeTasksPerSecond) / std::max(1.0, figures.wholeTasksPerSecond);
     figures.wholeTasksPerSecond /= load.seconds;
     addPeerFigures(figures, site, load.seconds);
     return figures;
--- a/standins/site/measure.h
+++ b/standins/site/measure.h
@@ -25,7 +25,7 @@
     double meanSlowdown = 0;
     double p50Slowdown = 0;
     double p99Slowdown = 0;
-    /// Refused starts a finished task.
+    /// Refused starts, and starts whose output was thrown away because their job was not answered whole, a finished task.
     double wastedPerTask = 0;
     double wholeTasksPerSecond = 0;
     /// Bytes of messages between entry hosts, a host and second.
--- a/standins/site/site.cpp
+++ b/standins/site/site.cpp
@@ -115,6 +115,11 @@
     return m_options.zones[zone] + "-" + std::to_string(target + 1);
 }
 
+Endpoint Site::targetDoor(std::size_t zone, std::size_t target) const
+{
+    return {address(zone, FirstTargetAddress + target), TargetPort};
+}
+
 void Site::setTargetFault(const std::string &target, const std::string &fault, int ms)
 {
     const auto body = R"({"target":")" + target + R"(","fault":")" + fault + R"(","ms":)" + std::to_string(ms) + "}";
@@ -220,8 +225,11 @@
     std::ostringstream base;
     base << "limits:\n  max_queued_tasks: " << m_options.maxQueuedTasks << "\npolicy:\n  queue_order: " << m_options.queueOrder
          << "\n  slot_sharing: " << m_options.slotSharing
-         << "\nteams:\n  - name: field\n    max_running_tasks: " << m_options.maxRunningTasks
-         << "\ntarget_defaults:\n  slots: " << m_options.slots << "\n  connections: 64\n  cpus: " << m_options.cpus
+         << "\nteams:\n  - name: field\n    max_running_tasks: " << m_options.maxRunningTasks;
+    for (std::uint32_t team = 1; team < m_options.teams; ++team) {
+        base << "\n  - name: team-" << team << "\n    max_running_tasks: " << m_options.maxRunningTasks;
+    }
+    base << "\ntarget_defaults:\n  slots: " << m_options.slots << "\n  connections: 64\n  cpus: " << m_options.cpus
          << "\n  memory_mb: 131072\n";
     writeFile(configurationFolder() / "base.yaml", base.str());
     for (std::size_t zone = 0; zone < m_options.zones.size(); ++zone) {
@@ -276,7 +284,9 @@
                        "--control",
                        toString(targetsControl()),
                        "--zone-delay-us",
-                       std::to_string(m_options.zoneDelay.count())},
+                       std::to_string(m_options.zoneDelay.count()),
+                       "--threads",
+                       std::to_string(m_options.targetThreads)},
                       "targets");
     waitForStatus(targetsControl(), "/counts", StatusOk);
 }
--- a/standins/site/site.h
+++ b/standins/site/site.h
@@ -50,6 +50,9 @@
     /// The name of a target.
     std::string targetName(std::size_t zone, std::size_t target) const;
 
+    /// Where a target takes tasks.
+    Endpoint targetDoor(std::size_t zone, std::size_t target) const;
+
     /// Injects a fault at a target, "*" for all; the names are those of the targets' stand-in.
     void setTargetFault(const std::string &target, const std::string &fault, int ms = 0);
 
--- a/standins/site/siteoptions.h
+++ b/standins/site/siteoptions.h
@@ -20,6 +20,8 @@
     std::string slotSharing = "loans";
     std::chrono::microseconds zoneDelay {0};
     std::uint32_t ioThreads = 1;
+    std::uint32_t targetThreads = 1;
+    std::uint32_t teams = 1;
     std::uint32_t maxQueuedTasks = 20000;
     std::uint32_t maxRunningTasks = 100000;
 };
