--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -10,6 +10,7 @@
 namespace
 {
 constexpr Milliseconds RetryWhenNotReady {500};
+constexpr Seconds OwnLeavingWord {60};
 constexpr Milliseconds PauseAfterRefusal {500};
 /// How long after the deadline a stopped task may take to report before its connection is cut.
 constexpr Milliseconds StopGrace {2000};
@@ -404,7 +405,7 @@
 {
     const auto target = job.tasks[task].target;
     if (reason == NotStartedReason::TargetLeaving) {
-        m_slots.markLeaving(target);
+        m_slots.markLeaving(target, now + OwnLeavingWord);
     } else if (reason == NotStartedReason::NoSlot) {
         m_slots.pauseFull(target, now);
     } else if (reason == NotStartedReason::RefusedByTarget) {
--- a/src/dispatch/slottable.cpp
+++ b/src/dispatch/slottable.cpp
@@ -176,9 +176,9 @@
     m_targets[target].taskLimit = tasks;
 }
 
-void SlotTable::markLeaving(TargetIndex target)
+void SlotTable::markLeaving(TargetIndex target, TimePoint until)
 {
-    m_targets[target].leaving = true;
+    m_targets[target].saidLeavingUntil = until;
 }
 
 std::uint32_t SlotTable::freeSlots(TimePoint now) const
@@ -231,6 +231,6 @@
 
 bool SlotTable::isInService(const TargetSlots &target, TimePoint now) const
 {
-    return target.configured && !target.leaving && target.pausedUntil <= now;
+    return target.configured && !target.leaving && target.saidLeavingUntil <= now && target.pausedUntil <= now;
 }
 } // namespace Anvilcart
--- a/src/dispatch/slottable.h
+++ b/src/dispatch/slottable.h
@@ -29,6 +29,7 @@
     std::uint32_t borrowed = 0;
     bool configured = false;
     bool leaving = false;
+    TimePoint saidLeavingUntil;
     TimePoint pausedUntil;
     /// The length of the last pause for want of a slot; zero after a start that was not refused.
     Duration fullPause {};
@@ -99,8 +100,8 @@
     /// Lets the target hold at most so many tasks of this host; NoTaskLimit lifts the limit.
     void limitTasks(TargetIndex target, std::uint32_t tasks);
 
-    /// Marks a target as leaving on its own word.
-    void markLeaving(TargetIndex target);
+    /// Marks a target as leaving on its own word, whatever the lagging host list says of it until then.
+    void markLeaving(TargetIndex target, TimePoint until);
 
     /// Free slots of this host over all targets in service, borrowed ones included.
     std::uint32_t freeSlots(TimePoint now) const;
