Mend a hang when a peer link closes, and two faults that the merged tests showed

Cause: unit tests hung in about one run of eight. The stack of the hung run stood in nng_close of the listening socket while a receive was still armed. The golden session of an operator differed by chance: status was asked before the two hosts had heard each other.

Ruled out: a deadlock of ours (only nng's own threads were waiting).

Change: receiving is stopped before the socket is closed; the golden session waits until the shares add up to the zone's slots; children end with their parent.

The whole process suite is not yet run again.

--- a/src/peer/nnglink.cpp
+++ b/src/peer/nnglink.cpp
@@ -117,8 +117,8 @@
 
 void NngLink::stopReceiving()
 {
-    nng_close(d->listening);
     nng_aio_stop(d->receiving);
+    nng_close(d->listening);
 }
 
 void NngLink::connect(const std::string &host, const Endpoint &door)
--- a/standins/site/childprocess.cpp
+++ b/standins/site/childprocess.cpp
@@ -2,9 +2,12 @@
 
 #include <boost/process/args.hpp>
 #include <boost/process/child.hpp>
+#include <boost/process/extend.hpp>
 #include <boost/process/handles.hpp>
 #include <boost/process/io.hpp>
 
+#include <sys/prctl.h>
+
 #include <csignal>
 
 namespace Anvilcart
@@ -24,8 +27,16 @@
     : d(std::make_unique<Private>())
 {
     // Without limit_handles the child would inherit locks that a caller of this process holds, and keep them after its death.
-    d->child = process::child(
-        program, process::args(arguments), process::std_out > outputFile, process::std_err > errorFile, process::limit_handles);
+    // The signal ends the child also when a test runs into its time limit and is killed.
+    const auto dieWithParent = process::extend::on_exec_setup([](auto &) {
+        ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+    });
+    d->child = process::child(program,
+                              process::args(arguments),
+                              process::std_out > outputFile,
+                              process::std_err > errorFile,
+                              process::limit_handles,
+                              dieWithParent);
 }
 
 ChildProcess::~ChildProcess()
--- a/standins/site/site.cpp
+++ b/standins/site/site.cpp
@@ -3,6 +3,8 @@
 #include "net/httpclient.h"
 #include "net/runcoroutine.h"
 
+#include <boost/json.hpp>
+
 #include <unistd.h>
 
 #include <fstream>
@@ -111,6 +113,30 @@
     waitForStatus(callerDoor(zone, host), "/readyz", StatusOk);
 }
 
+void Site::waitUntilSlotsAreShared(std::size_t zone)
+{
+    const auto limit = Clock::now() + ReadyTimeout;
+    for (;;) {
+        std::uint32_t sum = 0;
+        for (std::size_t host = 0; host < m_options.entryHostsPerZone; ++host) {
+            sum += ownSlots(zone, host);
+        }
+        if (sum == zoneSlots()) {
+            return;
+        }
+        if (Clock::now() > limit) {
+            throw std::runtime_error("the entry hosts of " + m_options.zones[zone] + " did not share out the slots");
+        }
+        std::this_thread::sleep_for(PollInterval);
+    }
+}
+
+std::uint32_t Site::ownSlots(std::size_t zone, std::size_t host)
+{
+    const auto status = call(operatorDoor(zone, host), "GET", "/v1/status");
+    return boost::json::parse(status.body).at("own_slots").to_number<std::uint32_t>();
+}
+
 std::string Site::targetName(std::size_t zone, std::size_t target) const
 {
     return m_options.zones[zone] + "-" + std::to_string(target + 1);
--- a/standins/site/site.h
+++ b/standins/site/site.h
@@ -56,6 +56,10 @@
     /// Waits until the entry host answers /readyz with 200. Throws std::runtime_error when it does not.
     void waitUntilReady(std::size_t zone, std::size_t host);
 
+    /// Waits until the entry hosts of a zone have heard each other, so that their shares add up to the zone's slots.
+    /// Throws std::runtime_error when they do not.
+    void waitUntilSlotsAreShared(std::size_t zone);
+
     /// The name of a target.
     std::string targetName(std::size_t zone, std::size_t target) const;
 
@@ -120,6 +124,7 @@
     std::string entrySettings(std::size_t zone, std::size_t host) const;
     std::string peersOf(std::size_t zone, std::size_t host) const;
     std::unique_ptr<ChildProcess> start(const std::string &program, const std::vector<std::string> &arguments, const std::string &logName);
+    std::uint32_t ownSlots(std::size_t zone, std::size_t host);
     void waitForStatus(const Endpoint &endpoint, const std::string &path, int status);
     Endpoint targetsControl() const;
 
--- a/tests/process/operatorsessions.cpp
+++ b/tests/process/operatorsessions.cpp
@@ -18,6 +18,7 @@
         : m_site(SiteOptions(), ANVILCART_BINARIES)
         , m_golden(golden, m_site.folder().string())
     {
+        m_site.waitUntilSlotsAreShared(0);
     }
 
     ~OperatorSession()
