--- a/src/peer/membership.cpp
+++ b/src/peer/membership.cpp
@@ -8,6 +8,8 @@
 {
 constexpr Milliseconds SuspectedAfter {1500};
 constexpr Milliseconds DeadAfter {3000};
+/// Hosts of other availability zones speak that much more rarely.
+constexpr int FarPatience = 20;
 constexpr Milliseconds ForgottenAfter {60000};
 /// A host list that was read longer ago no longer decides who is a member.
 constexpr Milliseconds ListFreshFor {10000};
@@ -167,11 +169,12 @@
     if (record.left) {
         return PeerState::Left;
     }
+    const int patience = record.zone == m_self.zone ? 1 : FarPatience;
     const auto silence = now - record.lastHeard;
-    if (silence >= DeadAfter) {
+    if (silence >= DeadAfter * patience) {
         return PeerState::Dead;
     }
-    return silence >= SuspectedAfter ? PeerState::Suspected : PeerState::Live;
+    return silence >= SuspectedAfter * patience ? PeerState::Suspected : PeerState::Live;
 }
 
 bool Membership::isListFresh(TimePoint now) const
--- a/src/peer/peernode.cpp
+++ b/src/peer/peernode.cpp
@@ -10,7 +10,7 @@
 {
 constexpr Milliseconds ZoneHeartbeatPeriod {500};
 /// Peers of other availability zones share no slots, so that they are told less often.
-constexpr Milliseconds FarHeartbeatPeriod {5000};
+constexpr Milliseconds FarHeartbeatPeriod {10000};
 } // namespace
 
 PeerNode::PeerNode(PeerIdentity self, Dispatcher &dispatcher, PeerLink &link, PeerObserver &observer)
--- a/tests/unit/peer/membership.cpp
+++ b/tests/unit/peer/membership.cpp
@@ -85,6 +85,13 @@
     BOOST_TEST(members() == Names({"entry-1", "entry-2", "entry-4"}));
 }
 
+BOOST_AUTO_TEST_CASE(A_host_of_another_zone_is_not_dead_between_its_rare_heartbeats)
+{
+    advance(Seconds(12), {"entry-2"});
+    BOOST_TEST((membership.state("entry-9", now) == PeerState::Live));
+    BOOST_TEST((membership.state("entry-3", now) == PeerState::Dead));
+}
+
 BOOST_AUTO_TEST_CASE(A_fresh_list_decides_against_a_host_that_is_not_on_it)
 {
     advance(Seconds(1), {"entry-2", "entry-4"});
--- a/tests/unit/peer/peercodec.cpp
+++ b/tests/unit/peer/peercodec.cpp
@@ -61,6 +61,29 @@
     BOOST_TEST(!decodeFrame(encode(frame)).has_value());
 }
 
+BOOST_AUTO_TEST_CASE(Heartbeats_of_48_hosts_in_6_zones_stay_under_half_of_the_control_budget)
+{
+    constexpr double NearPeers = 7;
+    constexpr double FarPeers = 40;
+    constexpr double NearPerSecond = 2;
+    constexpr double FarPerSecond = 0.1;
+    constexpr double ControlBytesPerSecond = 5000;
+    PeerFrame frame;
+    frame.incarnation = ~0ULL;
+    frame.recipient = ~0ULL;
+    frame.sequence = 1'000'000;
+    frame.heartbeat =
+        Heartbeat {"entry-windhoek-north-1", "windhoek-north", {"10.100.100.100", 7002}, "entry-windhoek-north-2", 1000, 100, false};
+    const auto farBytes = encode(frame).size();
+    frame.slots.demand = Demand {{}, 100'000};
+    frame.slots.holdings.emplace();
+    const auto nearBytes = encode(frame).size();
+    const auto perSecond =
+        NearPeers * NearPerSecond * static_cast<double>(nearBytes) + FarPeers * FarPerSecond * static_cast<double>(farBytes);
+    BOOST_TEST_MESSAGE("near " << nearBytes << " bytes, far " << farBytes << " bytes, " << perSecond << " bytes a second");
+    BOOST_TEST(perSecond < ControlBytesPerSecond / 2);
+}
+
 BOOST_AUTO_TEST_CASE(Random_bytes_and_damaged_frames_never_harm_the_decoder)
 {
     constexpr std::uint32_t Seed = 20260;
