Seek dead peers of the own zone every 5 s, apart from the period for other zones

Cause: the period for hosts of other zones went from 5 to 10 s and was also used for dead peers of the own zone, so that a mended cut went unnoticed for up to 10 s.

--- a/src/peer/peernode.cpp
+++ b/src/peer/peernode.cpp
@@ -9,6 +9,8 @@
 namespace
 {
 constexpr Milliseconds ZoneHeartbeatPeriod {500};
+/// Dead peers of the own availability zone are sought rarely, but soon enough that a mended cut does not go unnoticed.
+constexpr Milliseconds DeadPeerPeriod {5000};
 /// Peers of other availability zones share no slots, so that they are told less often.
 constexpr Milliseconds FarHeartbeatPeriod {10000};
 } // namespace
@@ -163,17 +165,24 @@
             continue;
         }
         const bool dead = m_membership.state(host, now) == PeerState::Dead;
-        const bool often = record.zone == m_membership.self().zone && !dead;
         if (dead) {
             // A connection that a cut has broken may hang for minutes; a new one is quicker.
             m_link.disconnect(host);
             m_link.connect(host, record.door);
         }
-        dueAt = now + (often ? ZoneHeartbeatPeriod : FarHeartbeatPeriod);
+        dueAt = now + heartbeatPeriod(record, dead);
         sendHeartbeat(host, record, false, now);
     }
 }
 
+Duration PeerNode::heartbeatPeriod(const PeerRecord &record, bool dead) const
+{
+    if (record.zone != m_membership.self().zone) {
+        return FarHeartbeatPeriod;
+    }
+    return dead ? DeadPeerPeriod : ZoneHeartbeatPeriod;
+}
+
 void PeerNode::sendHeartbeat(const std::string &host, const PeerRecord &record, bool leaving, TimePoint now)
 {
     const auto &self = m_membership.self();
--- a/src/peer/peernode.h
+++ b/src/peer/peernode.h
@@ -49,6 +49,7 @@
     void updateMembers(TimePoint now);
     void silenceSuspects(TimePoint now);
     void sendHeartbeats(TimePoint now);
+    Duration heartbeatPeriod(const PeerRecord &record, bool dead) const;
     void sendHeartbeat(const std::string &host, const PeerRecord &record, bool leaving, TimePoint now);
     bool send(const std::string &host, PeerFrame frame);
     void flush(const SharingView &view);
