Peers of the own interface talk over plain TCP instead of nng

Cause of the known red suite: nng 1.5.2 itself. In two loops of 40 runs beside each other 5 runs hung, all with the main thread in nng_close() of the listening socket, waiting for a condition that no other thread signals (stacks by gdb), and one crashed at address 0.

Change: the link is written on Boost.Asio, as the platform's links are; nng and its package go.

--- a/src/peer/peerplugin.cpp
+++ b/src/peer/peerplugin.cpp
@@ -4,10 +4,10 @@
 #include "kernel/pluginregistry.h"
 #include "observe/metrics.h"
 #include "peer/incarnation.h"
-#include "peer/nnglink.h"
 #include "peer/peercodec.h"
 #include "peer/peermetrics.h"
 #include "peer/peernode.h"
+#include "peer/tcplink.h"
 #include "publication/configurationservice.h"
 #include "publication/hostlistservice.h"
 
@@ -52,7 +52,7 @@
         m_metrics = std::make_unique<PeerMetrics>(kernel.service<Metrics>().registry());
         const auto &settings = kernel.service<const Settings>();
         const PeerIdentity self {settings.host, settings.zone, settings.peerDoor, makeIncarnation()};
-        m_link = std::make_unique<NngLink>(settings.peerDoor, MaxFrameBytes, [this](std::string message) {
+        m_link = std::make_unique<TcpLink>(settings.peerDoor, MaxFrameBytes, [this](std::string message) {
             m_dispatch->perform([this, message = std::move(message)](Dispatcher &, TimePoint now) {
                 onMessage(message, now);
             });
@@ -105,7 +105,7 @@
     ConfigurationService *m_configuration = nullptr;
     std::shared_ptr<const HostList> m_lastList;
     std::unique_ptr<PeerMetrics> m_metrics;
-    std::unique_ptr<NngLink> m_link;
+    std::unique_ptr<TcpLink> m_link;
     std::unique_ptr<PeerNode> m_node;
     TimerSubscription m_tick;
 };
--- a/src/peer/nnglink.h
+++ b/src/peer/tcplink.h
@@ -8,17 +8,17 @@
 
 namespace Anvilcart
 {
-/// The peer link over nng and TCP: one socket that listens, one that dials for each peer.
-/// Apart from the receiver, everything is called on one thread at a time.
-class NngLink : public PeerLink
+/// The peer link over TCP: a socket that listens, and a connection to each peer that is made anew when it fails. Messages that a broken
+/// connection had taken are lost. Apart from the receiver, everything is called on one thread at a time.
+class TcpLink : public PeerLink
 {
 public:
-    /// Called with each message on a thread of nng's.
+    /// Called with each message on the link's own thread.
     using Receiver = std::function<void(std::string)>;
 
     /// Listens on the door. Throws std::runtime_error when that fails. The receiver is called until the link goes.
-    NngLink(const Endpoint &door, std::size_t maxMessageBytes, Receiver receiver);
-    ~NngLink() override;
+    TcpLink(const Endpoint &door, std::size_t maxMessageBytes, Receiver receiver);
+    ~TcpLink() override;
 
     /// Receives nothing more; the receiver is not running when this returns. Not from the receiver.
     void stopReceiving();
--- a/tests/unit/peer/nnglink.cpp
+++ b/tests/unit/peer/tcplink.cpp
@@ -1,4 +1,4 @@
-#include "peer/nnglink.h"
+#include "peer/tcplink.h"
 
 #include "kernel/time.h"
 
@@ -31,7 +31,7 @@
 class Inbox
 {
 public:
-    NngLink::Receiver receiver()
+    TcpLink::Receiver receiver()
     {
         return [this](std::string message) {
             const std::lock_guard<std::mutex> lock(m_mutex);
@@ -60,14 +60,14 @@
 }
 } // namespace
 
-BOOST_AUTO_TEST_SUITE(NngLinkSuite, *boost::unit_test::label("peer"))
+BOOST_AUTO_TEST_SUITE(TcpLinkSuite, *boost::unit_test::label("peer"))
 
 BOOST_AUTO_TEST_CASE(Messages_cross_whole_and_too_large_ones_do_not)
 {
     Inbox inbox;
     const auto door = findFreeDoor();
-    NngLink receiving(door, MaxBytes, inbox.receiver());
-    NngLink sending(findFreeDoor(), MaxBytes, [](const std::string &) {});
+    TcpLink receiving(door, MaxBytes, inbox.receiver());
+    TcpLink sending(findFreeDoor(), MaxBytes, [](const std::string &) {});
     BOOST_TEST(!sending.send("entry-2", "nobody is connected"));
     sending.connect("entry-2", door);
     BOOST_TEST(sending.send("entry-2", std::string(MaxBytes + 1, 'x')));
@@ -83,11 +83,11 @@
 BOOST_AUTO_TEST_CASE(A_link_reaches_a_peer_that_starts_later_and_starts_again)
 {
     const auto door = findFreeDoor();
-    NngLink sending(findFreeDoor(), MaxBytes, [](const std::string &) {});
+    TcpLink sending(findFreeDoor(), MaxBytes, [](const std::string &) {});
     sending.connect("entry-2", door);
     for (int start = 0; start < 2; ++start) {
         Inbox inbox;
-        NngLink receiving(door, MaxBytes, inbox.receiver());
+        TcpLink receiving(door, MaxBytes, inbox.receiver());
         waitUntil([&] {
             sending.send("entry-2", "hello");
             return !inbox.messages().empty();
@@ -99,8 +99,8 @@
 BOOST_AUTO_TEST_CASE(A_door_that_is_taken_is_an_error)
 {
     const auto door = findFreeDoor();
-    const NngLink first(door, MaxBytes, [](const std::string &) {});
-    BOOST_CHECK_THROW(NngLink(door, MaxBytes, [](const std::string &) {}), std::runtime_error);
+    const TcpLink first(door, MaxBytes, [](const std::string &) {});
+    BOOST_CHECK_THROW(TcpLink(door, MaxBytes, [](const std::string &) {}), std::runtime_error);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
