Overdue jobs wait behind all others; routes pay only for what they start

(b) A job that becomes late leaves its route's queue, but its turn stayed charged to the route, so that later jobs of it were ranked behind other routes. (c) Jobs started at the last moment that their forecast allowed were late.

Change: jobs are in time, late or overdue; overdue ones rank last and do not move the shared clock, and are refused (not run, Retry-After) when the forecast of those ahead passes their caller's limit; turns are given anew when jobs leave their route; a job is late when it would be at 1.3 times its forecast; late jobs are ranked before hopeless ones are sought. The emulator knows callers that wait for some objectives and counts overdue answers apart; the served share of its tests includes them as before.

--- a/emulator/emulatedfleet.cpp
+++ b/emulator/emulatedfleet.cpp
@@ -21,6 +21,8 @@
 constexpr Milliseconds LateFrom {2000};
 constexpr int LateSpreadMs = 10000;
 constexpr std::uint16_t DoorPort = 7000;
+/// Answers after so many objectives are of no use to callers, by the users' rules.
+constexpr int OverdueObjectives = 3;
 
 Endpoint doorOf(std::size_t host)
 {
@@ -553,6 +555,16 @@
     });
 }
 
+void EmulatedFleet::burstOfKind(const std::string &route, double factor, Duration time, Duration length)
+{
+    at(time, [this, route, factor] {
+        m_burstOfKind[route] = factor;
+    });
+    at(time + length, [this, route] {
+        m_burstOfKind.erase(route);
+    });
+}
+
 bool EmulatedFleet::isCut(const std::string &from, const std::string &to) const
 {
     const auto zoneOf = [this](const std::string &name) {
@@ -577,6 +589,17 @@
     return from == to ? m_options.inZone : m_options.acrossZones;
 }
 
+Duration EmulatedFleet::objectiveOf(const Call &call)
+{
+    return std::chrono::duration_cast<Duration>(call.runTime * call.kind.stretch) + call.kind.targetLatency;
+}
+
+/// How long the caller waits from its first submission on.
+Duration EmulatedFleet::limitOf(const Call &call)
+{
+    return call.kind.callerLimit + std::chrono::duration_cast<Duration>(objectiveOf(call) * call.kind.objectivesWaited);
+}
+
 TaskTruth EmulatedFleet::truthOf(const TaskName &task) const
 {
     TaskTruth truth;
@@ -594,7 +617,8 @@
 
 void EmulatedFleet::scheduleCaller(const JobKind &kind, Duration last)
 {
-    std::exponential_distribution<double> pause(kind.perSecond * m_burst);
+    const auto ofKind = m_burstOfKind.find(kind.route);
+    std::exponential_distribution<double> pause(kind.perSecond * m_burst * (ofKind == m_burstOfKind.end() ? 1 : ofKind->second));
     m_clock.after(std::chrono::duration_cast<Duration>(std::chrono::duration<double>(pause(m_random))), [this, kind, last] {
         if (m_clock.elapsed() >= last) {
             return;
@@ -642,7 +666,7 @@
     }
     if (up.empty()) {
         m_clock.after(Milliseconds(200), [this, call] {
-            if (!call->over && m_clock.now() - call->sentAt < call->kind.callerLimit) {
+            if (!call->over && m_clock.now() - call->sentAt < limitOf(*call)) {
                 submit(call);
             }
         });
@@ -663,12 +687,12 @@
             order.stretchFactor = call->kind.stretch;
             order.targetLatency = call->kind.targetLatency;
             order.arrivedAt = m_clock.now();
-            order.answerBy = call->sentAt + call->kind.callerLimit - 2 * ClientDelay;
+            order.answerBy = call->sentAt + limitOf(*call) - 2 * ClientDelay;
             host.node->submit(std::move(order), m_clock.now());
         });
     });
-    m_clock.after(call->kind.callerLimit, [this, call] {
-        if (!call->over && m_clock.now() - call->sentAt >= call->kind.callerLimit) {
+    m_clock.after(limitOf(*call), [this, call] {
+        if (!call->over && m_clock.now() - call->sentAt >= limitOf(*call)) {
             call->over = true;
             ++m_results[call->kind.route].unanswered;
             auto &host = *m_hosts[call->host];
@@ -682,7 +706,7 @@
 void EmulatedFleet::onBrokenConnection(const std::shared_ptr<Call> &call)
 {
     m_clock.after(ResendPause, [this, call] {
-        if (!call->over && m_clock.now() - call->sentAt < call->kind.callerLimit) {
+        if (!call->over && m_clock.now() - call->sentAt < limitOf(*call)) {
             submit(call);
         }
     });
@@ -700,9 +724,12 @@
     const auto response = m_clock.now() + ClientDelay - call.sentAt;
     switch (reply.answer) {
     case CallerAnswer::Completed: {
-        const auto chain = call.runTime * call.kind.stretch;
-        const bool inObjective = response <= std::chrono::duration_cast<Duration>(chain) + call.kind.targetLatency;
-        ++(inObjective ? result.inObjective : result.late);
+        const auto objective = objectiveOf(call);
+        if (response <= objective) {
+            ++result.inObjective;
+        } else {
+            ++(response <= OverdueObjectives * objective ? result.late : result.overdue);
+        }
         break;
     }
     case CallerAnswer::NotRun:
--- a/emulator/emulatedfleet.h
+++ b/emulator/emulatedfleet.h
@@ -29,7 +29,9 @@
     std::int64_t priority = 0;
     double stretch = 1.6;
     Duration targetLatency = Milliseconds(60);
+    /// Callers wait that long, and so many objectives of their job more.
     Duration callerLimit = Milliseconds(1500);
+    double objectivesWaited = 0;
 };
 
 /// What is emulated.
@@ -50,7 +52,9 @@
 {
     std::size_t asked = 0;
     std::size_t inObjective = 0;
+    /// Within three objectives, and after them.
     std::size_t late = 0;
+    std::size_t overdue = 0;
     std::size_t refused = 0;
     std::size_t unanswered = 0;
 };
@@ -81,6 +85,8 @@
     /// Callers of a share of the jobs leave early.
     void leaveEarly(double share, Duration at, Duration length);
     void burst(double factor, Duration at, Duration length);
+    /// A burst of one kind of jobs, over that of all.
+    void burstOfKind(const std::string &route, double factor, Duration at, Duration length);
 
     const Promises &promises() const;
     const std::map<std::string, KindResult> &results() const;
@@ -106,6 +112,8 @@
     void onBrokenConnection(const std::shared_ptr<Call> &call);
     bool isCut(const std::string &from, const std::string &to) const;
     Duration delay(const std::string &from, const std::string &to) const;
+    static Duration objectiveOf(const Call &call);
+    static Duration limitOf(const Call &call);
     TaskTruth truthOf(const Fleet::TaskName &task) const;
 
     FleetOptions m_options;
@@ -121,6 +129,7 @@
     double m_lostOrders = 0;
     double m_leavers = 0;
     double m_burst = 1;
+    std::map<std::string, double> m_burstOfKind;
     std::uint64_t m_jobs = 0;
 };
 } // namespace Anvilcart::Emulation
--- a/emulator/main.cpp
+++ b/emulator/main.cpp
@@ -16,7 +16,7 @@
 {
     FleetOptions options;
     options.seed = seed;
-    options.kinds = ordinaryKinds();
+    options.kinds = patientKinds();
     options.limits.policy = Fleet::queuePolicyNamed(policy);
     options.limits.refuseHopeless = refuseHopeless;
     EmulatedFleet fleet(options);
@@ -25,16 +25,19 @@
         troubles = addTroubles(fleet, options, seed);
     } else if (faults == "worst-load") {
         troubles = addWorstLoad(fleet);
+    } else if (faults == "burst") {
+        troubles = addBurst(fleet);
     }
     fleet.run(Seconds(3), Seconds(23), Seconds(28));
     for (const auto &[route, result] : fleet.results()) {
-        std::printf("%llu,%s,%s,%zu,%zu,%zu,%zu,%zu,%zu\n",
+        std::printf("%llu,%s,%s,%zu,%zu,%zu,%zu,%zu,%zu,%zu\n",
                     static_cast<unsigned long long>(seed),
                     policy.c_str(),
                     route.c_str(),
                     result.asked,
                     result.inObjective,
                     result.late,
+                    result.overdue,
                     result.refused,
                     result.unanswered,
                     fleet.promises().broken().size());
@@ -57,12 +60,12 @@
         TCLAP::ValueArg<std::uint64_t> seeds("n", "seeds", "how many seeds", false, 10, "COUNT", commandLine);
         TCLAP::ValueArg<std::string> policy("q", "queue", "the order of waiting jobs", false, "fair-share", "POLICY", commandLine);
         TCLAP::SwitchArg keep("", "keep-hopeless", "refuse nothing that cannot be served in time", commandLine);
-        std::vector<std::string> mixes {"mixed", "worst-load", "none"};
+        std::vector<std::string> mixes {"mixed", "worst-load", "burst", "none"};
         TCLAP::ValuesConstraint<std::string> knownMixes(mixes);
         TCLAP::ValueArg<std::string> faults("t", "troubles", "what goes wrong", false, "mixed", &knownMixes, commandLine);
         TCLAP::SwitchArg verbose("v", "verbose", "print the faults of each seed", commandLine);
         commandLine.parse(argc, argv);
-        std::printf("seed,policy,kind,asked,in_objective,late,refused,unanswered,broken\n");
+        std::printf("seed,policy,kind,asked,in_objective,late,overdue,refused,unanswered,broken\n");
         std::size_t broken = 0;
         for (std::uint64_t seed = first.getValue(); seed < first.getValue() + seeds.getValue(); ++seed) {
             broken += play(seed, policy.getValue(), !keep.getValue(), faults.getValue(), verbose.getValue());
--- a/emulator/troublemix.cpp
+++ b/emulator/troublemix.cpp
@@ -27,6 +27,16 @@
         kind("short", 17, 8, Milliseconds(60), 0), kind("long", 3.1, 4, Milliseconds(830), 2), kind("middle", 50, 2, Milliseconds(185), 1)};
 }
 
+std::vector<JobKind> patientKinds()
+{
+    auto kinds = ordinaryKinds();
+    for (auto &kind : kinds) {
+        kind.callerLimit = Seconds(2);
+        kind.objectivesWaited = 3;
+    }
+    return kinds;
+}
+
 std::string addWorstLoad(EmulatedFleet &fleet)
 {
     fleet.burst(1.5, Seconds(4), Seconds(8));
@@ -34,6 +44,13 @@
     return "burst and slow targets from 4 s to 12 s";
 }
 
+std::string addBurst(EmulatedFleet &fleet)
+{
+    fleet.burst(1.5, Seconds(5), Seconds(4));
+    fleet.burstOfKind("middle", 2, Seconds(5), Seconds(4));
+    return "burst from 5 s to 9 s";
+}
+
 std::string addTroubles(EmulatedFleet &fleet, const FleetOptions &options, std::uint64_t seed)
 {
     std::mt19937_64 random(seed * 7919 + 1);
--- a/src/scheduling/fairqueueclock.h
+++ b/src/scheduling/fairqueueclock.h
@@ -15,11 +15,17 @@
     /// makes a route's share smaller.
     double tagFor(const std::string &route, std::int64_t priority, double work);
 
-    /// A job with this tag has been started.
-    void onStarted(double tag);
+    /// A job of this route with this tag has been started.
+    void onStarted(const std::string &route, std::int64_t priority, double work, double tag);
+
+    /// Forgets the tags of a route's waiting jobs, which the caller tags anew in their order: jobs that left the queue without a start
+    /// are not charged to their route.
+    void forgetWaiting(const std::string &route);
 
 private:
     double m_virtualTime = 0;
+    /// Where the tags of each route's waiting jobs end, and of those that were started.
     std::unordered_map<std::string, double> m_finishOfRoute;
+    std::unordered_map<std::string, double> m_startedFinishOfRoute;
 };
 } // namespace Anvilcart::Fleet
--- a/src/scheduling/scheduledjob.h
+++ b/src/scheduling/scheduledjob.h
@@ -19,6 +19,16 @@
     Done,
 };
 
+/// What an answer to a waiting job is still worth.
+enum class Timeliness {
+    /// It can meet its objective.
+    InTime,
+    /// It can only be late.
+    Late,
+    /// It would come so late that callers have no use for it, though they may still wait.
+    Overdue,
+};
+
 /// One task of a job at its dispatcher.
 struct ScheduledTask
 {
@@ -74,9 +84,13 @@
     Duration chain {0};
     TimePoint objectiveAt;
     double rank = 0;
+    /// Its place among the routes that share the room, and the work that is charged for it; see FairQueueClock. A job that is short of
+    /// time leads its tag.
     double fairTag = 0;
-    /// Ranked as late for its objective.
-    bool late = false;
+    double fairWork = 0;
+    double fairLead = 0;
+    /// As the job was last ranked.
+    Timeliness timeliness = Timeliness::InTime;
     std::set<std::string> failedTargets;
 
 private:
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -174,15 +174,13 @@
     const auto stretched = std::chrono::duration_cast<Duration>(job.chain * job.order.stretchFactor);
     job.objectiveAt = job.order.arrivedAt + stretched + job.order.targetLatency;
     job.recount();
-    const auto work = std::max(1.0, job.remainingCoreMs);
-    auto &service = m_services[job.order.service];
-    job.fairTag = service.fairClock.tagFor(job.order.route, job.order.priority, work);
+    tagInTurn(job);
     if (job.order.answerBy - job.order.arrivedAt < job.chain * UrgentShare) {
         double cores = 0;
-        for (const auto *target : service.targets) {
+        for (const auto *target : m_services[job.order.service].targets) {
             cores += static_cast<double>(target->entry().capacity.milliCores) / 1000.0;
         }
-        job.fairTag -= cores * UrgentLeadMs;
+        job.fairLead = cores * UrgentLeadMs;
     }
 }
 
@@ -363,7 +361,10 @@
             continue;
         }
         const auto needed = job->hasStarted() ? Duration(0) : shortestTime(*job, now);
-        if (now + needed > job->order.answerBy) {
+        // An overdue job waits behind all others, and they may take until its caller leaves.
+        const bool overdue = !job->hasStarted() && job->timeliness == Timeliness::Overdue;
+        const auto wait = overdue ? forecastWait(m_services[job->order.service], *job, now) : Duration(0);
+        if (now + wait + needed > job->order.answerBy) {
             over.emplace_back(id, job->hasStarted());
         }
     }
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -160,7 +160,11 @@
     Duration shortestTime(const ScheduledJob &job, TimePoint now) const;
     void enqueue(ScheduledJob &job, TimePoint now);
     QueuedJobFacts factsOf(const ScheduledJob &job) const;
+    Timeliness timelinessOf(const ScheduledJob &job, TimePoint now) const;
     void demoteLateJobs(TimePoint now);
+    const std::string &fairRouteOf(const ScheduledJob &job) const;
+    void tagInTurn(ScheduledJob &job);
+    void tagAnew(const std::string &serviceName, TimePoint now);
     void dequeue(ScheduledJob &job);
     Duration forecastWait(const Service &service, const ScheduledJob &job, TimePoint now) const;
     std::uint32_t freeTasks(const Service &service, TimePoint now) const;
--- a/src/scheduling/schedulerqueue.cpp
+++ b/src/scheduling/schedulerqueue.cpp
@@ -13,7 +13,13 @@
 constexpr Milliseconds StartLease {450};
 /// Late jobs share the room like a route of their own whose jobs take so many times as long.
 constexpr double LateWorkFactor = 8;
-constexpr char LateRoute[] = "late";
+const std::string LateRoute = "late";
+/// An answer after so many objectives is of no use to callers, by the users' rules.
+constexpr int OverdueObjectives = 3;
+/// Above the tag of every job that is not overdue: some centuries of processor time of a large service.
+constexpr double OverdueTag = 1e15;
+/// A job counts as late when it would be even if its run took so many times its expected time.
+constexpr double EndMargin = 1.3;
 /// At most one target in so many is kept for tasks that found no room.
 constexpr std::size_t KeptShare = 4;
 /// Weight of a new job in the usual size of a task.
@@ -77,21 +83,77 @@
     QueuedJobFacts facts;
     facts.arrivedAt = job.order.arrivedAt;
     facts.objectiveAt = job.objectiveAt;
-    facts.fairTag = job.fairTag;
+    facts.fairTag = job.fairTag - job.fairLead;
     facts.remainingCoreMs = job.remainingCoreMs;
     facts.chain = job.chain;
     return facts;
 }
 
-/// Waiting jobs whose objective is out of reach by now leave most of the room to those that can still meet theirs. Answers a burst:
-/// were late jobs served in turn, all would be late; were they served last, they would never be served.
+Timeliness Scheduler::timelinessOf(const ScheduledJob &job, TimePoint now) const
+{
+    const auto end = now + std::chrono::duration_cast<Duration>(job.chain * EndMargin);
+    if (end <= job.objectiveAt) {
+        return Timeliness::InTime;
+    }
+    const auto objective = job.objectiveAt - job.order.arrivedAt;
+    return end <= job.order.arrivedAt + objective * OverdueObjectives ? Timeliness::Late : Timeliness::Overdue;
+}
+
+/// Waiting jobs whose objective is out of reach by now leave most of the room to those that can still meet theirs, and overdue ones all
+/// of it. Answers a burst: were they served in turn, all would be late.
 void Scheduler::demoteLateJobs(TimePoint now)
 {
+    std::set<std::string> changed;
     for (auto &[id, job] : m_jobs) {
-        if (!job->late && !job->hasStarted() && !job->ending && now + job->chain > job->objectiveAt) {
-            job->late = true;
-            const auto slowed = std::max(1.0, job->remainingCoreMs * LateWorkFactor);
-            job->fairTag = m_services[job->order.service].fairClock.tagFor(LateRoute, job->order.priority, slowed);
+        if (job->hasStarted() || job->ending) {
+            continue;
+        }
+        const auto timeliness = timelinessOf(*job, now);
+        if (timeliness == job->timeliness) {
+            continue;
+        }
+        job->timeliness = timeliness;
+        changed.insert(job->order.service);
+    }
+    for (const auto &service : changed) {
+        tagAnew(service, now);
+    }
+}
+
+const std::string &Scheduler::fairRouteOf(const ScheduledJob &job) const
+{
+    return job.timeliness == Timeliness::InTime ? job.order.route : LateRoute;
+}
+
+/// Gives the job the next turn of its route.
+void Scheduler::tagInTurn(ScheduledJob &job)
+{
+    if (job.timeliness == Timeliness::Overdue) {
+        job.fairTag = OverdueTag + toMilliseconds(job.order.arrivedAt.time_since_epoch());
+        return;
+    }
+    job.fairWork = std::max(1.0, job.remainingCoreMs * (job.timeliness == Timeliness::Late ? LateWorkFactor : 1));
+    job.fairTag = m_services[job.order.service].fairClock.tagFor(fairRouteOf(job), job.order.priority, job.fairWork);
+}
+
+/// Gives every waiting job its turn anew, in the present order: those that left their route are not charged to it.
+void Scheduler::tagAnew(const std::string &serviceName, TimePoint now)
+{
+    auto &service = m_services[serviceName];
+    std::vector<ScheduledJob *> jobs;
+    for (const auto &[rank, id] : service.queue) {
+        jobs.push_back(findJob(id));
+    }
+    std::set<std::string> routes {LateRoute};
+    for (const auto *job : jobs) {
+        routes.insert(job->order.route);
+    }
+    for (const auto &route : routes) {
+        service.fairClock.forgetWaiting(route);
+    }
+    for (auto *job : jobs) {
+        if (!job->hasStarted()) {
+            tagInTurn(*job);
             enqueue(*job, now);
         }
     }
@@ -194,7 +256,7 @@
     auto mayKeep = std::max<std::size_t>(1, service.targets.size() / KeptShare);
     for (const auto &[rank, id] : service.queue) {
         const auto &job = *m_jobs.at(id);
-        if (mayKeep == 0 || job.late) {
+        if (mayKeep == 0 || job.timeliness != Timeliness::InTime) {
             return;
         }
         if (now >= job.order.earlierRunsOverAt) {
@@ -270,7 +332,9 @@
         any = true;
     }
     if (any) {
-        service.fairClock.onStarted(job.fairTag);
+        if (job.timeliness != Timeliness::Overdue) {
+            service.fairClock.onStarted(fairRouteOf(job), job.order.priority, job.fairWork, job.fairTag);
+        }
         enqueue(job, now);
     }
     return any;
--- a/src/scheduling/schedulertargets.cpp
+++ b/src/scheduling/schedulertargets.cpp
@@ -294,8 +294,8 @@
         watchRuns(*found->second, now);
     }
     finishRetired(now);
-    endHopeless(now);
     demoteLateJobs(now);
+    endHopeless(now);
     for (auto &[name, service] : m_services) {
         if (!service.queue.empty()) {
             updateKeptTargets(service, now);
--- a/tests/unit/scheduling/decisions.cpp
+++ b/tests/unit/scheduling/decisions.cpp
@@ -121,6 +121,17 @@
     BOOST_TEST(patient < 2 * urgent);
 }
 
+BOOST_AUTO_TEST_CASE(A_route_is_not_charged_for_jobs_that_left_its_queue)
+{
+    FairQueueClock clock;
+    clock.onStarted("steady", 0, 10, clock.tagFor("steady", 0, 10));
+    for (int i = 0; i < 100; ++i) {
+        clock.tagFor("steady", 0, 10);
+    }
+    clock.forgetWaiting("steady");
+    BOOST_TEST(clock.tagFor("steady", 0, 10) == 10);
+}
+
 BOOST_AUTO_TEST_CASE(Policies_rank_by_what_their_names_say)
 {
     QueuedJobFacts early;
--- a/tests/unit/scheduling/scheduler.cpp
+++ b/tests/unit/scheduling/scheduler.cpp
@@ -374,6 +374,55 @@
     BOOST_TEST(port.starts.at(0).order.name.task.index == 1);
 }
 
+// An objective of 1.6 times 100 ms and 60 ms more: overdue when the end is expected after 660 ms.
+BOOST_AUTO_TEST_CASE(An_overdue_job_waits_behind_all_others_and_starts_when_none_is_left)
+{
+    own("t1");
+    for (const auto *id : {"running 1", "running 2"}) {
+        auto running = job(id);
+        running.request.steps[0].estimate = Seconds(1);
+        running.answerBy = now + Seconds(9);
+        submit(running);
+    }
+    answerStart(0);
+    answerStart(1);
+    auto old = job("old");
+    old.answerBy = now + Seconds(9);
+    submit(old);
+    advance(Milliseconds(600));
+    submit(job("fresh"));
+    BOOST_REQUIRE(port.starts.size() == 2);
+    answerRenewal("t1", {{port.starts[1].order.name, 50}}, {{1, port.starts[0].order.name, RunEnd::Done}});
+    BOOST_REQUIRE(port.starts.size() == 3);
+    BOOST_TEST(port.starts[2].order.name.task.jobId == "fresh");
+    answerStart(2);
+    answerRenewal("t1", {{port.starts[2].order.name, 50}}, {{2, port.starts[1].order.name, RunEnd::Done}});
+    BOOST_REQUIRE(port.starts.size() == 4);
+    BOOST_TEST(port.starts[3].order.name.task.jobId == "old");
+}
+
+BOOST_AUTO_TEST_CASE(An_overdue_job_is_refused_when_those_ahead_take_longer_than_its_caller_waits)
+{
+    own("t1");
+    auto running = job("running", 2);
+    running.request.steps[0].estimate = Seconds(5);
+    running.answerBy = now + Seconds(20);
+    submit(running);
+    answerStart(0);
+    answerStart(1);
+    submit(job("old"));
+    auto ahead = job("ahead", 4);
+    ahead.request.steps[0].estimate = Seconds(5);
+    ahead.answerBy = now + Seconds(30);
+    submit(ahead);
+    BOOST_TEST(port.ended.empty());
+    advance(Milliseconds(600));
+    BOOST_REQUIRE(port.ended.size() == 1);
+    BOOST_TEST(port.ended[0].job.request.id == "old");
+    BOOST_TEST((port.ended[0].result.end == JobEnd::NotRun));
+    BOOST_TEST((port.ended[0].result.retryAfter >= Seconds(1)));
+}
+
 BOOST_AUTO_TEST_CASE(A_takeover_says_nothing_of_jobs_that_come_later)
 {
     own("t1");
