anvilcart explain REQUEST-ID tells from the lines why a request ended so

Cause: operators had to find the lines of a request by hand and to know what they come to; nothing tested that the ways in docs/OPERATIONS.md lead to the cause.

Change: explain also takes a request's id and reads all hosts' lines from standard input: the request's own lines, then outcome and cause (refused for load, dispatcher or target lost, waited, ran long, entry host ended), the last usage of the dispatcher's targets, and losses shortly before.

--- a/tests/process/service.cpp
+++ b/tests/process/service.cpp
@@ -1,11 +1,13 @@
 #include "processsupport.h"
 #include "service/servicesite.h"
+#include "verbs/requestexplanation.h"
 
 #include <boost/test/unit_test.hpp>
 
 #include <csignal>
 #include <fstream>
 #include <future>
+#include <sstream>
 
 using namespace Anvilcart;
 
@@ -195,6 +197,10 @@
         return line != std::string::npos && log.substr(line, 200).find("answer=not_run reason=overload") != std::string::npos;
     }));
     BOOST_TEST(site.startsOf("00000000000000ee.0.0.0") == 0);
+    std::istringstream lines(site.log(0) + site.log(1) + site.log(2));
+    RequestExplanation explanation("00000000000000ee");
+    explanation.read(lines);
+    BOOST_TEST(explanation.text().find("could not have ended while its caller waits") != std::string::npos, explanation.text());
 }
 
 BOOST_AUTO_TEST_SUITE_END()
