A dispatcher whose processor does not keep up hands its pool over

Cause: with one pool the dispatcher carries the load of the fleet, about 0.04 of a core, where a host has 0.25. The processor share of the reports was that of the settings and told nothing.

--- a/emulator/emulatedfleet.cpp
+++ b/emulator/emulatedfleet.cpp
@@ -278,6 +278,9 @@
     void onUsage(const TargetUsage &) override
     {
     }
+    void onStrain(bool, Duration) override
+    {
+    }
     void onTimeGap(Duration) override
     {
     }
--- a/src/fleet/hostnode.h
+++ b/src/fleet/hostnode.h
@@ -4,6 +4,7 @@
 #include "fleet/interfaces/hostobserver.h"
 #include "fleet/interfaces/hostport.h"
 #include "fleet/poolassignment.h"
+#include "fleet/straingauge.h"
 #include "scheduling/scheduler.h"
 
 #include <map>
@@ -68,6 +69,9 @@
     /// Does what is due. Call every few tens of milliseconds.
     void tick(TimePoint now);
 
+    /// A timer of this process fired that much late.
+    void onTimerDelay(Duration delay, TimePoint now);
+
     /// The process stood still for so long, although the steady clock may not show it.
     void onTimeGap(Duration gap, TimePoint now);
 
@@ -156,6 +160,8 @@
     Scheduler m_scheduler;
     FleetView m_view;
     PoolAssignment m_assignment;
+    StrainGauge m_strain;
+    bool m_strained = false;
 
     std::unordered_map<std::string, EntryJob> m_jobs;
     std::map<std::string, TargetEntry> m_targets;
--- a/src/fleet/hostnodepeers.cpp
+++ b/src/fleet/hostnodepeers.cpp
@@ -32,6 +32,8 @@
 /// A peer is asked for a configuration at most that often.
 constexpr Milliseconds AskPause {300};
 constexpr Seconds LostDispatcherMemory {10};
+/// A strained host counts as one with so many times less processor time; how much less is not known, but less than the others.
+constexpr std::uint32_t StrainedShare = 4;
 /// Lines that tell how targets are used.
 constexpr Seconds UsagePeriod {1};
 
@@ -225,6 +227,20 @@
     settle(now);
 }
 
+/// A host whose processor does not keep up counts as a weaker one, so that a stronger one takes its pools.
+void HostNode::onTimerDelay(Duration delay, TimePoint now)
+{
+    m_strain.onDelay(delay, now);
+    const bool strained = m_strain.isStrained(now);
+    if (strained == m_strained) {
+        return;
+    }
+    m_strained = strained;
+    m_assignment.self().processorPercent = m_identity.processorPercent / (strained ? StrainedShare : 1);
+    m_reportsDue = true;
+    m_observer.onStrain(strained, m_strain.delay());
+}
+
 void HostNode::tick(TimePoint now)
 {
     m_now = now;
@@ -295,7 +311,7 @@
     report.peerDoor = m_identity.peerDoor;
     report.configurationVersion = m_configuration.version;
     report.leaving = m_leaving;
-    report.processorPercent = m_identity.processorPercent;
+    report.processorPercent = m_assignment.self().processorPercent;
     for (auto &[pool, claim] : m_assignment.self().claims) {
         auto row = claim;
         for (const auto &[id, entry] : m_targets) {
--- a/src/fleet/interfaces/hostobserver.h
+++ b/src/fleet/interfaces/hostobserver.h
@@ -38,6 +38,9 @@
     virtual void onUsage(const TargetUsage &usage) = 0;
 
     /// The process stood still.
+    /// The host's processor does not keep up with its work, or does again; by how much its timers were late of late.
+    virtual void onStrain(bool strained, Duration delay) = 0;
+
     virtual void onTimeGap(Duration gap) = 0;
 };
 } // namespace Anvilcart::Fleet
--- a/src/fleet/poolassignment.cpp
+++ b/src/fleet/poolassignment.cpp
@@ -15,6 +15,12 @@
 constexpr std::size_t TargetsPerPool = 72;
 /// After its start a host listens for others that long before it claims anything; all start within 300 ms, and callers may already wait.
 constexpr Milliseconds LookAround {400};
+/// A pool is handed to a host with so many times the processor time, and not sooner than that after it was claimed: a hand-over costs
+/// a few hundred milliseconds of starts.
+constexpr std::uint32_t MuchStronger = 2;
+constexpr Seconds LeastTenure {2};
+/// When so many others are weaker too, the load or all hosts are at fault, and the pool would only wander.
+constexpr std::ptrdiff_t FewStrained = 2;
 /// A host of the pool's own zone gets a pool back from another zone once it has been seen that long.
 constexpr Milliseconds HomecomingDelay {1500};
 
@@ -122,11 +128,45 @@
     return ranks.empty() ? std::string() : std::get<std::string>(*std::min_element(ranks.begin(), ranks.end()));
 }
 
+/// True when a host with much more processor time could have this host's pool.
+bool PoolAssignment::strongerHostIsReady(const PoolName &pool, const FleetView &view, TimePoint now) const
+{
+    const auto held = m_heldSince.find(pool);
+    if (held == m_heldSince.end() || now - held->second < LeastTenure) {
+        return false;
+    }
+    const auto *member = view.find(preferredHost(pool, view, now));
+    if (member == nullptr) {
+        return false;
+    }
+    const auto members = view.live(now);
+    const auto weaker = std::count_if(members.begin(), members.end(), [member](const FleetMember *other) {
+        return member->report.processorPercent >= MuchStronger * other->report.processorPercent;
+    });
+    return weaker < FewStrained && member->report.host != m_self.host && now - member->firstHeardAt >= HomecomingDelay
+        && isHome(member->report.zone, pool) >= isHome(m_self.zone, pool)
+        && member->report.processorPercent >= MuchStronger * m_self.processorPercent;
+}
+
+void PoolAssignment::noteTenures(TimePoint now)
+{
+    std::erase_if(m_heldSince, [this](const auto &entry) {
+        const auto claim = m_self.claims.find(entry.first);
+        return claim == m_self.claims.end() || claim->second.yielding;
+    });
+    for (const auto &[pool, claim] : m_self.claims) {
+        if (!claim.yielding) {
+            m_heldSince.try_emplace(pool, now);
+        }
+    }
+}
+
 PoolDecision PoolAssignment::decide(const std::set<PoolName> &pools, const FleetView &view, TimePoint now)
 {
     if (m_startedAt == TimePoint()) {
         m_startedAt = now;
     }
+    noteTenures(now);
     PoolDecision decision;
     const auto members = view.live(now);
     for (const auto &pool : pools) {
@@ -153,6 +193,8 @@
             if (otherRank > ownRank) {
                 decision.yield.push_back(pool);
             }
+        } else if (mine && strongerHostIsReady(pool, view, now)) {
+            decision.yield.push_back(pool);
         } else if (mine && !atHome) {
             const auto preferred = preferredHost(pool, view, now);
             const auto *member = view.find(preferred);
--- a/src/fleet/poolassignment.h
+++ b/src/fleet/poolassignment.h
@@ -60,8 +60,12 @@
 
 private:
     std::string preferredHost(const PoolName &pool, const FleetView &view, TimePoint now) const;
+    bool strongerHostIsReady(const PoolName &pool, const FleetView &view, TimePoint now) const;
+    void noteTenures(TimePoint now);
 
     PoolCandidate m_self;
     TimePoint m_startedAt;
+    /// Since when this host has its pools.
+    std::map<PoolName, TimePoint> m_heldSince;
 };
 } // namespace Anvilcart::Fleet
--- a/src/hostruntime/hostprocess.cpp
+++ b/src/hostruntime/hostprocess.cpp
@@ -198,6 +198,7 @@
         if (suspended > SuspensionLimit) {
             node.onTimeGap(suspended, now);
         }
+        node.onTimerDelay(now - lastTickAt - TickPeriod, now);
         lastBootTime = boot;
         lastTickAt = now;
         node.tick(now);
--- a/src/hostruntime/hosttelemetry.cpp
+++ b/src/hostruntime/hosttelemetry.cpp
@@ -272,6 +272,12 @@
           LogClass::Routine);
 }
 
+void HostTelemetry::onStrain(bool strained, Duration delay)
+{
+    count("anvilcart_strain_changes_total", "state", strained ? "strained" : "rested");
+    write(LogLine(strained ? "host_strained" : "host_rested").add("timer_delay_ms", delay), LogClass::Important);
+}
+
 void HostTelemetry::onTimeGap(Duration gap)
 {
     count("anvilcart_time_gaps_total", "kind", "pause");
--- a/src/hostruntime/hosttelemetry.h
+++ b/src/hostruntime/hosttelemetry.h
@@ -53,6 +53,7 @@
     void onPool(const PoolName &pool, const char *what, std::uint64_t round, std::size_t targets) override;
     void onTargetTaken(const std::string &target, std::uint64_t fencingToken) override;
     void onUsage(const TargetUsage &usage) override;
+    void onStrain(bool strained, Duration delay) override;
     void onTimeGap(Duration gap) override;
 
 private:
--- a/tests/unit/fleet/pools.cpp
+++ b/tests/unit/fleet/pools.cpp
@@ -72,6 +72,67 @@
     BOOST_TEST(assignment.decide({PoolName()}, view, Begin + Milliseconds(500)).claim.size() == 1);
 }
 
+BOOST_AUTO_TEST_CASE(A_strained_host_hands_its_pool_to_a_stronger_one_and_keeps_it_when_there_is_none)
+{
+    for (const std::uint32_t othersPercent : {25, 6}) {
+        auto self = candidate("h1", "a");
+        self.processorPercent = 25;
+        PoolAssignment assignment(self);
+        assignment.self().claims[PoolName()] = {PoolName(), 1, false, {}, 3};
+        FleetView view;
+        auto other = report("h2", "a");
+        other.processorPercent = othersPercent;
+        for (int period = 0; period < 30; ++period) {
+            view.onReport(other, Begin + period * Milliseconds(200));
+            BOOST_TEST(assignment.decide({PoolName()}, view, Begin + period * Milliseconds(200)).yield.empty());
+        }
+        assignment.self().processorPercent = 6;
+        const auto decision = assignment.decide({PoolName()}, view, Begin + Seconds(6));
+        BOOST_TEST(decision.yield.size() == (othersPercent == 25 ? 1 : 0));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(A_strained_host_that_has_just_claimed_its_pool_keeps_it_for_a_while)
+{
+    auto self = candidate("h1", "a");
+    self.processorPercent = 6;
+    PoolAssignment assignment(self);
+    FleetView view;
+    auto other = report("h2", "a");
+    other.processorPercent = 25;
+    const auto yieldsAt = [&](Duration time) {
+        view.onReport(other, Begin + time);
+        return !assignment.decide({PoolName()}, view, Begin + time).yield.empty();
+    };
+    for (auto time = Milliseconds(0); time < Seconds(2); time += Milliseconds(200)) {
+        BOOST_TEST(!yieldsAt(time));
+    }
+    assignment.self().claims[PoolName()] = {PoolName(), 1, false, {}, 3};
+    for (auto time = Milliseconds(2000); time < Seconds(4); time += Milliseconds(200)) {
+        BOOST_TEST(!yieldsAt(time));
+    }
+    BOOST_TEST(yieldsAt(Milliseconds(4200)));
+}
+
+BOOST_AUTO_TEST_CASE(A_pool_does_not_wander_when_several_hosts_are_strained)
+{
+    auto self = candidate("h1", "a");
+    self.processorPercent = 6;
+    PoolAssignment assignment(self);
+    assignment.self().claims[PoolName()] = {PoolName(), 1, false, {}, 3};
+    FleetView view;
+    std::vector<HostReport> others {report("h2", "a"), report("h3", "a"), report("h4", "a")};
+    others[0].processorPercent = 25;
+    others[1].processorPercent = 6;
+    others[2].processorPercent = 6;
+    for (int period = 0; period < 30; ++period) {
+        for (const auto &other : others) {
+            view.onReport(other, Begin + period * Milliseconds(200));
+        }
+        BOOST_TEST(assignment.decide({PoolName()}, view, Begin + period * Milliseconds(200)).yield.empty());
+    }
+}
+
 BOOST_AUTO_TEST_CASE(A_pool_stays_with_the_host_that_has_it)
 {
     PoolAssignment assignment(candidate("h1", "a"));
