A job that ran before it was sent again is not said to have never run

Cause: the emulator's check of refusals looked only at the last submission of a job; had narrowed it so without naming it.

Change: the check is whole again.

--- a/emulator/promises.cpp
+++ b/emulator/promises.cpp
@@ -21,7 +21,7 @@
         note("single run", textOf(run) + " on " + target + " while it runs on " + *targets.begin(), at);
     }
     targets.insert(target);
-    m_begunSinceSubmission.insert(run.task.jobId);
+    m_everBegun.insert(run.task.jobId);
     if (m_toldNotRun.contains(run.task.jobId)) {
         note("true refusal", textOf(run) + " starts on " + target + " after its caller was told that it has not run", at);
     }
@@ -34,7 +34,7 @@
 
 void Promises::onToldNotRun(const std::string &jobId, Duration at)
 {
-    if (m_begunSinceSubmission.contains(jobId)) {
+    if (m_everBegun.contains(jobId)) {
         note("true refusal", jobId + " was told not run, but tasks had started", at);
     }
     m_toldNotRun.insert(jobId);
@@ -43,7 +43,6 @@
 void Promises::onSubmitted(const std::string &jobId)
 {
     m_toldNotRun.erase(jobId);
-    m_begunSinceSubmission.erase(jobId);
 }
 
 const std::vector<std::string> &Promises::broken() const
--- a/emulator/promises.h
+++ b/emulator/promises.h
@@ -22,8 +22,7 @@
     /// Every caller of this job was told that it has not run.
     void onToldNotRun(const std::string &jobId, Duration at);
 
-    /// The job was submitted, for the first time or after its connection had broken. A refusal speaks of the last submission: what an
-    /// earlier one started, its caller knows to be uncertain.
+    /// The job was submitted, for the first time or after its connection had broken. A refusal speaks of all submissions so far.
     void onSubmitted(const std::string &jobId);
 
     /// What did not hold, a line each.
@@ -35,7 +34,7 @@
     void note(const std::string &promise, const std::string &what, Duration at);
 
     std::map<Fleet::TaskName, std::set<std::string>> m_runningOn;
-    std::set<std::string> m_begunSinceSubmission;
+    std::set<std::string> m_everBegun;
     std::set<std::string> m_toldNotRun;
     std::vector<std::string> m_broken;
     std::uint64_t m_runsBegun = 0;
--- a/src/fleet/poolassignment.cpp
+++ b/src/fleet/poolassignment.cpp
@@ -184,7 +184,8 @@
         const auto own = m_self.claims.find(pool);
         const bool mine = own != m_self.claims.end() && !own->second.yielding;
         const bool atHome = isHome(m_self.zone, pool);
-        if (mine && m_self.leaving) {
+        const bool mustGo = mine && (m_self.leaving || (otherClaim == nullptr && strongerHostIsReady(pool, view, now)));
+        if (mustGo) {
             decision.yield.push_back(pool);
         } else if (mine && otherClaim != nullptr) {
             const bool otherAtHome = isHome(owner->report.zone, pool);
@@ -193,8 +194,6 @@
             if (otherRank > ownRank) {
                 decision.yield.push_back(pool);
             }
-        } else if (mine && strongerHostIsReady(pool, view, now)) {
-            decision.yield.push_back(pool);
         } else if (mine && !atHome) {
             const auto preferred = preferredHost(pool, view, now);
             const auto *member = view.find(preferred);
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -273,13 +273,27 @@
     m_jobs.erase(found);
     dequeue(*job);
     if (!job->cancelled) {
-        m_port.onJobEnd(job->order, result);
+        auto told = result;
+        const bool refused = result.end == JobEnd::NotRun && result.reason != JobEndReason::BetterElsewhere;
+        if (refused && mayHaveRunBefore(*job)) {
+            told.end = JobEnd::Abandoned;
+        }
+        m_port.onJobEnd(job->order, told);
     }
     if (job->successor) {
         submit(std::move(*job->successor), now);
     }
 }
 
+/// True when the job was sent again and an earlier submission of it had a run, or may have had one on a target that is being taken over.
+bool Scheduler::mayHaveRunBefore(const ScheduledJob &job) const
+{
+    const auto &targets = m_services.at(job.order.service).targets;
+    return m_ranLately.contains(job.order.request.id) || std::any_of(targets.begin(), targets.end(), [](const TargetLedger *target) {
+               return target->ownership == Ownership::Claiming && target->failedProbes == 0;
+           });
+}
+
 bool Scheduler::hasRuns(const std::string &jobId) const
 {
     const auto found = m_jobs.find(jobId);
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -5,6 +5,7 @@
 #include "scheduling/interfaces/schedulerport.h"
 #include "scheduling/placementchoice.h"
 #include "scheduling/queuepolicy.h"
+#include "scheduling/recentjobs.h"
 #include "scheduling/runtimemodel.h"
 #include "scheduling/scheduledjob.h"
 #include "scheduling/targetledger.h"
@@ -183,6 +184,7 @@
     void onRunEnded(TargetLedger &target, const EndedLedgerRun &ended, TimePoint now);
     void onTaskFailed(ScheduledJob &job, ScheduledTask &task, TargetLedger &target, TimePoint now);
     void onTaskDone(ScheduledJob &job, ScheduledTask &task, TargetLedger &target, const LedgerRun &run, TimePoint now);
+    void noteEarlierRuns(const TargetListing &listing, TimePoint now);
     void onProbeReply(TargetLedger &target, const RenewalReply &reply, TimePoint now);
     void compareTargets(const ScheduledJob &job, TimePoint now);
     void preventUnconfirmed(TargetLedger &target, TimePoint now);
@@ -191,6 +193,7 @@
     void finishIfOver(const std::string &jobId, TimePoint now);
     void endJob(const std::string &jobId, const JobResult &result, TimePoint now);
     bool hasRuns(const std::string &jobId) const;
+    bool mayHaveRunBefore(const ScheduledJob &job) const;
     void eject(TargetLedger &target, EjectionCause cause, TimePoint now);
     void watchRuns(TargetLedger &target, TimePoint now);
     void watchSilence(TargetLedger &target, TimePoint now);
@@ -202,6 +205,8 @@
     SchedulerPort &m_port;
     SchedulerObserver &m_observer;
     RunTimeModel m_runTimes;
+    /// Jobs that had a run, also under an earlier dispatcher.
+    RecentJobs m_ranLately;
     std::unordered_map<std::string, std::unique_ptr<TargetLedger>> m_targets;
     std::unordered_map<std::string, std::unique_ptr<ScheduledJob>> m_jobs;
     std::map<std::string, Service> m_services;
--- a/src/scheduling/schedulerqueue.cpp
+++ b/src/scheduling/schedulerqueue.cpp
@@ -347,6 +347,7 @@
     task.target = target.entry().id;
     ++task.lastRun;
     job.started = true;
+    m_ranLately.note(job.order.request.id, now);
     const RunName name {{job.order.request.id, 0, task.step, task.index}, task.lastRun};
     auto &run = target.addRun(name, step.demand, now);
     run.expected = expected;
--- a/src/scheduling/schedulertargets.cpp
+++ b/src/scheduling/schedulertargets.cpp
@@ -247,6 +247,9 @@
     target.failedProbes = 0;
     target.lastAnswerAt = now;
     target.onAcknowledged(target.renewalAcknowledges);
+    if (target.ownership == Ownership::Claiming) {
+        noteEarlierRuns(reply.listing, now);
+    }
     const auto changes = target.applyListing(reply.listing, target.renewalSentAt, now);
     if (changes.restarted) {
         target.ownership = Ownership::Claiming;
@@ -272,6 +275,17 @@
     }
 }
 
+/// Remembers the jobs of which a target that is taken over had runs.
+void Scheduler::noteEarlierRuns(const TargetListing &listing, TimePoint now)
+{
+    for (const auto &run : listing.running) {
+        m_ranLately.note(run.name.task.jobId, now);
+    }
+    for (const auto &run : listing.ended) {
+        m_ranLately.note(run.name.task.jobId, now);
+    }
+}
+
 void Scheduler::onProbeReply(TargetLedger &target, const RenewalReply &reply, TimePoint now)
 {
     target.renewalInFlight = false;
--- a/tests/unit/scheduling/scheduler.cpp
+++ b/tests/unit/scheduling/scheduler.cpp
@@ -423,6 +423,28 @@
     BOOST_TEST((port.ended[0].result.retryAfter >= Seconds(1)));
 }
 
+// Found by the emulator's check of refusals, seeds 1013 and 1023: after all hosts had been killed, jobs that had run were sent again, and
+// their callers were told that they had not.
+BOOST_AUTO_TEST_CASE(A_job_that_ran_before_it_was_sent_again_is_not_said_to_have_never_run)
+{
+    scheduler.addTarget(entry("t1"), Token, now);
+    const RunName ended {{"ended", 0, 0, 0}, 1};
+    const RunName running {{"running", 0, 0, 0}, 1};
+    auto unknown = job("unknown");
+    unknown.answerBy = now + Milliseconds(1);
+    submit(unknown);
+    answerRenewal("t1", {{running, 10}}, {{1, ended, RunEnd::LeaseExpired}});
+    for (const auto *id : {"ended", "fresh"}) {
+        auto hopeless = job(id);
+        hopeless.answerBy = now + Milliseconds(1);
+        submit(hopeless);
+    }
+    BOOST_REQUIRE(port.ended.size() == 3);
+    BOOST_TEST((port.ended[0].result.end == JobEnd::Abandoned));
+    BOOST_TEST((port.ended[1].result.end == JobEnd::Abandoned));
+    BOOST_TEST((port.ended[2].result.end == JobEnd::NotRun));
+}
+
 BOOST_AUTO_TEST_CASE(A_takeover_says_nothing_of_jobs_that_come_later)
 {
     own("t1");
