Tight objectives make no job late on arrival; overdue jobs cost one pass

Cause, found on reading the diff: a job counted as late at 1.3 times its forecast, so on a route whose objective leaves less slack than that every job would have been late on arrival and have shared an eighth of the room. And the wait of each overdue job was forecast by itself, a walk of the queue for each of them 40 times a second: with thousands of them that takes more than a host's processor.

Comments of the new members say what they hold.

The saving of processor time was not measured by itself.

--- a/src/fleet/hostnode.h
+++ b/src/fleet/hostnode.h
@@ -69,7 +69,7 @@
     /// Does what is due. Call every few tens of milliseconds.
     void tick(TimePoint now);
 
-    /// A timer of this process fired that much late.
+    /// A timer of this process fired so much later than it should have. Call for each period of tick().
     void onTimerDelay(Duration delay, TimePoint now);
 
     /// The process stood still for so long, although the steady clock may not show it.
--- a/src/fleet/interfaces/hostobserver.h
+++ b/src/fleet/interfaces/hostobserver.h
@@ -38,7 +38,7 @@
     virtual void onUsage(const TargetUsage &usage) = 0;
 
     /// The process stood still.
-    /// The host's processor does not keep up with its work, or does again; by how much its timers were late of late.
+    /// The host's processor does not keep up with its work, or does again. The delay is that of its last timers, on average.
     virtual void onStrain(bool strained, Duration delay) = 0;
 
     virtual void onTimeGap(Duration gap) = 0;
--- a/src/scheduling/fairqueueclock.h
+++ b/src/scheduling/fairqueueclock.h
@@ -15,7 +15,7 @@
     /// makes a route's share smaller.
     double tagFor(const std::string &route, std::int64_t priority, double work);
 
-    /// A job of this route with this tag has been started.
+    /// A job of this route, with the tag that tagFor() gave it for this priority and work, has been started.
     void onStarted(const std::string &route, std::int64_t priority, double work, double tag);
 
     /// Forgets the tags of a route's waiting jobs, which the caller tags anew in their order: jobs that left the queue without a start
--- a/src/scheduling/scheduledjob.h
+++ b/src/scheduling/scheduledjob.h
@@ -84,8 +84,8 @@
     Duration chain {0};
     TimePoint objectiveAt;
     double rank = 0;
-    /// Its place among the routes that share the room, and the work that is charged for it; see FairQueueClock. A job that is short of
-    /// time leads its tag.
+    /// Its place among the routes that share the room, and the core-milliseconds that its route pays for it; see FairQueueClock.
+    /// A job that is short of time is ranked by so much before its tag.
     double fairTag = 0;
     double fairWork = 0;
     double fairLead = 0;
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -370,14 +370,15 @@
 void Scheduler::endHopeless(TimePoint now)
 {
     std::vector<std::pair<std::string, bool>> over;
+    const auto overdueWaits = waitsOfOverdueJobs(now);
     for (const auto &[id, job] : m_jobs) {
         if (job->ending) {
             continue;
         }
         const auto needed = job->hasStarted() ? Duration(0) : shortestTime(*job, now);
         // An overdue job waits behind all others, and they may take until its caller leaves.
-        const bool overdue = !job->hasStarted() && job->timeliness == Timeliness::Overdue;
-        const auto wait = overdue ? forecastWait(m_services[job->order.service], *job, now) : Duration(0);
+        const auto overdue = overdueWaits.find(id);
+        const auto wait = overdue == overdueWaits.end() ? Duration(0) : overdue->second;
         if (now + wait + needed > job->order.answerBy) {
             over.emplace_back(id, job->hasStarted());
         }
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -168,6 +168,8 @@
     void tagAnew(const std::string &serviceName, TimePoint now);
     void dequeue(ScheduledJob &job);
     Duration forecastWait(const Service &service, const ScheduledJob &job, TimePoint now) const;
+    std::unordered_map<std::string, Duration> waitsOfOverdueJobs(TimePoint now) const;
+    static double usableCores(const Service &service, TimePoint now);
     std::uint32_t freeTasks(const Service &service, TimePoint now) const;
     Duration retryAfter(const Service &service, const std::string &jobId, TimePoint now) const;
 
--- a/src/scheduling/schedulerqueue.cpp
+++ b/src/scheduling/schedulerqueue.cpp
@@ -18,8 +18,9 @@
 constexpr int OverdueObjectives = 3;
 /// Above the tag of every job that is not overdue: some centuries of processor time of a large service.
 constexpr double OverdueTag = 1e15;
-/// A job counts as late when it would be even if its run took so many times its expected time.
-constexpr double EndMargin = 1.3;
+/// A job counts as late when it would be if its run took that share longer than expected, but may wait for half of its slack: a
+/// tight objective makes no job late on arrival.
+constexpr double RunTimeMargin = 0.3;
 /// At most one target in so many is kept for tasks that found no room.
 constexpr std::size_t KeptShare = 4;
 /// Weight of a new job in the usual size of a task.
@@ -89,14 +90,17 @@
     return facts;
 }
 
+/// What an answer would be worth if the job started now.
 Timeliness Scheduler::timelinessOf(const ScheduledJob &job, TimePoint now) const
 {
-    const auto end = now + std::chrono::duration_cast<Duration>(job.chain * EndMargin);
-    if (end <= job.objectiveAt) {
+    const auto objective = job.objectiveAt - job.order.arrivedAt;
+    const auto slack = std::max(Duration(0), objective - job.chain);
+    const auto margin = std::min(std::chrono::duration_cast<Duration>(job.chain * RunTimeMargin), slack / 2);
+    const auto waited = now - job.order.arrivedAt;
+    if (waited <= slack - margin) {
         return Timeliness::InTime;
     }
-    const auto objective = job.objectiveAt - job.order.arrivedAt;
-    return end <= job.order.arrivedAt + objective * OverdueObjectives ? Timeliness::Late : Timeliness::Overdue;
+    return waited + job.chain + margin <= objective * OverdueObjectives ? Timeliness::Late : Timeliness::Overdue;
 }
 
 /// Waiting jobs whose objective is out of reach by now leave most of the room to those that can still meet theirs, and overdue ones all
@@ -120,6 +124,7 @@
     }
 }
 
+/// Whose share of the room pays for the job: late jobs share one.
 const std::string &Scheduler::fairRouteOf(const ScheduledJob &job) const
 {
     return job.timeliness == Timeliness::InTime ? job.order.route : LateRoute;
@@ -364,6 +369,35 @@
     m_port.sendStart(target.entry().id, order);
 }
 
+/// Cores of the targets that take work, slow ones counted for what they do.
+double Scheduler::usableCores(const Service &service, TimePoint now)
+{
+    double cores = 0;
+    for (const auto *target : service.targets) {
+        cores +=
+            isUsable(*target, now) ? static_cast<double>(target->entry().capacity.milliCores) / 1000.0 / target->health.slowness(now) : 0;
+    }
+    return cores;
+}
+
+/// How long overdue jobs are expected to wait for those ahead of them.
+std::unordered_map<std::string, Duration> Scheduler::waitsOfOverdueJobs(TimePoint now) const
+{
+    std::unordered_map<std::string, Duration> waits;
+    for (const auto &[name, service] : m_services) {
+        const double cores = usableCores(service, now);
+        double aheadCoreMs = 0;
+        for (const auto &[rank, id] : service.queue) {
+            const auto &job = *m_jobs.at(id);
+            if (job.timeliness == Timeliness::Overdue && cores > 0) {
+                waits[id] = fromMs(aheadCoreMs / cores);
+            }
+            aheadCoreMs += job.remainingCoreMs;
+        }
+    }
+    return waits;
+}
+
 std::vector<ServiceLoad> Scheduler::loads(TimePoint now) const
 {
     std::vector<ServiceLoad> loads;
@@ -375,17 +409,12 @@
         load.service = name;
         load.freeTasks = freeTasks(service, now);
         double queuedCoreMs = 0;
-        double cores = 0;
         for (const auto &[rank, id] : service.queue) {
             const auto &job = *m_jobs.at(id);
             queuedCoreMs += job.remainingCoreMs;
             load.queuedTasks += static_cast<std::uint32_t>(job.waitingTasks);
         }
-        for (const auto *target : service.targets) {
-            cores += isUsable(*target, now)
-                ? static_cast<double>(target->entry().capacity.milliCores) / 1000.0 / target->health.slowness(now)
-                : 0;
-        }
+        const double cores = usableCores(service, now);
         load.wait = cores > 0 ? fromMs(queuedCoreMs / cores) : Duration(Seconds(60));
         load.freeTasks -= std::min(load.freeTasks, load.queuedTasks);
         loads.push_back(std::move(load));
