--- a/tests/unit/scheduling/scheduler.cpp
+++ b/tests/unit/scheduling/scheduler.cpp
@@ -401,22 +401,27 @@
     BOOST_TEST(port.starts[3].order.name.task.jobId == "old");
 }
 
-BOOST_AUTO_TEST_CASE(A_job_whose_objective_leaves_no_slack_is_not_late_on_arrival)
+BOOST_AUTO_TEST_CASE(Jobs_whose_objective_leaves_no_slack_are_not_late_on_arrival)
 {
     own("t1");
     submit(job("running", 2));
-    auto tight = job("tight");
-    tight.stretchFactor = 1;
-    tight.targetLatency = Milliseconds(0);
-    submit(tight);
+    for (const auto *id : {"tight 1", "tight 2"}) {
+        auto tight = job(id);
+        tight.stretchFactor = 1;
+        tight.targetLatency = Milliseconds(0);
+        submit(tight);
+    }
     scheduler.tick(now);
-    now += Milliseconds(1);
     submit(job("loose"));
     answerStart(0);
     answerStart(1);
     answerRenewal("t1", {{port.starts[1].order.name, 50}}, {{1, port.starts[0].order.name, RunEnd::Done}});
     BOOST_REQUIRE(port.starts.size() == 3);
-    BOOST_TEST(port.starts[2].order.name.task.jobId == "tight");
+    answerStart(2);
+    answerRenewal("t1", {{port.starts[2].order.name, 50}}, {{2, port.starts[1].order.name, RunEnd::Done}});
+    BOOST_REQUIRE(port.starts.size() == 4);
+    BOOST_TEST(port.starts[2].order.name.task.jobId == "tight 1");
+    BOOST_TEST(port.starts[3].order.name.task.jobId == "tight 2");
 }
 
 BOOST_AUTO_TEST_CASE(An_overdue_job_is_refused_when_those_ahead_take_longer_than_its_caller_waits)
