Start no task while its earlier run is still being stopped

Measured: the new test fails without the change (a start while the run is listed) and passes with it.

--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -132,13 +132,14 @@
     });
 }
 
-/// Adopts runs of the job that another dispatcher started on targets that this host has since taken over.
+/// Adopts runs of the job that another dispatcher started on targets that this host has since taken over. A run that is being stopped is
+/// adopted too: it works until the target lists its end, and its task must not start elsewhere before.
 void Scheduler::adoptRuns(ScheduledJob &job, TimePoint)
 {
     for (auto *target : m_services[job.submission.service].targets) {
         for (auto &[name, run] : target->runs()) {
             auto *task = name.task.jobId == job.submission.request.id ? job.find(name.task) : nullptr;
-            if (task == nullptr || run.stopRequested || task->phase == TaskPhase::Assigned) {
+            if (task == nullptr || task->phase == TaskPhase::Assigned) {
                 continue;
             }
             task->phase = TaskPhase::Assigned;
--- a/tests/unit/scheduling/scheduler.cpp
+++ b/tests/unit/scheduling/scheduler.cpp
@@ -374,6 +374,22 @@
     BOOST_TEST(port.starts.at(0).request.name.task.index == 1);
 }
 
+// The bench's day fresh-7482: the new dispatcher knew a run before its job arrived, and had just sent the stop.
+BOOST_AUTO_TEST_CASE(A_task_whose_earlier_run_is_being_stopped_starts_only_after_the_end_of_that_run)
+{
+    scheduler.addTarget(entry("t1"), Token, now);
+    claimTarget("t2");
+    const RunName found {{"j", 0, 0, 0}, 1};
+    answerRenewal("t1", {{found, 40}});
+    advance(Milliseconds(300));
+    BOOST_REQUIRE(port.stops.size() == 1);
+    submit(job("j"));
+    BOOST_TEST(port.starts.empty());
+    answerRenewal("t1", {}, {{1, found, RunEnd::Stopped}});
+    BOOST_REQUIRE(port.starts.size() == 1);
+    BOOST_TEST(port.starts.at(0).request.name.run == 2);
+}
+
 // The objective is 1.6 * 100 ms + 60 ms = 220 ms, so a job is overdue when its end is expected after 660 ms.
 BOOST_AUTO_TEST_CASE(An_overdue_job_waits_behind_all_others_and_starts_when_none_is_left)
 {
