Say "not run" only where no host can have lost the memory of a run

The caller's first submission had run; its second one was refused as not run.

What a host may say: "not run" needs a memory that reaches back for as long as callers submit a job again. So RecentJobs knows since when it is complete. It is not for 15 s after a start other than the first of the whole fleet (the platform's setting `bootstrap`), after the claim of a pool that another host may have held, and after the loss of a dispatcher, or of any host while there are several pools. Refusals in that time are answered as unknown (504).

Also: a reply or frame that waits in a socket while the process is paused is read before the first timer. HostNode noticed the pause only in tick(), so such a reply started jobs on leases from before the pause. Every event now looks for the pause first (beginEvent()).

--- a/emulator/emulatedfleet.cpp
+++ b/emulator/emulatedfleet.cpp
@@ -336,6 +336,7 @@
     HostIdentity identity;
     identity.host = host.name;
     identity.incarnation = ++host.generation * 1000 + index;
+    identity.isFirstStart = host.generation == 1;
     identity.zone = host.zone;
     identity.peerEndpoint = peerEndpointOf(index);
     identity.limits = m_options.limits;
--- a/src/fleet/hostnode.cpp
+++ b/src/fleet/hostnode.cpp
@@ -53,6 +53,7 @@
 
 void HostNode::submit(JobSubmission submission, TimePoint now)
 {
+    beginEvent(now);
     const auto id = submission.request.id;
     submission.entryHost = m_identity.host;
     EntryJob job;
@@ -126,6 +127,13 @@
     return found;
 }
 
+/// The answer for a job that no dispatcher has started since it came to this host. An earlier submission of it, to any host, may have run.
+CallerAnswer HostNode::answerForUnstarted(const EntryJob &job, TimePoint now) const
+{
+    const bool mayHaveRun = job.mayHaveRun || m_scheduler.mayHaveRun(job.submission.request.id, now);
+    return mayHaveRun ? CallerAnswer::Unknown : CallerAnswer::NotRun;
+}
+
 void HostNode::placeJob(EntryJob &job, TimePoint now)
 {
     const auto id = job.submission.request.id;
@@ -141,7 +149,7 @@
     job.nextTryAt = now + PlacementRetryPeriod;
     if (now - job.submission.arrivedAt > FindDispatcherTimeout) {
         CallerReply reply;
-        reply.answer = job.mayHaveRun ? CallerAnswer::Unknown : CallerAnswer::NotRun;
+        reply.answer = answerForUnstarted(job, now);
         reply.reason = "no_dispatcher";
         reply.retryAfter = Seconds(1);
         answer(id, reply, now);
@@ -215,7 +223,7 @@
         const bool neverSubmitted = found->second.submissionCount == 0;
         const auto dispatcher = found->second.dispatcher;
         CallerReply reply;
-        reply.answer = neverSubmitted ? CallerAnswer::NotRun : CallerAnswer::Unknown;
+        reply.answer = neverSubmitted ? answerForUnstarted(found->second, now) : CallerAnswer::Unknown;
         reply.reason = "time_is_over";
         reply.retryAfter = Seconds(1);
         answer(id, reply, now);
@@ -255,7 +263,7 @@
             job.nextTryAt = now + PlacementRetryPeriod;
             return;
         }
-        reply.answer = job.mayHaveRun ? CallerAnswer::Unknown : CallerAnswer::NotRun;
+        reply.answer = answerForUnstarted(job, now);
         break;
     case JobEnd::Abandoned:
         job.mayHaveRun = true;
@@ -366,7 +374,7 @@
     }
     for (const auto &id : ids) {
         CallerReply reply;
-        reply.answer = m_jobs.at(id).submissionCount == 0 ? CallerAnswer::NotRun : CallerAnswer::Unknown;
+        reply.answer = m_jobs.at(id).submissionCount == 0 ? answerForUnstarted(m_jobs.at(id), now) : CallerAnswer::Unknown;
         reply.reason = "stopping";
         reply.retryAfter = Seconds(1);
         const auto dispatcher = m_jobs.at(id).dispatcher;
--- a/src/fleet/hostnode.h
+++ b/src/fleet/hostnode.h
@@ -22,6 +22,8 @@
     std::string host;
     /// Differs with every start of the process.
     std::uint64_t incarnation = 0;
+    /// The whole fleet starts for the first time, so no job has run before.
+    bool isFirstStart = false;
     std::string zone;
     Endpoint peerEndpoint;
     std::uint32_t processorPercent = 100;
@@ -115,9 +117,13 @@
     void onTargetRestarted(const std::string &target) override;
     void onTargetReleased(const std::string &target) override;
 
+    /// Begins the handling of an event: detects a pause of the process before anything is decided on what was true before it.
+    void beginEvent(TimePoint now);
+
     /// Handles the events that the scheduler reported during a call. Must not be called from within a scheduler callback.
     void processSchedulerEvents(TimePoint now);
 
+    CallerAnswer answerForUnstarted(const EntryJob &job, TimePoint now) const;
     void placeJob(EntryJob &job, TimePoint now);
     bool placeWithSuccessor(EntryJob &job, TimePoint now);
     bool submitTo(EntryJob &job, const Dispatcher &dispatcher, TimePoint now);
--- a/src/fleet/hostnodepeers.cpp
+++ b/src/fleet/hostnodepeers.cpp
@@ -43,9 +43,19 @@
 }
 } // namespace
 
-void HostNode::onFrame(FleetFrame frame, TimePoint now)
+void HostNode::beginEvent(TimePoint now)
 {
     m_now = now;
+    if (m_lastTickAt != TimePoint() && now - m_lastTickAt > MaxTickInterval) {
+        const auto pause = now - m_lastTickAt;
+        m_lastTickAt = now;
+        onTimeGap(pause, now);
+    }
+}
+
+void HostNode::onFrame(FleetFrame frame, TimePoint now)
+{
+    beginEvent(now);
     if (frame.host == m_identity.host) {
         return;
     }
@@ -136,7 +146,7 @@
 
 void HostNode::onLinkClosed(const std::string &host, std::uint64_t incarnation, TimePoint now)
 {
-    m_now = now;
+    beginEvent(now);
     m_view.onDisconnect(host, incarnation, now);
     for (const auto &member : m_view.removeUnresponsive(now)) {
         onHostLost(member, now);
@@ -158,6 +168,11 @@
         return now - entry.second.second > LostDispatcherRetention;
     });
     m_lostDispatchers[incarnationKey(report.host, report.incarnation)] = {pools, now};
+    // What a lost dispatcher ran is unknown. The callers of any lost host submit their jobs again, and when there are several dispatchers,
+    // not to the one that ran them.
+    if (!pools.empty() || m_poolPlan.pools().size() > 1) {
+        m_scheduler.onHistoryLost(now);
+    }
     m_scheduler.cancelAllOf(report.host, now);
     onDispatcherLost(report.host, report.incarnation, now);
     updatePeerLoads(now);
@@ -244,13 +259,14 @@
 
 void HostNode::tick(TimePoint now)
 {
-    m_now = now;
+    beginEvent(now);
     if (m_lastTickAt == TimePoint()) {
         for (const auto &seed : m_identity.seeds) {
             addPeerEndpoint(seed, now);
         }
-    } else if (now - m_lastTickAt > MaxTickInterval) {
-        onTimeGap(now - m_lastTickAt, now);
+        if (!m_identity.isFirstStart) {
+            m_scheduler.onHistoryLost(now);
+        }
     }
     m_lastTickAt = now;
     for (const auto &member : m_view.removeUnresponsive(now)) {
--- a/src/fleet/hostnodepools.cpp
+++ b/src/fleet/hostnodepools.cpp
@@ -42,7 +42,7 @@
 
 void HostNode::onTargetList(const std::map<std::string, TargetEntry> &entries, bool storeIsFresh, TimePoint now)
 {
-    m_now = now;
+    beginEvent(now);
     for (const auto &[id, entry] : m_targets) {
         if (!entries.contains(id) && storeIsFresh) {
             m_scheduler.onEntryGone(id);
@@ -164,8 +164,12 @@
     }));
 }
 
-void HostNode::claimPool(const PoolName &pool, TimePoint)
+void HostNode::claimPool(const PoolName &pool, TimePoint now)
 {
+    if (m_highestRound > 0) {
+        // Another host may have dispatched to the pool, and only that host knows what it ran.
+        m_scheduler.onHistoryLost(now);
+    }
     m_highestRound = std::max(m_highestRound + 1, static_cast<std::uint64_t>(m_port.wallClockMs() / RoundStepMs));
     PoolClaim claim;
     claim.pool = pool;
@@ -352,21 +356,21 @@
 
 void HostNode::onStartReply(const std::string &target, const RunName &run, const TargetReply &reply, TimePoint now)
 {
-    m_now = now;
+    beginEvent(now);
     m_scheduler.onStartReply(target, run, reply, now);
     processSchedulerEvents(now);
 }
 
 void HostNode::onStopReply(const std::string &target, const RunName &run, const TargetReply &reply, TimePoint now)
 {
-    m_now = now;
+    beginEvent(now);
     m_scheduler.onStopReply(target, run, reply, now);
     processSchedulerEvents(now);
 }
 
 void HostNode::onRenewalReply(const std::string &target, const RenewalReply &reply, TimePoint now)
 {
-    m_now = now;
+    beginEvent(now);
     if (onProbeReply(target, reply, now)) {
         updatePools(now);
         return;
--- a/src/hostruntime/hostprocess.cpp
+++ b/src/hostruntime/hostprocess.cpp
@@ -74,6 +74,7 @@
     identity.host = settings.host;
     std::random_device random;
     identity.incarnation = (static_cast<std::uint64_t>(random()) << 32U) | random();
+    identity.isFirstStart = settings.isFirstStart;
     identity.zone = settings.zone;
     identity.peerEndpoint = settings.peerEndpoint;
     identity.processorPercent = static_cast<std::uint32_t>(settings.processorShare * Percent);
--- a/src/scheduling/recentjobs.cpp
+++ b/src/scheduling/recentjobs.cpp
@@ -26,6 +26,17 @@
     return m_currentSpan.contains(jobId) || m_previousSpan.contains(jobId);
 }
 
+void RecentJobs::markIncomplete(TimePoint now)
+{
+    m_incompleteAt = now;
+}
+
+bool RecentJobs::mayContain(const std::string &jobId, TimePoint now) const
+{
+    const bool incomplete = m_incompleteAt != TimePoint() && now - m_incompleteAt < SpanLength;
+    return incomplete || contains(jobId);
+}
+
 std::size_t RecentJobs::size() const
 {
     return m_currentSpan.size() + m_previousSpan.size();
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -278,7 +278,7 @@
     if (!job->cancelled) {
         auto reported = result;
         const bool refused = result.end == JobEnd::NotRun && result.reason != JobEndReason::BetterElsewhere;
-        if (refused && mayHaveRunBefore(*job)) {
+        if (refused && mayHaveRunBefore(*job, now)) {
             reported.end = JobEnd::Abandoned;
         }
         m_port.onJobEnd(job->submission, reported);
@@ -289,15 +289,24 @@
 }
 
 /// True when an earlier submission of the job had a run, or may have had one on a target that is being claimed.
-bool Scheduler::mayHaveRunBefore(const ScheduledJob &job) const
+bool Scheduler::mayHaveRunBefore(const ScheduledJob &job, TimePoint now) const
 {
     const auto &targets = m_services.at(job.submission.service).targets;
-    return m_recentlyRunJobs.contains(job.submission.request.id)
-        || std::any_of(targets.begin(), targets.end(), [](const TargetLedger *target) {
+    return mayHaveRun(job.submission.request.id, now) || std::any_of(targets.begin(), targets.end(), [](const TargetLedger *target) {
                return target->ownership == Ownership::Claiming && target->failedProbes == 0;
            });
 }
 
+void Scheduler::onHistoryLost(TimePoint now)
+{
+    m_recentlyRunJobs.markIncomplete(now);
+}
+
+bool Scheduler::mayHaveRun(const std::string &jobId, TimePoint now) const
+{
+    return m_recentlyRunJobs.mayContain(jobId, now);
+}
+
 bool Scheduler::hasRuns(const std::string &jobId) const
 {
     const auto found = m_jobs.find(jobId);
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -124,6 +124,12 @@
     /// the jobs that are here now, since the dispatcher may come back and be lost again.
     void onTakeoverComplete(const std::string &lostDispatcher, TimePoint now);
 
+    /// From now on a run of any job may have been missed: a host that knew of it was lost, or this one has just started.
+    void onHistoryLost(TimePoint now);
+
+    /// False only when it is certain that no earlier submission of the job had a run.
+    bool mayHaveRun(const std::string &jobId, TimePoint now) const;
+
     /// Sets the dispatchers to which jobs may be redirected when there is no capacity here.
     void setPeers(std::vector<PeerDispatcher> peers);
 
@@ -197,7 +203,7 @@
     void endIfNoRunsLeft(const std::string &jobId, TimePoint now);
     void endJob(const std::string &jobId, const JobResult &result, TimePoint now);
     bool hasRuns(const std::string &jobId) const;
-    bool mayHaveRunBefore(const ScheduledJob &job) const;
+    bool mayHaveRunBefore(const ScheduledJob &job, TimePoint now) const;
     void eject(TargetLedger &target, EjectionCause cause, TimePoint now);
     void checkRuns(TargetLedger &target, TimePoint now);
     void checkResponsiveness(TargetLedger &target, TimePoint now);
--- a/standins/service/servicesite.cpp
+++ b/standins/service/servicesite.cpp
@@ -85,7 +85,8 @@
 
 void ServiceSite::startHost(std::size_t index)
 {
-    std::ofstream(settingsPath(index)) << settingsText(index);
+    const bool isFirstStart = m_startedHosts.insert(index).second;
+    std::ofstream(settingsPath(index)) << settingsText(index) << "bootstrap=" << (isFirstStart ? "true" : "false") << "\n";
     const auto output = (m_folder / ("host-" + std::to_string(index) + ".log")).string();
     const std::vector<std::string> arguments {
         "dispatch", "--settings", settingsPath(index).string(), "--metrics-port", std::to_string(MetricsPort)};
--- a/standins/service/servicesite.h
+++ b/standins/service/servicesite.h
@@ -9,6 +9,7 @@
 
 #include <filesystem>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -89,5 +90,7 @@
     std::unique_ptr<StoreStandin> m_store;
     std::vector<std::unique_ptr<WorkerStandin>> m_workers;
     std::vector<std::unique_ptr<ChildProcess>> m_hosts;
+    /// Hosts that were started before; the platform tells a process whether it starts with the whole system.
+    std::set<std::size_t> m_startedHosts;
 };
 } // namespace Anvilcart
--- /dev/null
+++ b/tests/support/hostnodefixture.h
@@ -0,0 +1,239 @@
+#pragma once
+
+#include "fleet/hostnode.h"
+
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace Anvilcart::Fleet
+{
+/// Records what a host node sends. Every endpoint counts as connected.
+class FakeHostPort : public HostPort
+{
+public:
+    void connect(const Endpoint &) override
+    {
+    }
+    void disconnect(const Endpoint &) override
+    {
+    }
+    void reconnect(const Endpoint &) override
+    {
+    }
+    bool sendFrame(const Endpoint &endpoint, const FleetFrame &frame) override
+    {
+        frames.emplace_back(endpoint, frame);
+        return true;
+    }
+    void sendStart(const TargetEntry &target, const StartRequest &request) override
+    {
+        starts.emplace_back(target.id, request);
+    }
+    void sendStop(const TargetEntry &target, const StopRequest &request) override
+    {
+        stops.emplace_back(target.id, request);
+    }
+    void sendRenewal(const TargetEntry &target, const RenewalRequest &request) override
+    {
+        renewals.emplace_back(target.id, request);
+    }
+    void closeTargetConnections(const std::string &) override
+    {
+    }
+    void answerCaller(const std::string &jobId, const CallerReply &reply) override
+    {
+        answers[jobId] = reply;
+    }
+    void onConfigurationRecord(const ConfigurationRecord &) override
+    {
+    }
+    std::int64_t wallClockMs() override
+    {
+        return 1'700'000'000'000;
+    }
+
+    std::vector<std::pair<Endpoint, FleetFrame>> frames;
+    std::vector<std::pair<std::string, StartRequest>> starts;
+    std::vector<std::pair<std::string, StopRequest>> stops;
+    std::vector<std::pair<std::string, RenewalRequest>> renewals;
+    std::map<std::string, CallerReply> answers;
+};
+
+/// Ignores all events.
+class FakeHostObserver : public HostObserver
+{
+public:
+    void onJobQueued(const JobSubmission &, std::size_t, Duration) override
+    {
+    }
+    void onStart(const JobSubmission &, const std::string &, const RunName &, Duration, Duration) override
+    {
+    }
+    void onStartRefused(const std::string &, const RunName &, RequestResult) override
+    {
+    }
+    void onRunEnd(const JobSubmission *, const std::string &, const RunName &, RunEnd, Duration) override
+    {
+    }
+    void onStop(const std::string &, const RunName &, const char *) override
+    {
+    }
+    void onEjection(const std::string &, EjectionCause, Duration) override
+    {
+    }
+    void onTargetClaimed(const std::string &, std::uint64_t, std::size_t) override
+    {
+    }
+    void onTargetResponsivenessChanged(const std::string &, bool, std::size_t) override
+    {
+    }
+    void onJobSent(const EntryJob &, const std::string &, Duration) override
+    {
+    }
+    void onCallerAnswered(const EntryJob &, const CallerReply &, Duration) override
+    {
+    }
+    void onJobEnded(const JobSubmission &, const JobResult &, Duration) override
+    {
+    }
+    void onHostLivenessChanged(const HostReport &, bool, Duration) override
+    {
+    }
+    void onPoolChanged(const PoolName &, const char *, std::uint64_t, std::size_t) override
+    {
+    }
+    void onTargetTakenOver(const std::string &, std::uint64_t) override
+    {
+    }
+    void onStaleFrame(const std::string &, Duration, std::size_t) override
+    {
+    }
+    void onUsage(const TargetUsage &) override
+    {
+    }
+    void onOverloadChanged(bool, Duration) override
+    {
+    }
+    void onTimeGap(Duration) override
+    {
+    }
+};
+
+/// A host node with a clock, peers and target replies that the test controls.
+struct HostNodeFixture
+{
+    static constexpr TimePoint Begin {std::chrono::hours(1)};
+    static constexpr Milliseconds TickPeriod {25};
+
+    static HostIdentity identity(bool isFirstStart)
+    {
+        HostIdentity self;
+        self.host = "h1";
+        self.incarnation = 1;
+        self.isFirstStart = isFirstStart;
+        self.zone = "a";
+        self.peerEndpoint = {"10.0.0.1", 7000};
+        return self;
+    }
+
+    explicit HostNodeFixture(bool isFirstStart = true)
+        : node(identity(isFirstStart), port, observer)
+    {
+        node.tick(now);
+    }
+
+    /// Advances the clock with the usual ticks.
+    void advance(Duration time)
+    {
+        for (const auto end = now + time; now < end;) {
+            now += TickPeriod;
+            node.tick(now);
+        }
+    }
+
+    void listTargets(const std::vector<std::string> &ids)
+    {
+        std::map<std::string, TargetEntry> entries;
+        for (const auto &id : ids) {
+            auto &entry = entries[id];
+            entry.id = id;
+            entry.service = "service";
+            entry.zone = "a";
+            entry.capacity = {32000, 100000, 0};
+            entry.startedAtMs = 1;
+        }
+        node.onTargetList(entries, true, now);
+    }
+
+    /// Answers the last renewal that was sent to the target.
+    void answerRenewal(const std::string &target, const std::vector<ActiveRun> &running, const std::vector<EndedRun> &ended = {})
+    {
+        RenewalReply reply;
+        reply.result = RequestResult::Accepted;
+        for (const auto &[id, request] : port.renewals) {
+            reply.fencingToken = id == target ? request.fencingToken : reply.fencingToken;
+        }
+        reply.listing.clockMs = 1000 + std::chrono::duration_cast<Milliseconds>(now - Begin).count();
+        reply.listing.startedAtMs = 1;
+        reply.listing.running = running;
+        reply.listing.ended = ended;
+        node.onRenewalReply(target, reply, now);
+    }
+
+    /// Claims the only target and answers the claim.
+    void claimTarget(const std::string &id)
+    {
+        listTargets({id});
+        advance(Seconds(1));
+        answerRenewal(id, {});
+    }
+
+    JobSubmission job(const std::string &id) const
+    {
+        JobSubmission submission;
+        submission.request.id = id;
+        StepRequest step;
+        step.taskCount = 1;
+        step.demand = {14000, 64, 0};
+        step.estimate = Milliseconds(100);
+        submission.request.steps.push_back(step);
+        submission.route = "route";
+        submission.service = "service";
+        submission.maxAttempts = 2;
+        submission.stretchFactor = 1.6;
+        submission.targetLatency = Milliseconds(60);
+        submission.arrivedAt = now;
+        submission.callerDeadline = now + Seconds(9);
+        return submission;
+    }
+
+    /// A report of another host that dispatches to the pool of all targets, if dispatches is set.
+    FleetFrame report(const std::string &host, std::uint16_t lastByte, bool dispatches) const
+    {
+        FleetFrame frame;
+        frame.host = host;
+        frame.incarnation = lastByte;
+        HostReport content;
+        content.host = host;
+        content.incarnation = lastByte;
+        content.zone = "a";
+        content.peerEndpoint = {"10.0.0." + std::to_string(lastByte), 7000};
+        content.period = Milliseconds(200);
+        if (dispatches) {
+            PoolClaim claim;
+            claim.round = 1;
+            content.claims.push_back(claim);
+            content.loads.push_back({"service", 4, 0, Duration(0)});
+        }
+        frame.report = content;
+        return frame;
+    }
+
+    TimePoint now = Begin;
+    FakeHostPort port;
+    FakeHostObserver observer;
+    HostNode node;
+};
+} // namespace Anvilcart::Fleet
--- a/tests/unit/emulator/fleet.cpp
+++ b/tests/unit/emulator/fleet.cpp
@@ -194,6 +194,23 @@
     }
 }
 
+// Hosts that had lost their memory, or had taken over a pool, refused jobs as not run whose earlier submission had run. The long waits of
+// callers leave time for the second submission.
+BOOST_AUTO_TEST_CASE(Seeds_with_false_refusals_pass)
+{
+    for (const std::uint64_t seed : {78, 107, 138, 192, 229, 3084, 20012, 20060}) {
+        auto options = ordinaryOptions(seed);
+        options.kinds = longTimeoutJobKinds();
+        EmulatedFleet fleet(options);
+        const auto faults = addRandomFaults(fleet, options, seed);
+        BOOST_TEST_CONTEXT("seed " << seed << ": " << faults)
+        {
+            fleet.run(Seconds(3), Seconds(23), Seconds(28));
+            requireNoViolations(fleet);
+        }
+    }
+}
+
 // Thirty seeds of mixed faults, split into test cases that run in parallel.
 BOOST_AUTO_TEST_CASE(No_invariant_is_violated_in_the_first_seeds_of_mixed_faults)
 {
--- /dev/null
+++ b/tests/unit/fleet/hostnode.cpp
@@ -0,0 +1,65 @@
+#include "hostnodefixture.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace Anvilcart;
+using namespace Anvilcart::Fleet;
+
+BOOST_AUTO_TEST_SUITE(HostNodeSuite, *boost::unit_test::label("fleet"))
+
+// After a pause, replies that wait in the sockets are read before the first timer runs.
+BOOST_FIXTURE_TEST_CASE(A_reply_that_is_read_after_a_pause_starts_no_job_that_waited_before_it, HostNodeFixture)
+{
+    claimTarget("t1");
+    for (const auto *id : {"j1", "j2", "j3"}) {
+        node.submit(job(id), now);
+    }
+    BOOST_REQUIRE(port.starts.size() == 2);
+    now += Seconds(2);
+    answerRenewal("t1", {}, {{1, port.starts[0].second.name, RunEnd::Done}});
+    BOOST_TEST(port.starts.size() == 2);
+}
+
+BOOST_AUTO_TEST_CASE(Only_a_host_whose_fleet_starts_for_the_first_time_says_that_a_job_it_cannot_place_has_not_run)
+{
+    for (const bool isFirstStart : {true, false}) {
+        HostNodeFixture host(isFirstStart);
+        host.node.submit(host.job("j"), host.now);
+        host.advance(Seconds(1));
+        BOOST_REQUIRE(host.port.answers.contains("j"));
+        BOOST_TEST((host.port.answers["j"].answer == (isFirstStart ? CallerAnswer::NotRun : CallerAnswer::Unknown)));
+    }
+}
+
+BOOST_FIXTURE_TEST_CASE(A_restarted_host_that_has_run_for_longer_than_callers_wait_knows_what_has_not_run, HostNodeFixture)
+{
+    HostNodeFixture host(false);
+    host.advance(Seconds(16));
+    host.node.submit(host.job("j"), host.now);
+    host.advance(Seconds(1));
+    BOOST_TEST((host.port.answers["j"].answer == CallerAnswer::NotRun));
+}
+
+// Its callers may send jobs here that it has run.
+BOOST_FIXTURE_TEST_CASE(After_the_loss_of_a_dispatcher_no_job_is_said_to_have_not_run, HostNodeFixture)
+{
+    node.onFrame(report("h2", 2, true), now);
+    advance(Seconds(1));
+    node.submit(job("j"), now);
+    advance(Seconds(1));
+    BOOST_TEST((port.answers["j"].answer == CallerAnswer::Unknown));
+}
+
+BOOST_FIXTURE_TEST_CASE(The_loss_of_a_host_that_does_not_dispatch_leaves_the_only_dispatcher_certain, HostNodeFixture)
+{
+    claimTarget("t1");
+    node.onFrame(report("h2", 2, false), now);
+    advance(Seconds(1));
+    auto hopeless = job("j");
+    hopeless.callerDeadline = now + Milliseconds(1);
+    node.submit(std::move(hopeless), now);
+    BOOST_REQUIRE(port.answers.contains("j"));
+    BOOST_TEST((port.answers["j"].answer == CallerAnswer::NotRun));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/scheduling/recentjobs.cpp
+++ b/tests/unit/scheduling/recentjobs.cpp
@@ -22,4 +22,15 @@
     BOOST_TEST(jobs.size() == 2);
 }
 
+BOOST_AUTO_TEST_CASE(While_jobs_may_be_missing_every_job_may_have_run)
+{
+    constexpr TimePoint Begin {std::chrono::hours(1)};
+    RecentJobs jobs;
+    BOOST_TEST(!jobs.mayContain("unknown", Begin));
+    jobs.markIncomplete(Begin);
+    BOOST_TEST(jobs.mayContain("unknown", Begin + Seconds(14)));
+    BOOST_TEST(!jobs.contains("unknown"));
+    BOOST_TEST(!jobs.mayContain("unknown", Begin + Seconds(16)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
