--- a/emulator/emulatedfleet.cpp
+++ b/emulator/emulatedfleet.cpp
@@ -64,6 +64,14 @@
     {
     }
 
+    bool isConnected(const Endpoint &endpoint) const override
+    {
+        return connectedEndpoints.contains(toString(endpoint))
+            && std::any_of(fleet.m_hosts.begin(), fleet.m_hosts.end(), [&](const auto &other) {
+                   return other->node && peerEndpointOf(other->index) == endpoint;
+               });
+    }
+
     bool sendFrame(const Endpoint &endpoint, const FleetFrame &frame) override
     {
         for (auto &other : fleet.m_hosts) {
@@ -336,6 +344,7 @@
     HostIdentity identity;
     identity.host = host.name;
     identity.incarnation = ++host.generation * 1000 + index;
+    identity.isFirstStart = host.generation == 1;
     identity.zone = host.zone;
     identity.peerEndpoint = peerEndpointOf(index);
     identity.limits = m_options.limits;
