Raise the time-out of requests only after three losses in a row

Change: single losses do not raise it; three in a row do, as on a slow link.

The unit test asks for the shortest time-out now.

--- a/src/scheduling/requesttimeout.cpp
+++ b/src/scheduling/requesttimeout.cpp
@@ -14,8 +14,8 @@
 constexpr int SmoothedWeight = 8;
 constexpr int VariationWeight = 4;
 constexpr int VariationMultiple = 4;
-/// Of many requests a few may be lost without a cause that more time would help against, so that replies undo the back-off sooner than
-/// single losses raise it.
+/// Single requests are lost without a cause that more time would help against; so many in a row mean a slow link or processor.
+constexpr int LossesBeforeBackoff = 3;
 constexpr double BackoffFactor = 1.5;
 constexpr double BackoffRecovery = 0.9;
 } // namespace
@@ -32,10 +32,13 @@
     m_variation += (error - m_variation) / VariationWeight;
     m_smoothed += (roundTrip - m_smoothed) / SmoothedWeight;
     m_backoff = std::max(1.0, m_backoff * BackoffRecovery);
+    m_lossesInARow = 0;
 }
 
 void RequestTimeout::onTimeout()
 {
-    m_backoff = std::min(m_backoff * BackoffFactor, static_cast<double>(MaxTimeout / TargetRequestTimeout));
+    if (++m_lossesInARow >= LossesBeforeBackoff) {
+        m_backoff = std::min(m_backoff * BackoffFactor, static_cast<double>(MaxTimeout / TargetRequestTimeout));
+    }
 }
 } // namespace Anvilcart::Fleet
--- a/src/scheduling/requesttimeout.h
+++ b/src/scheduling/requesttimeout.h
@@ -15,12 +15,14 @@
     /// A reply arrived after this time.
     void onReply(Duration roundTrip);
 
-    /// No reply arrived within the time. Raises the value, since the round trip of a request without reply cannot be measured.
+    /// No reply arrived within the time. Several in a row raise the value, since the round trip of a request without reply cannot be
+    /// measured.
     void onTimeout();
 
 private:
     Duration m_smoothed {0};
     Duration m_variation {0};
     double m_backoff = 1;
+    int m_lossesInARow = 0;
 };
 } // namespace Anvilcart::Fleet
--- a/tests/unit/scheduling/requesttimeout.cpp
+++ b/tests/unit/scheduling/requesttimeout.cpp
@@ -51,7 +51,7 @@
     for (int request = 1; request <= 1000; ++request) {
         request % 18 == 0 ? timeout.onTimeout() : timeout.onReply(Milliseconds(3));
     }
-    BOOST_TEST((timeout.value() <= TargetRequestTimeout * 3 / 2));
+    BOOST_TEST((timeout.value() == TargetRequestTimeout));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
