Read the target list and the configuration as often as the site needs

Change: a host without pools reads the list every 9 ms times the targets (a second at least, as before for up to 111 targets), and then the newest record of each target rather than each heartbeat; it reads at once when it becomes a dispatcher. A long poll for the configuration waits 0.45 of the time in which it must be in force: 0.9 s as before where that is 2 s.

--- a/src/hostruntime/hostprocess.cpp
+++ b/src/hostruntime/hostprocess.cpp
@@ -32,9 +32,11 @@
 constexpr Milliseconds TickPeriod {25};
 constexpr Milliseconds LogFlushPeriod {100};
 constexpr Milliseconds SettingsPollPeriod {2000};
-/// A dispatcher must learn of a leaving target while the target still serves (2 s); other hosts need the list only for a takeover.
+/// A dispatcher must learn of a leaving target while the target still serves (2 s or more); other hosts need the list only for a takeover,
+/// and the longer it is, the less often they read it.
 constexpr Milliseconds DispatcherTargetListPeriod {300};
 constexpr Milliseconds StandbyTargetListPeriod {1000};
+constexpr Milliseconds StandbyTargetListPeriodPerTarget {9};
 /// The balancer sends new connections until two readiness probes in a row, one second apart, have failed.
 constexpr Milliseconds BalancerDetectionTime {2300};
 /// Remaining jobs are abandoned this long before the platform kills the process.
@@ -157,17 +159,20 @@
                                      .add("peers", toString(settings.peerEndpoint))
                                      .add("store", toString(settings.store))
                                      .add("policy", options.queuePolicy));
-        configurationFollower =
-            std::make_shared<ConfigurationFollower>(executor, settings.store, telemetry, [this](const std::string &record) {
+        configurationFollower = std::make_shared<ConfigurationFollower>(
+            executor, settings.store, settings.maxConfigurationDelay, telemetry, [this](const std::string &record) {
                 applyConfiguration(record, "store");
             });
         configurationFollower->start();
         targetListFollower = std::make_shared<TargetListFollower>(
             executor,
             settings.store,
+            settings.targetHeartbeat,
             telemetry,
-            [this]() -> Duration {
-                return node.isDispatcher() ? DispatcherTargetListPeriod : StandbyTargetListPeriod;
+            [this](std::size_t targets) -> Duration {
+                const auto standbyPeriod =
+                    std::max(StandbyTargetListPeriod, StandbyTargetListPeriodPerTarget * static_cast<std::int64_t>(targets));
+                return node.isDispatcher() ? DispatcherTargetListPeriod : standbyPeriod;
             },
             [this](const std::map<std::string, TargetEntry> &entries, bool fresh) {
                 node.onTargetList(entries, fresh, Clock::now());
--- a/src/hostruntime/storefollower.cpp
+++ b/src/hostruntime/storefollower.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace Anvilcart::Fleet
@@ -19,9 +20,11 @@
 namespace
 {
 constexpr auto Awaitable = asio::as_tuple(asio::use_awaitable);
-/// Maximum wait of a long-poll read; short enough to detect an unresponsive connection within the time in which a configuration must be
-/// in force.
-constexpr Milliseconds LongPollWait {900};
+/// Maximum wait of a long-poll read, as a share of the time in which a configuration must be in force: an unresponsive connection is
+/// detected and replaced within that time.
+constexpr double LongPollShare = 0.45;
+/// How often a waiting follower asks for its period again.
+constexpr Milliseconds MaxPeriodAge {300};
 /// Delay after a failed call. The store's rate limits also count the calls that it refuses.
 constexpr Milliseconds RetryDelay {200};
 /// Entries that expired while the store was unavailable are restored within 2 s of its return; the rest allows for slow reads.
@@ -34,12 +37,11 @@
 }
 } // namespace
 
-ConfigurationFollower::ConfigurationFollower(const asio::any_io_executor &executor,
-                                             const Endpoint &store,
-                                             HostTelemetry &telemetry,
-                                             Handler handler)
+ConfigurationFollower::ConfigurationFollower(
+    const asio::any_io_executor &executor, const Endpoint &store, Duration maxDelay, HostTelemetry &telemetry, Handler handler)
     : m_executor(executor)
     , m_client(executor, store)
+    , m_longPollWait(std::chrono::duration_cast<Milliseconds>(maxDelay * LongPollShare))
     , m_telemetry(telemetry)
     , m_handler(std::move(handler))
 {
@@ -93,7 +95,7 @@
 asio::awaitable<bool> ConfigurationFollower::readNext()
 {
     const auto startedAt = Clock::now();
-    const auto answer = co_await m_client.read(Platform::Names::OperatorTopic, m_nextOffset, LongPollWait);
+    const auto answer = co_await m_client.read(Platform::Names::OperatorTopic, m_nextOffset, m_longPollWait);
     const bool succeeded = answer.outcome == StoreOutcome::Answered;
     m_telemetry.onStoreCall("read", Clock::now() - startedAt, answer.outcome != StoreOutcome::Failed);
     setReachable(answer.outcome != StoreOutcome::Failed, answer.error);
@@ -120,10 +122,15 @@
     }
 }
 
-TargetListFollower::TargetListFollower(
-    const asio::any_io_executor &executor, const Endpoint &store, HostTelemetry &telemetry, PollPeriod pollPeriod, Handler handler)
+TargetListFollower::TargetListFollower(const asio::any_io_executor &executor,
+                                       const Endpoint &store,
+                                       Duration targetHeartbeat,
+                                       HostTelemetry &telemetry,
+                                       PollPeriod pollPeriod,
+                                       Handler handler)
     : m_executor(executor)
     , m_client(executor, store)
+    , m_targetHeartbeat(targetHeartbeat)
     , m_telemetry(telemetry)
     , m_pollPeriod(std::move(pollPeriod))
     , m_handler(std::move(handler))
@@ -158,8 +165,23 @@
             const bool fresh = m_reachabilityChangedAt == TimePoint() || Clock::now() - m_reachabilityChangedAt > EntryRecoveryTime;
             m_handler(m_entries, fresh);
         }
-        co_await sleepFor(m_executor, succeeded ? m_pollPeriod() : RetryDelay);
+        if (succeeded) {
+            co_await waitForNextRead();
+        } else {
+            co_await sleepFor(m_executor, RetryDelay);
+        }
+    }
+}
+
+asio::awaitable<void> TargetListFollower::waitForNextRead()
+{
+    const auto readAt = Clock::now();
+    auto period = m_pollPeriod(m_entries.size());
+    for (auto now = readAt; now - readAt < period && !m_stopped; now = Clock::now()) {
+        co_await sleepFor(m_executor, std::min<Duration>(MaxPeriodAge, readAt + period - now));
+        period = m_pollPeriod(m_entries.size());
     }
+    m_synchronised = m_synchronised && Clock::now() - readAt < m_targetHeartbeat;
 }
 
 asio::awaitable<bool> TargetListFollower::readNewest()
--- a/src/hostruntime/storefollower.h
+++ b/src/hostruntime/storefollower.h
@@ -21,8 +21,9 @@
     /// Called with each record of the operator's configuration, regardless of its version.
     using Handler = std::function<void(const std::string &record)>;
 
-    /// The telemetry must outlive the follower.
-    ConfigurationFollower(const boost::asio::any_io_executor &executor, const Endpoint &store, HostTelemetry &telemetry, Handler handler);
+    /// The telemetry must outlive the follower. A configuration must be in force within maxDelay of its publication.
+    ConfigurationFollower(
+        const boost::asio::any_io_executor &executor, const Endpoint &store, Duration maxDelay, HostTelemetry &telemetry, Handler handler);
 
     /// Starts the reads, which continue until stop().
     void start();
@@ -36,6 +37,7 @@
 
     boost::asio::any_io_executor m_executor;
     Platform::StoreClient m_client;
+    Milliseconds m_longPollWait;
     HostTelemetry &m_telemetry;
     Handler m_handler;
     std::uint64_t m_nextOffset = 0;
@@ -45,18 +47,21 @@
 };
 
 /// Follows the list of targets in the store with periodic reads. A long poll would return on every heartbeat and cost more calls.
-/// Belongs to one executor.
+/// Each heartbeat is a record, so that reads that are further apart than the heartbeats take the newest record of each target instead of
+/// all records. Belongs to one executor.
 class TargetListFollower : public std::enable_shared_from_this<TargetListFollower>
 {
 public:
     /// Called with the whole list after each successful read. fresh is false while entries may be missing only because the store was
     /// unavailable.
     using Handler = std::function<void(const std::map<std::string, TargetEntry> &entries, bool fresh)>;
-    using PollPeriod = std::function<Duration()>;
+    /// The time between reads, for a list of this many targets. Asked again while the follower waits, so that it may become shorter.
+    using PollPeriod = std::function<Duration(std::size_t targets)>;
 
-    /// The telemetry must outlive the follower. pollPeriod is called after each successful read for the delay until the next one.
+    /// The telemetry must outlive the follower.
     TargetListFollower(const boost::asio::any_io_executor &executor,
                        const Endpoint &store,
+                       Duration targetHeartbeat,
                        HostTelemetry &telemetry,
                        PollPeriod pollPeriod,
                        Handler handler);
@@ -69,10 +74,12 @@
     boost::asio::awaitable<void> run();
     boost::asio::awaitable<bool> readNewest();
     boost::asio::awaitable<bool> readNext();
+    boost::asio::awaitable<void> waitForNextRead();
     void apply(const Platform::KeyedRecord &record);
 
     boost::asio::any_io_executor m_executor;
     Platform::StoreClient m_client;
+    Duration m_targetHeartbeat;
     HostTelemetry &m_telemetry;
     PollPeriod m_pollPeriod;
     Handler m_handler;
