Send a job on while the dispatcher that it reaches yields its pool

Change: it answers "no targets", which the entry host tries again elsewhere, now until the successor is known, at growing distances and for 0.7 s at most. The entry host does so too when the dispatcher says "abandoned" since an earlier submission may have run: with one of these reasons it has started nothing itself.

Measured: both new tests fail without the change.

--- a/src/fleet/hostnode.cpp
+++ b/src/fleet/hostnode.cpp
@@ -258,9 +258,7 @@
         if (result.reason == JobEndReason::BetterElsewhere && followRedirect(job, result, now)) {
             return;
         }
-        if (mayRetryElsewhere(result.reason) && job.submissionCount < MaxSubmissions) {
-            job.dispatcher.clear();
-            job.nextTryAt = now + PlacementRetryPeriod;
+        if (retryElsewhere(job, result.reason, now)) {
             return;
         }
         reply.answer = answerForUnstarted(job, now);
@@ -273,12 +271,29 @@
             job.nextTryAt = now + PlacementRetryPeriod;
             return;
         }
+        // With the other reasons the dispatcher started nothing; it only knows no more than that about an earlier submission.
+        if (result.reason != JobEndReason::TargetsLost && retryElsewhere(job, result.reason, now)) {
+            return;
+        }
         reply.answer = CallerAnswer::Unknown;
         break;
     }
     answer(jobId, reply, now);
 }
 
+/// Schedules another submission when the reason may not apply to another dispatcher. During a hand-over a dispatcher refuses a little
+/// before its successor is known.
+bool HostNode::retryElsewhere(EntryJob &job, JobEndReason reason, TimePoint now)
+{
+    const bool mayRetry = job.submissionCount < MaxSubmissions || now - job.submission.arrivedAt < FindDispatcherTimeout;
+    if (!mayRetryElsewhere(reason) || !mayRetry) {
+        return false;
+    }
+    job.dispatcher.clear();
+    job.nextTryAt = now + PlacementRetryPeriod * job.submissionCount;
+    return true;
+}
+
 /// Submits a job to the dispatcher that the refusing one named. False when that cannot be reached.
 bool HostNode::followRedirect(EntryJob &job, const JobResult &result, TimePoint now)
 {
--- a/src/fleet/hostnode.h
+++ b/src/fleet/hostnode.h
@@ -148,6 +148,7 @@
     void answer(const std::string &jobId, const CallerReply &reply, TimePoint now);
     void onDispatcherLost(const std::string &host, std::uint64_t incarnation, TimePoint now);
     void placeWaitingJobs(TimePoint now);
+    bool retryElsewhere(EntryJob &job, JobEndReason reason, TimePoint now);
     bool followRedirect(EntryJob &job, const JobResult &result, TimePoint now);
     bool isStale(const FleetFrame &frame, TimePoint now);
     void probePoolsOfOtherZones(const std::set<PoolName> &pools, TimePoint now);
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -64,7 +64,10 @@
             return;
         }
     }
-    if (service.targets.empty()) {
+    const bool noTargets = std::all_of(service.targets.begin(), service.targets.end(), [](const TargetLedger *target) {
+        return target->ownership == Ownership::Retiring;
+    });
+    if (noTargets) {
         endJob(id, {JobEnd::NotRun, JobEndReason::NoTargets, Seconds(1), {}}, now);
         return;
     }
--- a/tests/unit/fleet/hostnode.cpp
+++ b/tests/unit/fleet/hostnode.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
+
 using namespace Anvilcart;
 using namespace Anvilcart::Fleet;
 
@@ -69,6 +71,39 @@
     BOOST_TEST((answerToHopelessJob("back") == CallerAnswer::Unknown));
 }
 
+BOOST_FIXTURE_TEST_CASE(A_job_that_a_yielding_dispatcher_refuses_waits_for_the_successor, HostNodeFixture)
+{
+    node.onFrame(report("h2", 2, true), now);
+    node.submit(job("j"), now);
+    const auto submissions = [this](const char *address) {
+        return std::count_if(port.frames.begin(), port.frames.end(), [&](const auto &sent) {
+            return sent.first.address == address && !sent.second.submissions.empty();
+        });
+    };
+    for (int refusal = 0; refusal < 4; ++refusal) {
+        FleetFrame refused;
+        refused.host = "h2";
+        refused.incarnation = 2;
+        // The dispatcher says "abandoned" while it cannot exclude that an earlier submission has run.
+        const auto end = refusal % 2 == 0 ? JobEnd::NotRun : JobEnd::Abandoned;
+        refused.ended.push_back({"j", {end, JobEndReason::NoTargets, Seconds(1), {}}});
+        node.onFrame(refused, now);
+        advance(Milliseconds(75));
+    }
+    BOOST_TEST(!port.answers.contains("j"));
+    BOOST_TEST(submissions("10.0.0.2") >= 3);
+    auto yielded = report("h2", 2, false);
+    node.onFrame(yielded, now);
+    FleetFrame refused;
+    refused.host = "h2";
+    refused.incarnation = 2;
+    refused.ended.push_back({"j", {JobEnd::NotRun, JobEndReason::NoTargets, Seconds(1), {}}});
+    node.onFrame(refused, now);
+    node.onFrame(report("h3", 3, true), now);
+    advance(Milliseconds(200));
+    BOOST_TEST(submissions("10.0.0.3") == 1);
+}
+
 // After a zone was cut off, its dispatcher still counted the targets beyond, and the one that had taken them over yielded to it.
 BOOST_FIXTURE_TEST_CASE(A_report_counts_only_the_targets_that_answer, HostNodeFixture)
 {
--- a/tests/unit/scheduling/scheduler.cpp
+++ b/tests/unit/scheduling/scheduler.cpp
@@ -359,6 +359,17 @@
     BOOST_TEST(port.ended.at(0).result.preferredDispatcher == "peer");
 }
 
+// Incident inc-ed26: such jobs were refused for load, with an empty queue.
+BOOST_AUTO_TEST_CASE(A_job_that_reaches_a_dispatcher_after_it_has_yielded_its_targets_is_sent_elsewhere)
+{
+    claimTarget("t1");
+    submit(job("running"));
+    scheduler.retireTarget("t1");
+    submit(job("late"));
+    BOOST_REQUIRE(port.ended.size() == 1);
+    BOOST_TEST((port.ended.at(0).result.reason == JobEndReason::NoTargets));
+}
+
 BOOST_AUTO_TEST_CASE(A_job_of_a_lost_dispatcher_adopts_its_known_runs_and_delays_its_other_tasks)
 {
     scheduler.addTarget(entry("t1"), Token, now);
