Claim a target again when its entry shows that it has restarted

A host that a partition separated from the others, and whose token was lower, listed it and started two tasks; the owner, whose token was higher and whose leases were counted on the clock of the earlier life, started two more. The owner learns of a restart from replies only, and an idle target sends none.

Change: the entry in the store carries the time of the start, too. When it is later than the one listed, the target is claimed anew, and nothing starts there before its list has come.

--- a/src/scheduling/schedulertargets.cpp
+++ b/src/scheduling/schedulertargets.cpp
@@ -55,8 +55,18 @@
 void Scheduler::updateTarget(const TargetEntry &entry)
 {
     const auto found = m_targets.find(entry.id);
-    if (found != m_targets.end() && (found->second->entry() != entry || found->second->entryGone)) {
-        found->second->setEntry(entry);
+    if (found == m_targets.end()) {
+        return;
+    }
+    auto &target = *found->second;
+    if (target.entry() != entry || target.entryGone) {
+        target.setEntry(entry);
+    }
+    // A restarted target remembers no fencing token, so that another host may have started work there.
+    const bool restarted = target.startedAtMs() != 0 && entry.startedAtMs > target.startedAtMs();
+    if (restarted && target.ownership == Ownership::Owned) {
+        target.ownership = Ownership::Claiming;
+        m_port.onTargetRestarted(entry.id);
     }
 }
 
--- a/src/scheduling/targetledger.cpp
+++ b/src/scheduling/targetledger.cpp
@@ -243,6 +243,11 @@
     m_reportedAcknowledgement = std::max(m_reportedAcknowledgement, std::min(position, m_acknowledgedEnds));
 }
 
+std::int64_t TargetLedger::startedAtMs() const
+{
+    return m_startedAtMs;
+}
+
 std::uint64_t TargetLedger::fencingToken() const
 {
     return m_fencingToken;
--- a/src/scheduling/targetledger.h
+++ b/src/scheduling/targetledger.h
@@ -142,6 +142,9 @@
     /// Records that a renewal with this acknowledged position was answered.
     void onAcknowledged(std::uint64_t position);
 
+    /// When the target started, by its last listing or, before the first, by its entry, in milliseconds since 1970; 0 when unknown.
+    std::int64_t startedAtMs() const;
+
     std::uint64_t fencingToken() const;
     void setFencingToken(std::uint64_t token);
 
--- a/tests/unit/scheduling/scheduler.cpp
+++ b/tests/unit/scheduling/scheduler.cpp
@@ -359,6 +359,25 @@
     BOOST_TEST(port.ended.at(0).result.preferredDispatcher == "peer");
 }
 
+// Seed 6652 of the emulator: two hosts dispatched to a target that had restarted while it was idle.
+BOOST_AUTO_TEST_CASE(A_target_whose_entry_shows_a_restart_is_claimed_again_before_any_start)
+{
+    claimTarget("t1");
+    auto restarted = entry("t1");
+    restarted.startedAtMs = 2;
+    scheduler.updateTarget(restarted);
+    BOOST_TEST(port.restarted.size() == 1);
+    submit(job("j"));
+    BOOST_TEST(port.starts.empty());
+    startedAtMs = 2;
+    scheduler.addTarget(restarted, Token + 1, now);
+    answerRenewal("t1", {});
+    BOOST_TEST(port.restarted.size() == 2);
+    scheduler.addTarget(restarted, Token + 2, now);
+    answerRenewal("t1", {});
+    BOOST_TEST(port.starts.size() == 1);
+}
+
 // Incident inc-ed26: such jobs were refused for load, with an empty queue.
 BOOST_AUTO_TEST_CASE(A_job_that_reaches_a_dispatcher_after_it_has_yielded_its_targets_is_sent_elsewhere)
 {
