--- a/tests/unit/platform/settingsfile.cpp
+++ b/tests/unit/platform/settingsfile.cpp
@@ -24,6 +24,15 @@
     BOOST_TEST(result.settings->regionOfZone.at("b") == "south");
 }
 
+// A host that takes a restart for the first start would say of jobs that they have not run.
+BOOST_AUTO_TEST_CASE(Only_a_setting_that_says_so_means_the_first_start_of_the_whole_system)
+{
+    BOOST_TEST(!parseSettings(RequiredSettings).settings->isFirstStart);
+    BOOST_TEST(!parseSettings(RequiredSettings + "bootstrap=false\n").settings->isFirstStart);
+    BOOST_TEST(parseSettings(RequiredSettings + "bootstrap=true\n").settings->isFirstStart);
+    BOOST_TEST(parseSettings(RequiredSettings + "bootstrap=perhaps\n").error.message == "bootstrap is 'perhaps'; write true or false");
+}
+
 BOOST_AUTO_TEST_CASE(An_error_states_its_line_and_the_expected_value)
 {
     const auto address = parseSettings(RequiredSettings + "seeds=nowhere\n");
