--- a/src/fleet/fleetview.h
+++ b/src/fleet/fleetview.h
@@ -90,7 +90,10 @@
     /// Live hosts, sorted by name.
     std::vector<const FleetMember *> liveMembers(TimePoint now) const;
 
+    /// The number of live hosts other than this one.
     std::size_t liveCount(TimePoint now) const;
+
+    /// The same for the hosts of one availability zone.
     std::size_t liveCountOfZone(const std::string &zone, TimePoint now) const;
 
     const FleetMember *find(const std::string &host) const;
--- a/src/fleet/hostnode.cpp
+++ b/src/fleet/hostnode.cpp
@@ -271,7 +271,7 @@
             job.nextTryAt = now + PlacementRetryPeriod;
             return;
         }
-        // With the other reasons the dispatcher started nothing; it only knows no more than that about an earlier submission.
+        // With the other reasons the dispatcher has started nothing; it only cannot exclude that an earlier submission has run.
         if (result.reason != JobEndReason::TargetsLost && retryElsewhere(job, result.reason, now)) {
             return;
         }
--- a/src/fleet/hostnode.h
+++ b/src/fleet/hostnode.h
@@ -120,7 +120,7 @@
         TimePoint lastNamedAt;
         TimePoint nextReportAt;
         /// The report period that was last sent there.
-        Duration announcedPeriod;
+        Duration announcedPeriod {0};
         /// The number of endpoints that the last list sent there had.
         std::size_t listedEndpoints = 0;
     };
--- a/src/fleet/hostnodepeers.cpp
+++ b/src/fleet/hostnodepeers.cpp
@@ -14,15 +14,15 @@
 constexpr Milliseconds IdleReportPeriod {600};
 /// A report that is sent early, as when free capacity appears or runs out, follows the previous one after at least this time.
 constexpr Milliseconds MinReportInterval {40};
-/// In a large fleet the period of reports grows with the number of hosts, which limits the time that each host spends on them. Reports
-/// within a zone grow with the hosts of that zone only: a takeover needs them.
+/// Report periods also have a minimum for each live host, which limits the time that a host of a large fleet spends on reports. Within a
+/// zone only the hosts of the zone count, since takeovers depend on these reports.
 constexpr Milliseconds DispatcherReportPeriodPerHost {4};
 constexpr Milliseconds IdleReportPeriodPerHost {20};
 constexpr Milliseconds MinLoadReportIntervalPerHost {2};
 /// One in this many reports lists the known endpoints, since a list may be lost, and so does every report after their number has changed,
 /// and to an endpoint of which no live host is known.
 constexpr std::uint64_t EndpointListInterval = 32;
-/// How often a host without pools looks whether one needs it. It is also told of changes.
+/// How often a host without pools checks whether it should claim one, besides after reports that may change the assignment.
 constexpr Milliseconds StandbyPoolCheckPeriod {100};
 /// A longer time between two ticks means that the process was paused. Leases of 1 s are then at risk.
 constexpr Milliseconds MaxTickInterval {450};
--- a/src/fleet/hostnodepools.cpp
+++ b/src/fleet/hostnodepools.cpp
@@ -165,7 +165,7 @@
     }));
 }
 
-/// Of two hosts that claim a pool, the one that was cut off reaches fewer targets, though it has not been fenced by the others yet.
+/// Targets beyond a network partition do not count: of two hosts that claim a pool, the one that reaches more targets keeps it.
 std::uint32_t HostNode::answeringTargetCount(const PoolName &pool) const
 {
     const auto &targets = m_poolPlan.targetsOf(pool);
