--- a/src/fleet/peerlinks.cpp
+++ b/src/fleet/peerlinks.cpp
@@ -29,7 +29,9 @@
 constexpr std::uint32_t MaxMessageBytes = 4 * 1024 * 1024;
 /// Several seconds of messages at peak load; a peer with a longer queue does not read.
 constexpr std::size_t MaxQueuedBytes = 8 * 1024 * 1024;
-constexpr std::size_t MaxIncomingConnections = 256;
+/// One for each host, and more while connections of hosts that have failed are still open. Well below the descriptors of the smallest
+/// hosts.
+constexpr std::size_t MaxIncomingConnections = 1024;
 /// Many times the longest round trip between zones of one region.
 constexpr Milliseconds ConnectTimeout {250};
 constexpr Milliseconds MinRetryDelay {20};
--- /dev/null
+++ b/tests/unit/fleet/peerlinks.cpp
@@ -0,0 +1,56 @@
+#include "fleet/peerlinks.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+using namespace Anvilcart;
+using namespace Anvilcart::Fleet;
+
+BOOST_AUTO_TEST_SUITE(PeerLinksSuite, *boost::unit_test::label("fleet"))
+
+// The sweep at 300 hosts: those beyond the limit connected again and again, and no report of them arrived.
+BOOST_AUTO_TEST_CASE(A_host_receives_from_every_other_host_of_a_large_fleet)
+{
+    constexpr std::size_t Hosts = 400;
+    namespace asio = boost::asio;
+    using asio::ip::tcp;
+    asio::io_context context;
+    std::uint16_t port = 0;
+    {
+        const tcp::acceptor free(context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+        port = free.local_endpoint().port();
+    }
+    std::size_t received = 0;
+    PeerLinks links(
+        context.get_executor(),
+        Endpoint {"127.0.0.1", port},
+        [&](std::string_view) {
+            received += 1;
+            return LinkSender {"host", received};
+        },
+        [](const LinkSender &) {});
+    std::vector<std::unique_ptr<tcp::socket>> sockets;
+    const std::string message {'\0', '\0', '\0', '\1', 'x'};
+    for (std::size_t host = 0; host < Hosts; ++host) {
+        auto socket = std::make_unique<tcp::socket>(context);
+        socket->connect(tcp::endpoint(asio::ip::make_address("127.0.0.1"), port));
+        asio::write(*socket, asio::buffer(message));
+        sockets.push_back(std::move(socket));
+        context.poll();
+    }
+    const auto end = Clock::now() + Seconds(10);
+    while (received < Hosts && Clock::now() < end) {
+        context.run_for(Milliseconds(20));
+    }
+    BOOST_TEST(received == Hosts);
+    links.stop();
+    context.poll();
+}
+
+BOOST_AUTO_TEST_SUITE_END()
