Emulate targets that are cut off and restart behind the cut

The emulator dropped such requests. anvilcart-emulate has two scenarios more: restarts (cuts and restarts) and late-restarts (6% of the requests act seconds late besides).

--- a/emulator/emulatedfleet.cpp
+++ b/emulator/emulatedfleet.cpp
@@ -176,8 +176,15 @@
                                     if (target->isDown()) {
                                         return;
                                     }
+                                    const auto held = fleet.m_heldRequests.find(entry.id);
+                                    if (held != fleet.m_heldRequests.end()) {
+                                        held->second.push_back([target, execute] {
+                                            execute(*target, [](const Reply &) {});
+                                        });
+                                        return;
+                                    }
                                     execute(*target, [this, networkDelay, isDelayed, entry, finish](const Reply &reply) {
-                                        if (!isDelayed) {
+                                        if (!isDelayed && !fleet.m_heldRequests.contains(entry.id)) {
                                             fleet.m_clock.callAfter(networkDelay, [this, entry, finish, reply] {
                                                 if (!fleet.isPartitioned(name, entry.zone)) {
                                                     finish(reply);
@@ -553,6 +560,28 @@
     });
 }
 
+void EmulatedFleet::cutTargets(std::size_t count, Duration restartAfter, Duration time, Duration length)
+{
+    for (std::size_t index = 0; index < count; ++index) {
+        scheduleAt(time, [this, index] {
+            m_heldRequests.try_emplace(m_targets[index]->entry().id);
+        });
+        if (restartAfter > Duration(0) && restartAfter < length) {
+            scheduleAt(time + restartAfter, [this, index] {
+                m_targets[index]->restart();
+            });
+        }
+        scheduleAt(time + length, [this, index] {
+            const auto held = m_heldRequests.extract(m_targets[index]->entry().id);
+            for (const auto &request : held ? held.mapped() : std::vector<std::function<void()>>()) {
+                // Connections resume one after the other, so that requests of different connections overtake each other.
+                constexpr int ResumeSpreadMs = 20;
+                m_clock.callAfter(Milliseconds(m_random() % ResumeSpreadMs), request);
+            }
+        });
+    }
+}
+
 void EmulatedFleet::delayTargetRequests(double share, Duration time, Duration length)
 {
     scheduleAt(time, [this, share] {
--- a/emulator/emulatedfleet.h
+++ b/emulator/emulatedfleet.h
@@ -6,6 +6,7 @@
 #include "fleet/hostnode.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <random>
@@ -88,6 +89,9 @@
     void failTargets(std::size_t count, Duration at, Duration length);
     void hangTargets(std::size_t count, Duration at, Duration length);
     void restartTargets(std::size_t count, Duration at);
+    /// Separates targets from all hosts; requests to them are delivered late, when the connections work again, and get no reply. The
+    /// targets restart after restartAfter, if that is above 0 and below length.
+    void cutTargets(std::size_t count, Duration restartAfter, Duration at, Duration length);
     /// A share of the requests to targets takes effect seconds late and gets no reply.
     void delayTargetRequests(double share, Duration at, Duration length);
     /// Callers cancel a share of the jobs that they submit in this time, halfway through the run time.
@@ -138,6 +142,8 @@
     std::map<std::string, JobKindResult> m_results;
     std::set<std::string> m_partitionedZones;
     std::set<std::string> m_partitionedHosts;
+    /// By the ids of targets that are cut off, the requests that wait for the end of the cut.
+    std::map<std::string, std::vector<std::function<void()>>> m_heldRequests;
     double m_delayedRequestShare = 0;
     double m_cancelledJobShare = 0;
     std::map<std::string, double> m_crashingJobShare;
--- a/emulator/faultscenarios.cpp
+++ b/emulator/faultscenarios.cpp
@@ -69,6 +69,29 @@
     return description + ", targets are resized, " + addRandomFaults(fleet, options, seed);
 }
 
+std::string addRestartingTargets(EmulatedFleet &fleet, double lateShare, std::uint64_t seed)
+{
+    std::mt19937_64 random(seed * 4241 + 7);
+    fleet.delayTargetRequests(lateShare, Seconds(4), Seconds(18));
+    std::string description = std::to_string(lateShare) + " of the requests are late";
+    constexpr int CutCount = 4;
+    for (int cut = 0; cut < CutCount; ++cut) {
+        const auto at = Milliseconds(4000 + random() % 14000);
+        const auto length = Milliseconds(300 + random() % 3000);
+        const auto restartAfter = Milliseconds(random() % 2500);
+        fleet.cutTargets(4 + random() % 6, restartAfter, at, length);
+        description += ", targets cut at " + std::to_string(at.count()) + " ms for " + std::to_string(length.count())
+            + " ms, restarted after " + std::to_string(restartAfter.count()) + " ms";
+    }
+    constexpr int RestartCount = 6;
+    for (int restart = 0; restart < RestartCount; ++restart) {
+        const auto at = Milliseconds(4000 + random() % 16000);
+        fleet.restartTargets(1 + random() % 9, at);
+        description += ", restart at " + std::to_string(at.count()) + " ms";
+    }
+    return description;
+}
+
 std::string addRandomFaults(EmulatedFleet &fleet, const FleetOptions &options, std::uint64_t seed)
 {
     std::mt19937_64 random(seed * 7919 + 1);
--- a/emulator/faultscenarios.h
+++ b/emulator/faultscenarios.h
@@ -27,6 +27,10 @@
 /// Crashing jobs, targets whose capacity shrinks and grows, and random faults, chosen by the seed; returns a description with times.
 std::string addCrashesAndFaults(EmulatedFleet &fleet, const FleetOptions &options, std::uint64_t seed);
 
+/// Targets restart several times, partly while they are cut off; a share of the requests to targets takes effect seconds late. Returns a
+/// description with times.
+std::string addRestartingTargets(EmulatedFleet &fleet, double lateShare, std::uint64_t seed);
+
 /// Adds one to four random faults, chosen by the seed; returns a description with times.
 std::string addRandomFaults(EmulatedFleet &fleet, const FleetOptions &options, std::uint64_t seed);
 } // namespace Anvilcart::Emulation
--- a/emulator/main.cpp
+++ b/emulator/main.cpp
@@ -29,6 +29,10 @@
         description = addCrashingJobs(fleet, Seconds(4), Seconds(10));
     } else if (scenario == "crashes") {
         description = addCrashesAndFaults(fleet, options, seed);
+    } else if (scenario == "restarts") {
+        description = addRestartingTargets(fleet, 0, seed);
+    } else if (scenario == "late-restarts") {
+        description = addRestartingTargets(fleet, 0.06, seed);
     } else if (scenario == "burst") {
         description = addLoadBurst(fleet);
     }
@@ -64,7 +68,8 @@
         TCLAP::ValueArg<std::uint64_t> seeds("n", "seeds", "number of seeds", false, 10, "COUNT", commandLine);
         TCLAP::ValueArg<std::string> policy("q", "queue", "queue policy", false, "fair-share", "POLICY", commandLine);
         TCLAP::SwitchArg keepInfeasible("", "keep-hopeless", "accept jobs that cannot meet their deadline", commandLine);
-        std::vector<std::string> scenarios {"mixed", "worst-load", "burst", "crashing-jobs", "crashes", "none"};
+        std::vector<std::string> scenarios {
+            "mixed", "worst-load", "burst", "crashing-jobs", "crashes", "restarts", "late-restarts", "none"};
         TCLAP::ValuesConstraint<std::string> knownScenarios(scenarios);
         TCLAP::ValueArg<std::string> scenario("t", "troubles", "fault scenario", false, "mixed", &knownScenarios, commandLine);
         TCLAP::SwitchArg verbose("v", "verbose", "print the faults of each seed", commandLine);
