--- a/src/hostruntime/hosttelemetry.cpp
+++ b/src/hostruntime/hosttelemetry.cpp
@@ -191,6 +191,7 @@
               .add("silent_ms", now - loss.lastAnswerAt)
               .add("runs", std::uint64_t(loss.runs.size()))
               .add("newest", formatRun(newest->name))
+              .add("newest_phase", toName(newest->phase))
               .add("newest_sent_ms_before", loss.lastAnswerAt - newest->sentAt),
           LogPriority::Important);
 }
--- a/src/scheduling/targetledger.h
+++ b/src/scheduling/targetledger.h
@@ -23,6 +23,13 @@
     Running,
 };
 
+/// Returns the name used in logs. Thread-safe.
+constexpr const char *toName(RunPhase phase)
+{
+    constexpr const char *Names[] = {"sent", "unconfirmed", "running"};
+    return Names[static_cast<std::size_t>(phase)];
+}
+
 /// A run that uses, or may use, capacity of a target.
 struct LedgerRun
 {
