End a run on a restarted target only when the target refuses its start

Cause: the first listing that showed a restart ended every run that it lacked. But the run's start may have reached the target's new life after the listing was made, or may still reach it: its deadline is a reading of the earlier life's clock, and the new life knows no fencing token. The task was then started elsewhere at once. Besides, a listing of the earlier life that was read after one of the new life counted as one more restart. Change: after a restart the runs that are not listed stay in the ledger until the target has listed its runs under a higher token, which all earlier starts lack; that takes one round trip, since it is claimed again at once. A target that is retired meanwhile keeps them. A listing with an earlier start time is outdated if it was requested before the last one was read. The losses of a restart are reported once, at the claim, so that a target's runs are not taken for runs that were alone on it; the test A_restart_under_the_same_id_counts_as_a_crash therefore claims the target again before it looks at the records, and checks the same record.

--- a/src/scheduling/schedulertargets.cpp
+++ b/src/scheduling/schedulertargets.cpp
@@ -105,11 +105,11 @@
     if (found == m_targets.end()) {
         return;
     }
-    if (found->second->ownership == Ownership::Claiming) {
+    if (found->second->ownership != Ownership::Claiming) {
+        found->second->ownership = Ownership::Retiring;
+    } else if (found->second->runs().empty()) {
         eraseTarget(target);
-        return;
     }
-    found->second->ownership = Ownership::Retiring;
 }
 
 void Scheduler::cancelRetirement(const std::string &target)
@@ -306,10 +306,12 @@
         }
         return;
     }
+    const bool isClaimed = target.ownership == Ownership::Claiming && !changes.restarted;
     if (changes.restarted) {
         target.ownership = Ownership::Claiming;
+        m_crashSuspects.onTargetRestarted(targetId);
         m_port.onTargetRestarted(targetId);
-    } else if (target.ownership == Ownership::Claiming) {
+    } else if (isClaimed) {
         target.ownership = Ownership::Owned;
         m_observer.onTargetClaimed(targetId, target.fencingToken(), changes.adopted.size());
     }
@@ -317,10 +319,12 @@
     for (const auto &run : changes.adopted) {
         onRunAdopted(target, run, now);
     }
-    stopUnconfirmedStarts(target, now);
-    if (changes.restarted) {
+    if (!changes.restarted) {
+        stopUnconfirmedStarts(target, now);
+    }
+    if (isClaimed) {
+        // Only a target that has restarted is claimed while it has runs in the ledger.
         onRunsLost(target, LossEvidence::Restarted, previousAnswerAt, changes.ended, now);
-        m_crashSuspects.onTargetRestarted(targetId);
     }
     for (const auto &ended : changes.ended) {
         onRunEnded(target, ended, now);
--- a/src/scheduling/targetledger.cpp
+++ b/src/scheduling/targetledger.cpp
@@ -43,6 +43,7 @@
     run.demand = demand;
     run.sentAt = now;
     run.progressAt = now;
+    run.fencingToken = m_fencingToken;
     m_used += demand;
     return m_runs[name] = std::move(run);
 }
@@ -83,14 +84,12 @@
 ListingChanges TargetLedger::applyListing(const TargetListing &listing, TimePoint sentAt, TimePoint now)
 {
     ListingChanges changes;
-    const bool isNewIncarnation = m_startedAtMs != 0 && listing.startedAtMs != 0 && listing.startedAtMs != m_startedAtMs;
-    const bool clockWentBack = listing.clockMs < m_lastListingClockMs;
-    changes.restarted = isNewIncarnation || (clockWentBack && listing.startedAtMs == 0);
-    if (clockWentBack && !changes.restarted) {
-        // Replies on different connections may overtake each other.
+    if (isOutdated(listing, sentAt)) {
         changes.outdated = true;
         return changes;
     }
+    const bool isNewIncarnation = m_startedAtMs != 0 && listing.startedAtMs != 0 && listing.startedAtMs != m_startedAtMs;
+    changes.restarted = isNewIncarnation || (listing.startedAtMs == 0 && listing.clockMs < m_lastListingClockMs);
     if (changes.restarted) {
         m_acknowledgedEnds = 0;
         m_reportedAcknowledgement = 0;
@@ -100,6 +99,7 @@
         m_startedAtMs = listing.startedAtMs;
     }
     m_lastListingClockMs = listing.clockMs;
+    m_lastListingReadAt = now;
     clock.onReading(listing.clockMs, now);
 
     for (const auto &row : listing.ended) {
@@ -130,7 +130,7 @@
             }
             running.erase(listed);
             ++it;
-        } else if (changes.restarted || hasEndedUnlisted(run, listing, sentAt)) {
+        } else if (!changes.restarted && hasEndedUnlisted(run, listing, sentAt)) {
             changes.ended.push_back({run, RunEnd::LeaseExpired, false});
             it = m_runs.erase(it);
         } else {
@@ -141,6 +141,7 @@
         LedgerRun run;
         run.name = name;
         run.phase = RunPhase::Running;
+        run.fencingToken = m_fencingToken;
         run.sentAt = run.confirmedAt = run.progressAt = now;
         run.progressPercent = percent;
         m_runs[name] = run;
@@ -150,8 +151,25 @@
     return changes;
 }
 
+/// True for a listing that was made before the last one. Replies on different connections may overtake each other, but a listing that was
+/// requested after the last one was read is newer. The start times of two incarnations may be out of order, since clocks are set back.
+bool TargetLedger::isOutdated(const TargetListing &listing, TimePoint sentAt) const
+{
+    if (listing.startedAtMs == 0) {
+        return false;
+    }
+    if (listing.startedAtMs == m_startedAtMs) {
+        return listing.clockMs < m_lastListingClockMs;
+    }
+    return listing.startedAtMs < m_startedAtMs && sentAt < m_lastListingReadAt;
+}
+
 bool TargetLedger::hasEndedUnlisted(const LedgerRun &run, const TargetListing &listing, TimePoint sentAt) const
 {
+    if (run.fencingToken < m_fencingToken) {
+        // The target accepted the higher token before it made the listing, so the run's start can't have taken effect since.
+        return true;
+    }
     if (run.phase == RunPhase::Running) {
         // A listing that was requested before the run was confirmed may be older than the run.
         return sentAt > run.confirmedAt;
--- a/src/scheduling/targetledger.h
+++ b/src/scheduling/targetledger.h
@@ -39,8 +39,10 @@
     TimePoint sentAt;
     /// When the target first reported that it runs.
     TimePoint confirmedAt;
-    /// On the target's clock, in milliseconds: the start has no effect after this time.
+    /// On the target's clock, in milliseconds: the start has no effect after this time, unless the target restarts.
     std::int64_t startDeadlineMs = 0;
+    /// The fencing token of its start or, if it was found on the target, of that listing.
+    std::uint64_t fencingToken = 0;
     /// The expected run time on a target of ordinary speed.
     Duration expectedRunTime {0};
     /// The caller's estimate, recorded by RunTimeModel when the run succeeds.
@@ -83,7 +85,8 @@
     std::vector<EndedRun> unknownEndedRuns;
     /// Runs that this ledger did not start.
     std::vector<RunName> adopted;
-    /// The target has restarted since the last listing.
+    /// The target has restarted since the last listing. Runs that it does not list stay in the ledger until it has accepted a higher
+    /// fencing token: a start may have reached it after it made the listing, and one that was sent before the restart may still do so.
     bool restarted = false;
     /// The listing is older than the last one, so that nothing was applied.
     bool outdated = false;
@@ -185,6 +188,7 @@
     TimePoint probesAnsweredSince;
 
 private:
+    bool isOutdated(const TargetListing &listing, TimePoint sentAt) const;
     bool hasEndedUnlisted(const LedgerRun &run, const TargetListing &listing, TimePoint sentAt) const;
     void recomputeUsage();
 
@@ -199,6 +203,7 @@
     std::uint64_t m_reportedAcknowledgement = 0;
     std::int64_t m_startedAtMs = 0;
     std::int64_t m_lastListingClockMs = 0;
+    TimePoint m_lastListingReadAt;
     /// On this host's clock: by this time every lease that was granted has ended.
     TimePoint m_leasesEndBy;
 };
--- a/tests/unit/scheduling/crashsuspects.cpp
+++ b/tests/unit/scheduling/crashsuspects.cpp
@@ -283,13 +283,17 @@
     BOOST_TEST((port.ended[0].result.end == JobEnd::Completed));
 }
 
-// A restarted target shows at once that its runs are lost.
+// A restarted target shows that its runs are lost as soon as it is claimed again.
 BOOST_FIXTURE_TEST_CASE(A_restart_under_the_same_id_counts_as_a_crash, CrashFixture)
 {
     submit(patientJob("j"));
     acceptStartOf("j");
     startedAtMs = 2;
-    answerRenewal(targetsOf("j").at(0), {});
+    const auto target = targetsOf("j").at(0);
+    answerRenewal(target, {});
+    BOOST_REQUIRE(port.restarted.size() == 1);
+    scheduler.addTarget(entry(target), Token + 1, now);
+    answerRenewal(target, {});
     BOOST_REQUIRE(port.crashesOfJob.contains("j"));
     BOOST_TEST(port.crashesOfJob["j"].at(0).crashedTargets == 1);
 }
--- /dev/null
+++ b/tests/unit/scheduling/restartedtargets.cpp
@@ -0,0 +1,154 @@
+#include "scheduling/scheduler.h"
+
+#include "schedulerfixture.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace Anvilcart;
+using namespace Anvilcart::Fleet;
+
+namespace
+{
+/// Two targets. The restarted one was claimed in its first life, and has begun its second one; the scheduler does not know that yet.
+struct RestartedTargetFixture : SchedulerFixture
+{
+    static constexpr std::uint64_t NextToken = Token + 1;
+
+    RestartedTargetFixture()
+    {
+        claimTarget("restarted", 16000);
+        claimTarget("other", 14000);
+        now += Seconds(2);
+        startedAtMs = 2;
+    }
+
+    /// A listing of the restarted target, which was made in its life that began at startedAtMs.
+    RenewalReply listing(const std::vector<ActiveRun> &running, std::uint64_t token) const
+    {
+        RenewalReply reply;
+        reply.result = RequestResult::Accepted;
+        reply.fencingToken = token;
+        reply.listing.clockMs = clockMs() - 2500;
+        reply.listing.startedAtMs = startedAtMs;
+        reply.listing.running = running;
+        return reply;
+    }
+
+    /// Submits a job whose only task is started on the restarted target.
+    RunName startOnRestartedTarget()
+    {
+        auto submission = job("j", 1, 15000);
+        submission.callerDeadline = now + Seconds(9);
+        submit(submission);
+        BOOST_REQUIRE(port.starts.size() == 1);
+        BOOST_REQUIRE(port.starts[0].target == "restarted");
+        // From here on the other target has room, too.
+        scheduler.updateTarget(entry("other", 32000));
+        return port.starts[0].request.name;
+    }
+
+    void claimAgain()
+    {
+        BOOST_REQUIRE(!port.restarted.empty());
+        scheduler.addTarget(entry("restarted", 16000), NextToken, now);
+    }
+};
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(RestartedTargetsSuite, RestartedTargetFixture, *boost::unit_test::label("scheduling"))
+
+// Issue 27: the listing that showed the restart was made before the start arrived, and the task was started a second time.
+BOOST_AUTO_TEST_CASE(A_start_that_the_first_listing_after_a_restart_lacks_is_not_repeated_before_the_target_is_claimed_again)
+{
+    const auto run = startOnRestartedTarget();
+    now += Milliseconds(1);
+    scheduler.onRenewalReply("restarted", listing({}, Token), now);
+    advance(Milliseconds(25));
+    BOOST_TEST(port.starts.size() == 1);
+    claimAgain();
+    now += Milliseconds(3);
+    scheduler.onRenewalReply("restarted", listing({{run, 10}}, NextToken), now);
+    advance(Milliseconds(25));
+    BOOST_TEST(port.starts.size() == 1);
+    BOOST_TEST(scheduler.runCount() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(A_run_that_a_restarted_target_has_confirmed_is_not_ended_by_a_listing_that_was_made_before)
+{
+    const auto run = startOnRestartedTarget();
+    now += Milliseconds(1);
+    answerStart(0);
+    scheduler.onRenewalReply("restarted", listing({}, Token), now);
+    advance(Milliseconds(25));
+    BOOST_TEST(port.starts.size() == 1);
+    claimAgain();
+    scheduler.onRenewalReply("restarted", listing({{run, 10}}, NextToken), now);
+    BOOST_TEST(scheduler.runCount() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(An_unanswered_start_is_repeated_elsewhere_once_the_restarted_target_refuses_its_token)
+{
+    startOnRestartedTarget();
+    now += Milliseconds(50);
+    answerStart(0, RequestResult::Unknown);
+    now += Milliseconds(1);
+    scheduler.onRenewalReply("restarted", listing({}, Token), now);
+    advance(Milliseconds(25));
+    // The start carries the token of the first life, and a deadline on its clock: it could still take effect.
+    BOOST_TEST(port.starts.size() == 1);
+    claimAgain();
+    now += Milliseconds(3);
+    scheduler.onRenewalReply("restarted", listing({}, NextToken), now);
+    BOOST_REQUIRE(port.starts.size() == 2);
+    BOOST_TEST(port.starts[1].request.name.run == 2);
+}
+
+BOOST_AUTO_TEST_CASE(A_run_that_a_restart_has_ended_is_repeated_as_soon_as_the_target_is_claimed_again)
+{
+    startedAtMs = 1;
+    const auto run = startOnRestartedTarget();
+    now += Milliseconds(1);
+    answerStart(0);
+    answerRenewal("restarted", {{run, 10}});
+    startedAtMs = 2;
+    now += Milliseconds(100);
+    scheduler.onRenewalReply("restarted", listing({}, Token), now);
+    claimAgain();
+    now += Milliseconds(3);
+    scheduler.onRenewalReply("restarted", listing({}, NextToken), now);
+    BOOST_TEST(port.starts.size() == 2);
+}
+
+// A host that stops retires its targets, also one whose runs are not certain yet.
+BOOST_AUTO_TEST_CASE(A_target_that_is_retired_while_it_is_claimed_again_keeps_its_unanswered_starts)
+{
+    const auto run = startOnRestartedTarget();
+    now += Milliseconds(1);
+    scheduler.onRenewalReply("restarted", listing({}, Token), now);
+    claimAgain();
+    scheduler.retireTarget("restarted");
+    BOOST_REQUIRE(scheduler.ownsTarget("restarted"));
+    scheduler.onRenewalReply("restarted", listing({}, NextToken), now);
+    BOOST_REQUIRE(port.starts.size() == 2);
+    BOOST_TEST(port.starts[1].request.name.run == run.run + 1);
+}
+
+BOOST_AUTO_TEST_CASE(A_listing_of_the_earlier_life_that_is_read_after_one_of_the_new_life_changes_nothing)
+{
+    const auto earlier = [this] {
+        startedAtMs = 1;
+        auto reply = listing({}, NextToken);
+        startedAtMs = 2;
+        return reply;
+    }();
+    scheduler.onRenewalReply("restarted", listing({}, Token), now);
+    claimAgain();
+    now += Milliseconds(3);
+    scheduler.onRenewalReply("restarted", listing({}, NextToken), now);
+    startOnRestartedTarget();
+    scheduler.onRenewalReply("restarted", earlier, now);
+    BOOST_TEST(port.restarted.size() == 1);
+    BOOST_TEST(port.starts.size() == 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
