Keep an unanswered start on a silent target until the target answers

Cause: all runs of an unresponsive target ended with their leases. That is true of a run that the target has confirmed. An unanswered start has a deadline on the clock of the life that it was sent to; the next life has another clock and no token. Change: unanswered starts stay in the ledger, and their tasks assigned, until the target answers: then its listing, its refusal of the token or a stop decides. Their job ends when it is given up; the start is kept for 15 s more, so that a job that is sent again adopts it instead of starting beside it. A target whose entry is gone keeps nothing. A host that stops does not wait for such starts.

--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -220,6 +220,7 @@
     void checkResponsiveness(TargetLedger &target, TimePoint now);
     void recordRestartAt(const TargetEntry &entry);
     void eraseTarget(const std::string &target);
+    void releaseUnconfirmedStarts(TargetLedger &target, TimePoint now);
     void releaseIdleTargets(TimePoint now);
     void endInfeasibleJobs(TimePoint now);
 
--- a/src/scheduling/schedulertargets.cpp
+++ b/src/scheduling/schedulertargets.cpp
@@ -33,6 +33,9 @@
 constexpr Milliseconds ProbePeriodBeforeClaim {500};
 /// An idle target gets the acknowledgement of its listed ended runs after this time at the latest.
 constexpr Milliseconds MaxAcknowledgementDelay {1000};
+/// An unanswered start on an unresponsive target is remembered for this long after the end of its job: callers send a job again within 14 s
+/// on the sites.
+constexpr Seconds UnconfirmedStartRetention {15};
 /// Leaving targets are removed when they have not replied for this long.
 constexpr Seconds RemoveUnresponsiveAfter {5};
 } // namespace
@@ -187,7 +190,9 @@
 {
     std::size_t count = 0;
     for (const auto &[id, target] : m_targets) {
-        count += target->runs().size();
+        count += static_cast<std::size_t>(std::count_if(target->runs().begin(), target->runs().end(), [&](const auto &entry) {
+            return entry.second.phase == RunPhase::Running || !target->unresponsive;
+        }));
     }
     return count;
 }
@@ -398,6 +403,9 @@
         return;
     }
     const auto expired = target.expireRuns(now);
+    if (target.haveLeasesEnded(now)) {
+        releaseUnconfirmedStarts(target, now);
+    }
     if (expired.empty()) {
         return;
     }
@@ -408,6 +416,32 @@
     }
 }
 
+/// Lets jobs end that are given up but for unanswered starts on an unresponsive target. The starts stay in the ledger for a while, so that
+/// a job that is sent again does not start beside them.
+void Scheduler::releaseUnconfirmedStarts(TargetLedger &target, TimePoint now)
+{
+    std::set<std::string> givenUpJobs;
+    std::vector<RunName> forgotten;
+    for (const auto &[name, run] : target.runs()) {
+        auto *job = findJob(name.task.jobId);
+        if (job == nullptr && now - run.sentAt > UnconfirmedStartRetention) {
+            forgotten.push_back(name);
+        }
+        auto *task = job != nullptr && job->pendingResult ? job->find(name.task) : nullptr;
+        if (task != nullptr && task->phase == TaskPhase::Assigned && task->target == target.entry().id) {
+            task->phase = TaskPhase::Waiting;
+            task->target.clear();
+            givenUpJobs.insert(name.task.jobId);
+        }
+    }
+    for (const auto &name : forgotten) {
+        target.dropRun(name);
+    }
+    for (const auto &id : givenUpJobs) {
+        endIfNoRunsLeft(id, now);
+    }
+}
+
 void Scheduler::releaseIdleTargets(TimePoint now)
 {
     std::vector<std::string> idle;
--- a/src/scheduling/targetledger.cpp
+++ b/src/scheduling/targetledger.cpp
@@ -178,16 +178,25 @@
     return run.phase == RunPhase::Unconfirmed && (stopped || (listing.clockMs > run.startDeadlineMs && sentAt > run.sentAt));
 }
 
+bool TargetLedger::haveLeasesEnded(TimePoint now) const
+{
+    return now >= m_leasesEndBy;
+}
+
 std::vector<EndedLedgerRun> TargetLedger::expireRuns(TimePoint now)
 {
     std::vector<EndedLedgerRun> expired;
-    if (now < m_leasesEndBy) {
+    if (!haveLeasesEnded(now)) {
         return expired;
     }
-    for (const auto &[name, run] : m_runs) {
-        expired.push_back({run, RunEnd::LeaseExpired, false});
+    for (auto it = m_runs.begin(); it != m_runs.end();) {
+        if (it->second.phase != RunPhase::Running && !entryGone) {
+            ++it;
+            continue;
+        }
+        expired.push_back({it->second, RunEnd::LeaseExpired, false});
+        it = m_runs.erase(it);
     }
-    m_runs.clear();
     recomputeUsage();
     return expired;
 }
--- a/src/scheduling/targetledger.h
+++ b/src/scheduling/targetledger.h
@@ -125,8 +125,12 @@
     /// Applies a listing that was requested at sentAt.
     ListingChanges applyListing(const TargetListing &listing, TimePoint sentAt, TimePoint now);
 
-    /// Removes and returns all runs once every lease has certainly ended; before that, returns nothing. Call only while the target is
-    /// unresponsive.
+    /// True once every lease that was granted to runs has certainly ended.
+    bool haveLeasesEnded(TimePoint now) const;
+
+    /// Removes and returns the runs that have ended with their leases; before haveLeasesEnded(), returns nothing. Call only while the
+    /// target is unresponsive. An unanswered start remains, since the target may have restarted unnoticed and may still receive the start,
+    /// unless the entry of the target is gone.
     std::vector<EndedLedgerRun> expireRuns(TimePoint now);
 
     /// Records a request that extends leases until that reading of the target's clock.
--- a/tests/unit/emulator/fleet.cpp
+++ b/tests/unit/emulator/fleet.cpp
@@ -74,6 +74,20 @@
     BOOST_TEST(shareInObjective(fleet) > 0.97);
 }
 
+// Issue 27: a start that a restarted target received late, or that its first listing lacked, was sent to another target too.
+BOOST_AUTO_TEST_CASE(No_task_runs_twice_while_targets_restart_behind_cuts)
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        BOOST_TEST_CONTEXT("seed " << seed)
+        {
+            EmulatedFleet fleet(ordinaryOptions(seed));
+            addRestartingTargets(fleet, 0, seed);
+            fleet.run(Seconds(3), Seconds(20), Seconds(24));
+            requireNoViolations(fleet);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(The_same_seed_gives_the_same_run)
 {
     const auto runOnce = [] {
--- a/tests/unit/scheduling/restartedtargets.cpp
+++ b/tests/unit/scheduling/restartedtargets.cpp
@@ -151,4 +151,22 @@
     BOOST_TEST(port.starts.size() == 1);
 }
 
+// Silence does not tell a cut target from one that has restarted behind the cut, where a start that was held up still takes effect.
+BOOST_AUTO_TEST_CASE(An_unanswered_start_on_a_silent_target_is_not_repeated_elsewhere_when_its_lease_has_ended)
+{
+    startOnRestartedTarget();
+    now += Milliseconds(50);
+    answerStart(0, RequestResult::Unknown);
+    for (int period = 0; period < 40; ++period) {
+        now += Milliseconds(60);
+        answerRenewal("restarted", {}, {}, RequestResult::Unknown);
+        scheduler.tick(now);
+    }
+    BOOST_TEST(port.starts.size() == 1);
+    scheduler.onRenewalReply("restarted", listing({}, Token), now);
+    claimAgain();
+    scheduler.onRenewalReply("restarted", listing({}, NextToken), now);
+    BOOST_TEST(port.starts.size() == 2);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
