Ignore the reply to any renewal but the last one of its target

Cause: the port promised that one renewal of a target is in flight, but a target that was given up while its claim was on its way, and was claimed again under the same token, had two; each reply to a renewal sends the next one, so that two remained. A reply was judged by the time at which the last renewal was sent: when a host woke and read an older reply after the confirmation of a run, it took the run, which that listing lacked, for ended. Change: a renewal has a sequence number, which its reply repeats, and a target's ledger accepts the reply to its last renewal only. Probes of targets that a host doesn't claim have none, so that their replies and those of the scheduler aren't mixed up. The fixtures repeat the number; the test A_report_counts_only_the_targets_that _answer fails the last renewal of the silent target rather than the last one of any target.

--- a/emulator/emulatedfleet.cpp
+++ b/emulator/emulatedfleet.cpp
@@ -236,6 +236,7 @@
             [this, id = target.id, request](const RenewalReply &reply) {
                 auto replyWithToken = reply;
                 replyWithToken.fencingToken = request.fencingToken;
+                replyWithToken.sequence = request.sequence;
                 node->onRenewalReply(id, replyWithToken, fleet.m_clock.now());
             });
     }
--- a/src/fleet/hostnodepools.cpp
+++ b/src/fleet/hostnodepools.cpp
@@ -139,7 +139,7 @@
 bool HostNode::onProbeReply(const std::string &target, const RenewalReply &reply, TimePoint now)
 {
     const auto probe = m_pendingProbes.find(target);
-    if (probe == m_pendingProbes.end() || reply.fencingToken != 0) {
+    if (probe == m_pendingProbes.end() || reply.sequence != 0) {
         return false;
     }
     const auto record = m_probedPools.find(probe->second);
--- a/src/hostruntime/targetconnections.cpp
+++ b/src/hostruntime/targetconnections.cpp
@@ -132,9 +132,10 @@
     d->spawn(target,
              Platform::renewalCall(target.id, request),
              timeout,
-             [handler = std::move(handler), token = request.fencingToken](const HttpReply &reply) {
+             [handler = std::move(handler), token = request.fencingToken, sequence = request.sequence](const HttpReply &reply) {
                  auto decoded = Platform::decodeRenewalReply(reply);
                  decoded.fencingToken = token;
+                 decoded.sequence = sequence;
                  handler(decoded);
              });
 }
--- a/src/scheduling/interfaces/schedulerport.h
+++ b/src/scheduling/interfaces/schedulerport.h
@@ -20,7 +20,7 @@
     /// Sends a stop; the reply goes to Scheduler::onStopReply().
     virtual void sendStop(const std::string &target, const StopRequest &request) = 0;
 
-    /// Sends a renewal; the reply goes to Scheduler::onRenewalReply(). At most one is in flight for a target.
+    /// Sends a renewal; the reply goes to Scheduler::onRenewalReply() with the renewal's token and sequence number.
     virtual void sendRenewal(const std::string &target, const RenewalRequest &request) = 0;
 
     /// Reports the result of a job to its entry host. Not called for a job that its entry host cancelled.
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -237,5 +237,6 @@
     std::vector<PeerDispatcher> m_peers;
     /// When a renewal was last unanswered by a target that had answered shortly before.
     TimePoint m_lastLostAnswerAt;
+    std::uint64_t m_lastRenewalSequence = 0;
 };
 } // namespace Anvilcart::Fleet
--- a/src/scheduling/schedulertargets.cpp
+++ b/src/scheduling/schedulertargets.cpp
@@ -248,7 +248,9 @@
         request.leaseUntilMs = target.leaseEndMs(target.hasRunAlone() ? Duration(SuspectLease) : m_limits.maxLease, now);
         target.recordLease(request.leaseUntilMs, now);
     }
+    request.sequence = ++m_lastRenewalSequence;
     target.renewalInFlight = true;
+    target.renewalSequence = request.sequence;
     target.renewalSentAt = now;
     target.renewalAcknowledgedEnds = request.acknowledgedPosition;
     m_port.sendRenewal(target.entry().id, request);
@@ -261,6 +263,10 @@
         return;
     }
     auto &target = *found->second;
+    if (reply.sequence != target.renewalSequence) {
+        // What is known of a listing depends on when it was requested. A later renewal is in flight or answered.
+        return;
+    }
     if (reply.fencingToken == 0 && target.ownership == Ownership::Claiming) {
         onProbeReply(target, reply, now);
         return;
--- a/src/scheduling/targetledger.h
+++ b/src/scheduling/targetledger.h
@@ -181,6 +181,8 @@
     bool entryGone = false;
     bool unresponsive = false;
     bool renewalInFlight = false;
+    /// The sequence number of the last renewal; replies to earlier ones are ignored.
+    std::uint64_t renewalSequence = 0;
     std::uint64_t renewalAcknowledgedEnds = 0;
     TimePoint renewalSentAt;
     TimePoint lastAnswerAt;
--- a/src/workload/targetcalls.h
+++ b/src/workload/targetcalls.h
@@ -135,6 +135,8 @@
     TargetListing listing;
     /// Fencing token of the request.
     std::uint64_t fencingToken = 0;
+    /// Sequence number of the request.
+    std::uint64_t sequence = 0;
 };
 
 /// Asks a target to start a run.
@@ -164,5 +166,7 @@
     std::uint64_t acknowledgedPosition = 0;
     /// How long the target may delay its reply until a run ends.
     std::int64_t waitMs = 0;
+    /// Distinguishes the renewals of one host, above 0; not sent. 0 for probes of targets that the host does not claim.
+    std::uint64_t sequence = 0;
 };
 } // namespace Anvilcart::Fleet
--- a/tests/support/hostnodefixture.h
+++ b/tests/support/hostnodefixture.h
@@ -174,14 +174,24 @@
         node.onTargetList(entries, true, now);
     }
 
-    /// Answers the last renewal that was sent to the target.
-    void answerRenewal(const std::string &target, const std::vector<ActiveRun> &running, const std::vector<EndedRun> &ended = {})
+    /// The reply to the last renewal that was sent to the target, without a result.
+    RenewalReply replyToLastRenewal(const std::string &target) const
     {
         RenewalReply reply;
-        reply.result = RequestResult::Accepted;
         for (const auto &[id, request] : port.renewals) {
-            reply.fencingToken = id == target ? request.fencingToken : reply.fencingToken;
+            if (id == target) {
+                reply.fencingToken = request.fencingToken;
+                reply.sequence = request.sequence;
+            }
         }
+        return reply;
+    }
+
+    /// Answers the last renewal that was sent to the target.
+    void answerRenewal(const std::string &target, const std::vector<ActiveRun> &running, const std::vector<EndedRun> &ended = {})
+    {
+        auto reply = replyToLastRenewal(target);
+        reply.result = RequestResult::Accepted;
         reply.listing.clockMs = 1000 + std::chrono::duration_cast<Milliseconds>(now - Begin).count();
         reply.listing.startedAtMs = 1;
         reply.listing.running = running;
--- a/tests/support/schedulerfixture.h
+++ b/tests/support/schedulerfixture.h
@@ -186,10 +186,21 @@
                        const std::vector<ActiveRun> &running,
                        const std::vector<EndedRun> &ended = {},
                        RequestResult result = RequestResult::Accepted)
+    {
+        answerRenewal(target, lastRenewal(target), running, ended, result);
+    }
+
+    /// Answers this renewal of the target with this listing.
+    void answerRenewal(const std::string &target,
+                       const RenewalRequest &request,
+                       const std::vector<ActiveRun> &running,
+                       const std::vector<EndedRun> &ended = {},
+                       RequestResult result = RequestResult::Accepted)
     {
         RenewalReply reply;
         reply.result = result;
-        reply.fencingToken = lastRenewal(target).fencingToken;
+        reply.fencingToken = request.fencingToken;
+        reply.sequence = request.sequence;
         reply.listing.clockMs = clockMs();
         reply.listing.startedAtMs = startedAtMs;
         reply.listing.running = running;
--- a/tests/unit/fleet/hostnode.cpp
+++ b/tests/unit/fleet/hostnode.cpp
@@ -141,9 +141,7 @@
     BOOST_REQUIRE(port.starts.size() == 1);
     const auto silent = port.starts.at(0).first;
     for (int reply = 0; reply < 20; ++reply) {
-        RenewalReply none;
-        none.fencingToken = port.renewals.back().second.fencingToken;
-        node.onRenewalReply(silent, none, now);
+        node.onRenewalReply(silent, replyToLastRenewal(silent), now);
         advance(Milliseconds(50));
     }
     BOOST_TEST(reportedTargets() == 1);
--- a/tests/unit/scheduling/restartedtargets.cpp
+++ b/tests/unit/scheduling/restartedtargets.cpp
@@ -28,6 +28,7 @@
         RenewalReply reply;
         reply.result = RequestResult::Accepted;
         reply.fencingToken = token;
+        reply.sequence = lastRenewal("restarted").sequence;
         reply.listing.clockMs = clockMs() - 2500;
         reply.listing.startedAtMs = startedAtMs;
         reply.listing.running = running;
--- a/tests/unit/scheduling/scheduler.cpp
+++ b/tests/unit/scheduling/scheduler.cpp
@@ -212,6 +212,7 @@
     RenewalReply older;
     older.result = RequestResult::Accepted;
     older.fencingToken = Token;
+    older.sequence = lastRenewal(started.target).sequence;
     older.listing.startedAtMs = startedAtMs;
     older.listing.clockMs = clockMs() - 1;
     scheduler.onRenewalReply(started.target, older, now);
