--- a/src/fleet/hostnode.h
+++ b/src/fleet/hostnode.h
@@ -220,6 +220,8 @@
     /// When a target that accepted a higher fencing token may be claimed again.
     std::map<std::string, TimePoint> m_nextClaimAt;
     std::map<std::string, int> m_lostClaimCounts;
+    /// The round under which each target was last claimed.
+    std::map<std::string, std::uint64_t> m_lastRoundOf;
     /// Events from the scheduler that are not handled yet.
     std::vector<JobEndNotice> m_locallyEndedJobs;
     std::vector<std::string> m_takenOverTargets;
--- a/src/fleet/hostnodepools.cpp
+++ b/src/fleet/hostnodepools.cpp
@@ -210,6 +210,10 @@
     const auto losses = m_lostClaimCounts.find(target);
     const auto increment = losses == m_lostClaimCounts.end() ? 0 : std::uint64_t(1) << std::min(losses->second, 20);
     m_highestRound = std::max(m_highestRound + increment, static_cast<std::uint64_t>(1));
+    // Requests of the last claim may still be on their way, and must not take effect once the target has accepted this one.
+    auto &lastRound = m_lastRoundOf[target];
+    m_highestRound = std::max(m_highestRound, lastRound + 1);
+    lastRound = m_highestRound;
     const auto key = incarnationKey(m_identity.host, m_identity.incarnation);
     const auto salt = XXH64(key.data(), key.size(), 0) & ((1U << TokenSaltBits) - 1);
     return (m_highestRound << TokenSaltBits) + salt;
--- a/tests/unit/fleet/hostnode.cpp
+++ b/tests/unit/fleet/hostnode.cpp
@@ -147,6 +147,23 @@
     BOOST_TEST(reportedTargets() == 1);
 }
 
+// A start that was on its way when its target left the list would take effect on the target's return, since its token was still accepted.
+BOOST_FIXTURE_TEST_CASE(A_target_that_returns_to_the_list_is_claimed_under_a_higher_token, HostNodeFixture)
+{
+    listTargets({"t1", "t2"});
+    advance(Seconds(1));
+    answerRenewal("t1", {});
+    answerRenewal("t2", {});
+    const auto before = replyToLastRenewal("t1").fencingToken;
+    listTargets({"t2"});
+    advance(Milliseconds(100));
+    const auto renewals = port.renewals.size();
+    listTargets({"t1", "t2"});
+    advance(Milliseconds(100));
+    BOOST_REQUIRE(port.renewals.size() > renewals);
+    BOOST_TEST(replyToLastRenewal("t1").fencingToken > before);
+}
+
 namespace
 {
 /// Frames that a host sends in a second to peers in five zones, of which every seventh dispatches.
