Expect the longest lease of runs that a restarted target has confirmed

Cause: the lease of a start is computed on the clock of the life that it was sent to. A new life, whose clock begins anew, cuts that deadline to the longest lease (1 s on the sites); the ledger counted on 450 ms, the lease of a start or of a suspected task, and ended the run 0.7 s after the target's last answer. Change: a reply whose reading is too low for the known life, and a listing that shows a restart, extend the end of the target's leases to the longest lease.

--- a/src/scheduling/schedulerruns.cpp
+++ b/src/scheduling/schedulerruns.cpp
@@ -44,20 +44,18 @@
     if (reply.fencingToken != target.fencingToken()) {
         return;
     }
+    auto *run = target.find(name);
+    if (run != nullptr && reply.result == RequestResult::Accepted) {
+        target.confirmStart(*run, reply.clockMs, now);
+    }
     if (reply.result != RequestResult::Unknown && reply.result != RequestResult::NotSent) {
         target.lastAnswerAt = now;
         target.clock.onReading(reply.clockMs, now);
     }
-    auto *run = target.find(name);
     if (run == nullptr) {
         return;
     }
     if (reply.result == RequestResult::Accepted) {
-        if (run->phase != RunPhase::Running) {
-            run->phase = RunPhase::Running;
-            run->confirmedAt = now;
-            run->progressAt = now;
-        }
         if (!target.renewalInFlight) {
             renew(target, now);
         }
--- a/src/scheduling/targetledger.cpp
+++ b/src/scheduling/targetledger.cpp
@@ -147,6 +147,9 @@
         m_runs[name] = run;
         changes.adopted.push_back(name);
     }
+    if (changes.restarted) {
+        recordLongestLease(now);
+    }
     recomputeUsage();
     return changes;
 }
@@ -208,6 +211,25 @@
     m_leasesEndBy = std::max(m_leasesEndBy, now + length + drift + LeaseMargin);
 }
 
+void TargetLedger::recordLongestLease(TimePoint now)
+{
+    m_leasesEndBy = std::max(m_leasesEndBy, now + m_maxLease + std::chrono::duration_cast<Duration>(m_maxLease * ClockDrift) + LeaseMargin);
+}
+
+void TargetLedger::confirmStart(LedgerRun &run, std::int64_t clockMs, TimePoint now)
+{
+    const auto drift = std::chrono::duration_cast<Milliseconds>(clock.age(run.sentAt) * ClockDrift);
+    if (clock.isKnown() && clockMs < clock.estimateMs(run.sentAt) - drift.count()) {
+        // The reading is too low for the life to whose clock the deadline belongs.
+        recordLongestLease(now);
+    }
+    if (run.phase != RunPhase::Running) {
+        run.phase = RunPhase::Running;
+        run.confirmedAt = now;
+        run.progressAt = now;
+    }
+}
+
 std::int64_t TargetLedger::leaseEndMs(Duration length, TimePoint now) const
 {
     return clock.estimateMs(now) + std::chrono::duration_cast<Milliseconds>(std::min(length, m_maxLease)).count();
--- a/src/scheduling/targetledger.h
+++ b/src/scheduling/targetledger.h
@@ -136,6 +136,12 @@
     /// Records a request that extends leases until that reading of the target's clock.
     void recordLease(std::int64_t leaseUntilMs, TimePoint now);
 
+    /// Records that runs may hold the longest lease from now on: a target that has restarted cuts a deadline on its earlier clock to that.
+    void recordLongestLease(TimePoint now);
+
+    /// Records that the target accepted the run's start, in a reply with this reading of its clock.
+    void confirmStart(LedgerRun &run, std::int64_t clockMs, TimePoint now);
+
     /// The reading of the target's clock at which a lease granted now should end.
     std::int64_t leaseEndMs(Duration length, TimePoint now) const;
 
--- a/tests/unit/scheduling/restartedtargets.cpp
+++ b/tests/unit/scheduling/restartedtargets.cpp
@@ -47,6 +47,18 @@
         return port.starts[0].request.name;
     }
 
+    /// The target answers nothing for this time; its renewals time out.
+    void fallSilent(Duration time)
+    {
+        constexpr Milliseconds Timeout {330};
+        const auto silentUntil = now + time;
+        while (now < silentUntil) {
+            now = std::min(now + Timeout, silentUntil);
+            answerRenewal("restarted", {}, {}, RequestResult::Unknown);
+            scheduler.tick(now);
+        }
+    }
+
     void claimAgain()
     {
         BOOST_REQUIRE(!port.restarted.empty());
@@ -169,4 +181,20 @@
     BOOST_TEST(port.starts.size() == 2);
 }
 
+// A lease that was computed on the earlier life's clock is cut to the longest lease by the new life.
+BOOST_AUTO_TEST_CASE(A_run_that_an_unnoticed_new_life_has_confirmed_is_not_repeated_before_the_longest_lease_has_ended)
+{
+    startOnRestartedTarget();
+    advance(Milliseconds(1));
+    TargetReply reply;
+    reply.result = RequestResult::Accepted;
+    reply.clockMs = clockMs() - 2500;
+    reply.fencingToken = Token;
+    scheduler.onStartReply("restarted", port.starts[0].request.name, reply, now);
+    fallSilent(Milliseconds(980));
+    BOOST_TEST(port.starts.size() == 1);
+    fallSilent(Milliseconds(300));
+    BOOST_TEST(port.starts.size() == 2);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
