Date the losses of a restart by the last answer before it

Tasks on targets that crashed in one outage were suspected of the crash, and then run alone on a target, when the targets restarted one after another (found in review, not seen by callers). Cause: since the losses of a restart are reported at the next claim, with the last answer before the claim, which is the one that showed the restart. An outage is recognised by last answers close to each other. Change: the ledger keeps the last answer before the restart until the losses are reported. Measured: the new test failed on (the fourth of four targets that fell silent together and restarted 0.2 s apart was taken for a crash of its own) and passes now.

--- a/src/scheduling/schedulertargets.cpp
+++ b/src/scheduling/schedulertargets.cpp
@@ -314,6 +314,9 @@
     const bool isClaimed = target.ownership == Ownership::Claiming && !changes.restarted;
     if (changes.restarted) {
         target.ownership = Ownership::Claiming;
+        if (target.lastAnswerBeforeRestartAt == TimePoint()) {
+            target.lastAnswerBeforeRestartAt = previousAnswerAt;
+        }
         m_crashSuspects.onTargetRestarted(targetId);
         m_port.onTargetRestarted(targetId);
     } else if (isClaimed) {
@@ -329,7 +332,8 @@
     }
     if (isClaimed) {
         // Only a target that has restarted is claimed while it has runs in the ledger.
-        onRunsLost(target, LossEvidence::Restarted, previousAnswerAt, changes.ended, now);
+        const auto lastAnswerAt = std::exchange(target.lastAnswerBeforeRestartAt, TimePoint());
+        onRunsLost(target, LossEvidence::Restarted, lastAnswerAt == TimePoint() ? previousAnswerAt : lastAnswerAt, changes.ended, now);
     }
     for (const auto &ended : changes.ended) {
         onRunEnded(target, ended, now);
--- a/src/scheduling/targetledger.h
+++ b/src/scheduling/targetledger.h
@@ -190,6 +190,8 @@
     std::uint64_t renewalAcknowledgedEnds = 0;
     TimePoint renewalSentAt;
     TimePoint lastAnswerAt;
+    /// The last answer before a restart whose losses are not reported yet; TimePoint() when there is none.
+    TimePoint lastAnswerBeforeRestartAt;
     TimePoint nextProbeAt;
     /// The job for which the target is reserved until the queue is next evaluated; empty when there is none.
     std::string reservedForJob;
--- a/tests/unit/scheduling/crashsuspects.cpp
+++ b/tests/unit/scheduling/crashsuspects.cpp
@@ -298,6 +298,28 @@
     BOOST_TEST(port.crashesOfJob["j"].at(0).crashedTargets == 1);
 }
 
+// The targets of an outage restart one after another.
+BOOST_FIXTURE_TEST_CASE(No_task_is_suspected_when_targets_that_fell_silent_together_restart_one_after_another, CrashFixture)
+{
+    const std::vector<std::string> ids {"a", "b", "c", "d"};
+    for (const auto &id : ids) {
+        auto submission = patientJob(id);
+        submission.request.steps.front().demand.milliCores = 20000;
+        submit(submission);
+        acceptStartOf(id);
+    }
+    startedAtMs = 2;
+    for (const auto &id : ids) {
+        now += Milliseconds(200);
+        const auto target = targetsOf(id).at(0);
+        answerRenewal(target, {});
+        scheduler.addTarget(entry(target), Token + 1, now);
+        answerRenewal(target, {});
+    }
+    // At least this many targets are an outage.
+    BOOST_TEST(!port.crashesOfJob.contains("d"));
+}
+
 BOOST_FIXTURE_TEST_CASE(The_loss_of_a_target_that_leaves_is_no_crash, CrashFixture)
 {
     submit(patientJob("j"));
