Repeat an unanswered start once another incarnation answers at its endpoint

A job waited for its deadline, or until the entry of its target was gone, though the target had been replaced by one with another id, which refuses the start (found in review, not seen by callers). Change: after such a refusal the target keeps no unanswered start beyond the end of its leases, as after the loss of its entry.

--- a/src/scheduling/schedulerruns.cpp
+++ b/src/scheduling/schedulerruns.cpp
@@ -85,6 +85,7 @@
     }
     if (reply.result == RequestResult::WrongIncarnation) {
         target.leaving = true;
+        target.replaced = true;
     }
     onRunEnded(target, refused, now);
     schedule(target.entry().service, now);
--- a/src/scheduling/schedulertargets.cpp
+++ b/src/scheduling/schedulertargets.cpp
@@ -275,6 +275,7 @@
     }
     if (reply.result == RequestResult::WrongIncarnation) {
         target.leaving = true;
+        target.replaced = true;
     }
     if (reply.result != RequestResult::Accepted && now - target.lastAnswerAt < UnresponsiveAfter
         && target.ownership != Ownership::Claiming) {
@@ -298,6 +299,7 @@
         m_observer.onTargetResponsivenessChanged(targetId, false, 0);
     }
     target.unresponsive = false;
+    target.replaced = false;
     target.failedProbes = 0;
     const auto previousAnswerAt = std::exchange(target.lastAnswerAt, now);
     target.onAcknowledged(target.renewalAcknowledgedEnds);
--- a/tests/unit/scheduling/restartedtargets.cpp
+++ b/tests/unit/scheduling/restartedtargets.cpp
@@ -197,4 +197,17 @@
     BOOST_TEST(port.starts.size() == 2);
 }
 
+BOOST_AUTO_TEST_CASE(An_unanswered_start_is_repeated_elsewhere_once_another_incarnation_answers_at_the_endpoint)
+{
+    startOnRestartedTarget();
+    now += Milliseconds(50);
+    answerStart(0, RequestResult::Unknown);
+    for (int period = 0; period < 20; ++period) {
+        now += Milliseconds(60);
+        answerRenewal("restarted", {}, {}, RequestResult::WrongIncarnation);
+        scheduler.tick(now);
+    }
+    BOOST_TEST(port.starts.size() == 2);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
