Expect the longest lease of runs that another host has started

A task was started beside its run on a target that had just been taken over, if the target fell silent at once (found in review, not seen by callers). Cause: the ledger knows only the leases that its own host has granted. The end of the leases of a run that it found on a target was unset, so that the run ended as soon as the target counted as unresponsive, 0.7 s after its last answer. Change: a listing with such runs extends the end of the target's leases to the longest lease. Measured: the new test fails without the change (the task is started 0.9 s after the listing) and passes with it.

--- a/src/scheduling/targetledger.cpp
+++ b/src/scheduling/targetledger.cpp
@@ -147,7 +147,7 @@
         m_runs[name] = run;
         changes.adopted.push_back(name);
     }
-    if (changes.restarted) {
+    if (changes.restarted || !changes.adopted.empty()) {
         recordLongestLease(now);
     }
     recomputeUsage();
--- a/src/scheduling/targetledger.h
+++ b/src/scheduling/targetledger.h
@@ -136,7 +136,8 @@
     /// Records a request that extends leases until that reading of the target's clock.
     void recordLease(std::int64_t leaseUntilMs, TimePoint now);
 
-    /// Records that runs may hold the longest lease from now on: a target that has restarted cuts a deadline on its earlier clock to that.
+    /// Records that runs may hold the longest lease from now on: a target that has restarted cuts a deadline on its earlier clock to that,
+    /// and another host may just have granted it.
     void recordLongestLease(TimePoint now);
 
     /// Records that the target accepted the run's start, in a reply with this reading of its clock.
--- a/tests/unit/scheduling/scheduler.cpp
+++ b/tests/unit/scheduling/scheduler.cpp
@@ -168,6 +168,20 @@
     BOOST_TEST(lastRenewal("t1").leaseUntilMs > 0);
 }
 
+BOOST_AUTO_TEST_CASE(A_run_of_another_host_on_a_silent_target_is_not_repeated_before_the_longest_lease_has_ended)
+{
+    claimTarget("t1");
+    scheduler.addTarget(entry("t2"), Token, now);
+    answerRenewal("t2", {{{{"j", 0, 0, 0}, 1}, 10}});
+    for (int period = 0; period < 15; ++period) {
+        now += Milliseconds(60);
+        answerRenewal("t2", {}, {}, RequestResult::Unknown);
+        scheduler.tick(now);
+    }
+    submit(job("j"));
+    BOOST_TEST(port.starts.empty());
+}
+
 BOOST_AUTO_TEST_CASE(A_reply_to_a_request_of_an_earlier_ownership_is_ignored)
 {
     claimTarget("t1");
