Check that jobs with unanswered starts on silent targets end

Guards: a job whose start is kept ends at its deadline while its target is silent, while the target answers no claim, and when it is sent again.

--- a/tests/unit/scheduling/restartedtargets.cpp
+++ b/tests/unit/scheduling/restartedtargets.cpp
@@ -210,4 +210,45 @@
     BOOST_TEST(port.starts.size() == 2);
 }
 
+BOOST_AUTO_TEST_CASE(A_job_with_an_unanswered_start_on_a_silent_target_ends_at_its_deadline)
+{
+    startOnRestartedTarget();
+    now += Milliseconds(50);
+    answerStart(0, RequestResult::Unknown);
+    fallSilent(Milliseconds(8900));
+    BOOST_TEST(port.ended.empty());
+    fallSilent(Milliseconds(400));
+    BOOST_REQUIRE(port.ended.size() == 1);
+    BOOST_TEST((port.ended[0].result.end == JobEnd::Abandoned));
+    BOOST_TEST(scheduler.jobCount() == 0);
+}
+
+BOOST_AUTO_TEST_CASE(A_job_with_an_unanswered_start_on_a_target_that_answers_no_claim_ends_at_its_deadline)
+{
+    startOnRestartedTarget();
+    now += Milliseconds(1);
+    scheduler.onRenewalReply("restarted", listing({}, Token), now);
+    claimAgain();
+    answerStart(0, RequestResult::Unknown);
+    fallSilent(Milliseconds(9300));
+    BOOST_TEST(port.ended.size() == 1);
+    BOOST_TEST(scheduler.jobCount() == 0);
+}
+
+BOOST_AUTO_TEST_CASE(A_job_that_is_sent_again_beside_its_unanswered_start_ends_at_its_new_deadline)
+{
+    startOnRestartedTarget();
+    now += Milliseconds(50);
+    answerStart(0, RequestResult::Unknown);
+    fallSilent(Milliseconds(9300));
+    auto again = job("j", 1, 15000);
+    again.callerDeadline = now + Seconds(2);
+    submit(again);
+    fallSilent(Milliseconds(1900));
+    BOOST_TEST(port.starts.size() == 1);
+    fallSilent(Milliseconds(400));
+    BOOST_TEST(port.ended.size() == 2);
+    BOOST_TEST(scheduler.jobCount() == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
