--- a/src/scheduling/schedulertargets.cpp
+++ b/src/scheduling/schedulertargets.cpp
@@ -281,6 +281,7 @@
     }
     if (reply.result == RequestResult::WrongIncarnation) {
         target.leaving = true;
+        target.replaced = true;
     }
     if (reply.result != RequestResult::Accepted && now - target.lastAnswerAt < UnresponsiveAfter
         && target.ownership != Ownership::Claiming) {
@@ -304,6 +305,7 @@
         m_observer.onTargetResponsivenessChanged(targetId, false, 0);
     }
     target.unresponsive = false;
+    target.replaced = false;
     target.failedProbes = 0;
     const auto previousAnswerAt = std::exchange(target.lastAnswerAt, now);
     target.onAcknowledged(target.renewalAcknowledgedEnds);
@@ -320,6 +322,9 @@
     const bool isClaimed = target.ownership == Ownership::Claiming && !changes.restarted;
     if (changes.restarted) {
         target.ownership = Ownership::Claiming;
+        if (target.lastAnswerBeforeRestartAt == TimePoint()) {
+            target.lastAnswerBeforeRestartAt = previousAnswerAt;
+        }
         m_crashSuspects.onTargetRestarted(targetId);
         m_port.onTargetRestarted(targetId);
     } else if (isClaimed) {
@@ -335,7 +340,8 @@
     }
     if (isClaimed) {
         // Only a target that has restarted is claimed while it has runs in the ledger.
-        onRunsLost(target, LossEvidence::Restarted, previousAnswerAt, changes.ended, now);
+        const auto lastAnswerAt = std::exchange(target.lastAnswerBeforeRestartAt, TimePoint());
+        onRunsLost(target, LossEvidence::Restarted, lastAnswerAt == TimePoint() ? previousAnswerAt : lastAnswerAt, changes.ended, now);
     }
     for (const auto &ended : changes.ended) {
         onRunEnded(target, ended, now);
--- a/src/scheduling/targetledger.h
+++ b/src/scheduling/targetledger.h
@@ -130,12 +130,19 @@
 
     /// Removes and returns the runs that have ended with their leases; before haveLeasesEnded(), returns nothing. Call only while the
     /// target is unresponsive. An unanswered start remains, since the target may have restarted unnoticed and may still receive the start,
-    /// unless the entry of the target is gone.
+    /// unless the entry of the target is gone or another incarnation has replaced it.
     std::vector<EndedLedgerRun> expireRuns(TimePoint now);
 
     /// Records a request that extends leases until that reading of the target's clock.
     void recordLease(std::int64_t leaseUntilMs, TimePoint now);
 
+    /// Records that runs may hold the longest lease from now on: a target that has restarted cuts a deadline on its earlier clock to that,
+    /// and another host may just have granted it.
+    void recordLongestLease(TimePoint now);
+
+    /// Records that the target accepted the run's start, in a reply with this reading of its clock.
+    void confirmStart(LedgerRun &run, std::int64_t clockMs, TimePoint now);
+
     /// The reading of the target's clock at which a lease granted now should end.
     std::int64_t leaseEndMs(Duration length, TimePoint now) const;
 
@@ -179,6 +186,8 @@
     bool leaving = false;
     /// The entry is gone: the target is removed as soon as it holds no run.
     bool entryGone = false;
+    /// Another incarnation answers at its address, which refuses the starts that were sent to this one.
+    bool replaced = false;
     bool unresponsive = false;
     bool renewalInFlight = false;
     /// The sequence number of the last renewal; replies to earlier ones are ignored.
@@ -186,6 +195,8 @@
     std::uint64_t renewalAcknowledgedEnds = 0;
     TimePoint renewalSentAt;
     TimePoint lastAnswerAt;
+    /// The last answer before a restart whose losses are not reported yet; TimePoint() when there is none.
+    TimePoint lastAnswerBeforeRestartAt;
     TimePoint nextProbeAt;
     /// The job for which the target is reserved until the queue is next evaluated; empty when there is none.
     std::string reservedForJob;
--- a/tests/unit/scheduling/restartedtargets.cpp
+++ b/tests/unit/scheduling/restartedtargets.cpp
@@ -48,6 +48,18 @@
         return port.starts[0].request.name;
     }
 
+    /// The target answers nothing for this time; its renewals time out.
+    void fallSilent(Duration time)
+    {
+        constexpr Milliseconds Timeout {330};
+        const auto silentUntil = now + time;
+        while (now < silentUntil) {
+            now = std::min(now + Timeout, silentUntil);
+            answerRenewal("restarted", {}, {}, RequestResult::Unknown);
+            scheduler.tick(now);
+        }
+    }
+
     void claimAgain()
     {
         BOOST_REQUIRE(!port.restarted.empty());
@@ -170,4 +182,74 @@
     BOOST_TEST(port.starts.size() == 2);
 }
 
+// A lease that was computed on the earlier life's clock is cut to the longest lease by the new life.
+BOOST_AUTO_TEST_CASE(A_run_that_an_unnoticed_new_life_has_confirmed_is_not_repeated_before_the_longest_lease_has_ended)
+{
+    startOnRestartedTarget();
+    advance(Milliseconds(1));
+    TargetReply reply;
+    reply.result = RequestResult::Accepted;
+    reply.clockMs = clockMs() - 2500;
+    reply.fencingToken = Token;
+    scheduler.onStartReply("restarted", port.starts[0].request.name, reply, now);
+    fallSilent(Milliseconds(980));
+    BOOST_TEST(port.starts.size() == 1);
+    fallSilent(Milliseconds(300));
+    BOOST_TEST(port.starts.size() == 2);
+}
+
+BOOST_AUTO_TEST_CASE(An_unanswered_start_is_repeated_elsewhere_once_another_incarnation_answers_at_the_endpoint)
+{
+    startOnRestartedTarget();
+    now += Milliseconds(50);
+    answerStart(0, RequestResult::Unknown);
+    for (int period = 0; period < 20; ++period) {
+        now += Milliseconds(60);
+        answerRenewal("restarted", {}, {}, RequestResult::WrongIncarnation);
+        scheduler.tick(now);
+    }
+    BOOST_TEST(port.starts.size() == 2);
+}
+
+BOOST_AUTO_TEST_CASE(A_job_with_an_unanswered_start_on_a_silent_target_ends_at_its_deadline)
+{
+    startOnRestartedTarget();
+    now += Milliseconds(50);
+    answerStart(0, RequestResult::Unknown);
+    fallSilent(Milliseconds(8900));
+    BOOST_TEST(port.ended.empty());
+    fallSilent(Milliseconds(400));
+    BOOST_REQUIRE(port.ended.size() == 1);
+    BOOST_TEST((port.ended[0].result.end == JobEnd::Abandoned));
+    BOOST_TEST(scheduler.jobCount() == 0);
+}
+
+BOOST_AUTO_TEST_CASE(A_job_with_an_unanswered_start_on_a_target_that_answers_no_claim_ends_at_its_deadline)
+{
+    startOnRestartedTarget();
+    now += Milliseconds(1);
+    scheduler.onRenewalReply("restarted", listing({}, Token), now);
+    claimAgain();
+    answerStart(0, RequestResult::Unknown);
+    fallSilent(Milliseconds(9300));
+    BOOST_TEST(port.ended.size() == 1);
+    BOOST_TEST(scheduler.jobCount() == 0);
+}
+
+BOOST_AUTO_TEST_CASE(A_job_that_is_sent_again_beside_its_unanswered_start_ends_at_its_new_deadline)
+{
+    startOnRestartedTarget();
+    now += Milliseconds(50);
+    answerStart(0, RequestResult::Unknown);
+    fallSilent(Milliseconds(9300));
+    auto again = job("j", 1, 15000);
+    again.callerDeadline = now + Seconds(2);
+    submit(again);
+    fallSilent(Milliseconds(1900));
+    BOOST_TEST(port.starts.size() == 1);
+    fallSilent(Milliseconds(400));
+    BOOST_TEST(port.ended.size() == 2);
+    BOOST_TEST(scheduler.jobCount() == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
