Refuse requests that a stopping host can't finish, and end after the answers

Cause: HostNode::abandonRemainingJobs runs once, 0.7 s before the end of the grace period. A request that came later was submitted to a dispatcher as usual, and the process ended 0.35 s before the end of the grace period, whatever callers still waited.

Change: after that call a job is answered at once, as not run if that is known, with Retry-After; the connection closes, as all do in a drain.

HostNodeSuite/A_job_that_ comes_after_... fails without the refusal. ServiceSite sends the request's text by hand over an open connection.

--- a/src/fleet/hostnode.cpp
+++ b/src/fleet/hostnode.cpp
@@ -61,6 +61,10 @@
     submission.callerDeadline += DispatcherDeadlineMargin;
     job.submission = std::move(submission);
     auto &entryJob = m_jobs[id] = std::move(job);
+    if (m_refusesJobs) {
+        abandon(id, now);
+        return;
+    }
     placeJob(entryJob, now);
     processSchedulerEvents(now);
 }
@@ -402,6 +406,7 @@
 void HostNode::abandonRemainingJobs(TimePoint now)
 {
     m_now = now;
+    m_refusesJobs = true;
     m_scheduler.refuseWaitingJobs(JobEndReason::Stopping, now);
     processSchedulerEvents(now);
     std::vector<std::string> ids;
@@ -409,19 +414,25 @@
         ids.push_back(id);
     }
     for (const auto &id : ids) {
-        CallerReply reply;
-        reply.answer = m_jobs.at(id).submissionCount == 0 ? answerForUnstarted(m_jobs.at(id), now) : CallerAnswer::Unknown;
-        reply.reason = "stopping";
-        reply.retryAfter = Seconds(1);
-        const auto dispatcher = m_jobs.at(id).dispatcher;
-        answer(id, reply, now);
-        if (dispatcher == m_identity.host) {
-            m_scheduler.cancel(id, m_identity.host, now);
-        }
+        abandon(id, now);
     }
     processSchedulerEvents(now);
 }
 
+void HostNode::abandon(const std::string &jobId, TimePoint now)
+{
+    const auto &job = m_jobs.at(jobId);
+    const auto dispatcher = job.dispatcher;
+    CallerReply reply;
+    reply.answer = job.submissionCount == 0 ? answerForUnstarted(job, now) : CallerAnswer::Unknown;
+    reply.reason = "stopping";
+    reply.retryAfter = Seconds(1);
+    answer(jobId, reply, now);
+    if (dispatcher == m_identity.host) {
+        m_scheduler.cancel(jobId, m_identity.host, now);
+    }
+}
+
 std::string HostNode::successorOf(const PoolName &pool, TimePoint now) const
 {
     const auto own = m_assignment.self().claims.find(pool);
--- a/src/fleet/hostnode.h
+++ b/src/fleet/hostnode.h
@@ -87,7 +87,7 @@
     /// True when no caller waits here and the scheduler has neither jobs nor runs.
     bool isIdle() const;
 
-    /// Abandons the remaining jobs: their callers are answered and their runs are stopped.
+    /// Abandons the remaining jobs: their callers are answered and their runs are stopped. Jobs that come later are refused.
     void abandonRemainingJobs(TimePoint now);
 
     /// True when this host or another live host dispatches to a pool.
@@ -148,6 +148,7 @@
     void onCrashNotice(const CrashNotice &notice, const std::string &from);
     void onJobResult(const std::string &jobId, const std::string &from, const JobResult &result, TimePoint now);
     void answer(const std::string &jobId, const CallerReply &reply, TimePoint now);
+    void abandon(const std::string &jobId, TimePoint now);
     void onDispatcherLost(const std::string &host, std::uint64_t incarnation, TimePoint now);
     void placeWaitingJobs(TimePoint now);
     bool retryElsewhere(EntryJob &job, JobEndReason reason, TimePoint now);
@@ -248,5 +249,7 @@
     bool m_loadReportsDue = false;
     bool m_reportedFreeCapacity = false;
     bool m_leaving = false;
+    /// The process ends before a further job could.
+    bool m_refusesJobs = false;
 };
 } // namespace Anvilcart::Fleet
--- a/src/hostruntime/hostprocess.cpp
+++ b/src/hostruntime/hostprocess.cpp
@@ -3,6 +3,7 @@
 #include "entry/callerrequesthandler.h"
 #include "fleet/hostnode.h"
 #include "fleet/peerlinks.h"
+#include "fleet/shutdownsequence.h"
 #include "hostruntime/peerdiscovery.h"
 #include "hostruntime/storefollower.h"
 #include "hostruntime/targetconnections.h"
@@ -37,10 +38,6 @@
 constexpr Milliseconds DispatcherTargetListPeriod {300};
 constexpr Milliseconds StandbyTargetListPeriod {1000};
 constexpr Milliseconds StandbyTargetListPeriodPerTarget {9};
-/// The balancer sends new connections until two readiness probes in a row, one second apart, have failed.
-constexpr Milliseconds BalancerDetectionTime {2300};
-/// Remaining jobs are abandoned this long before the platform kills the process.
-constexpr Milliseconds KillMargin {700};
 /// Time that must pass on the boot clock but not on the steady clock to count as a suspension of the process.
 constexpr Milliseconds SuspensionThreshold {400};
 
@@ -208,14 +205,12 @@
         lastBootTime = bootNow;
         lastTickAt = now;
         node.tick(now);
-        if (shutdownStartedAt != TimePoint()) {
-            continueShutdown(now);
-        }
+        continueShutdown(now);
     }
 
     bool isReady() const
     {
-        return shutdownStartedAt == TimePoint() && callerHandler.routes() != nullptr && node.hasDispatcher(Clock::now());
+        return !shutdown.hasBegun() && callerHandler.routes() != nullptr && node.hasDispatcher(Clock::now());
     }
 
     LinkSender receive(std::string_view bytes)
@@ -272,11 +267,12 @@
 
     void beginShutdown()
     {
-        if (shutdownStartedAt != TimePoint()) {
+        if (shutdown.hasBegun()) {
             return;
         }
         const auto now = Clock::now();
         shutdownStartedAt = now;
+        shutdown.begin(now);
         telemetry.onProcessEvent(LogLine("stopping").add("in_flight", std::uint64_t(callerServer->requestsInFlight())));
         callerServer->beginDrain();
         peerDiscovery->stop();
@@ -285,24 +281,32 @@
 
     void continueShutdown(TimePoint now)
     {
-        const auto elapsed = now - shutdownStartedAt;
-        const bool overdue = elapsed > settings.shutdownGracePeriod - KillMargin;
-        const bool drained = elapsed > BalancerDetectionTime && node.isIdle() && callerServer->requestsInFlight() == 0;
-        if (overdue && !jobsAbandoned) {
-            jobsAbandoned = true;
+        const RemainingWork work {node.isIdle(), callerServer->requestsInFlight()};
+        switch (shutdown.next(work, settings.shutdownGracePeriod, now)) {
+        case ShutdownStep::Serve:
+            break;
+        case ShutdownStep::AbandonJobs:
             node.abandonRemainingJobs(now);
-            return;
-        }
-        if (drained || elapsed > settings.shutdownGracePeriod - KillMargin / 2) {
-            telemetry.onProcessEvent(LogLine("stop").add("after_ms", elapsed).add("idle", drained ? "yes" : "no"));
-            log.flush(now);
-            peerLinks->stop();
-            stopped.set_value();
-            // Keeps later ticks from stopping the process again.
-            shutdownStartedAt = now + std::chrono::hours(1);
+            break;
+        case ShutdownStep::End:
+            endProcess(work, now);
+            break;
         }
     }
 
+    void endProcess(const RemainingWork &work, TimePoint now)
+    {
+        telemetry.onProcessEvent(LogLine("stop")
+                                     .add("after_ms", now - shutdownStartedAt)
+                                     .add("idle", work.nodeIsIdle && work.requestsInFlight == 0 ? "yes" : "no")
+                                     .add("unanswered", std::uint64_t(work.requestsInFlight)));
+        log.flush(now);
+        peerLinks->stop();
+        // Requests that arrive from now on stay unread.
+        loops.at(0).stop();
+        stopped.set_value();
+    }
+
     void connect(const Endpoint &endpoint) override
     {
         peerLinks->connect(endpoint);
@@ -391,7 +395,7 @@
     TimePoint lastTickAt;
     TimePoint lastBootTime;
     TimePoint shutdownStartedAt;
-    bool jobsAbandoned = false;
+    ShutdownSequence shutdown;
     std::promise<void> stopped;
 };
 
--- a/standins/service/servicesite.cpp
+++ b/standins/service/servicesite.cpp
@@ -25,6 +25,12 @@
 constexpr int MetricsPort = 8604;
 constexpr int WorkerPort = 8605;
 const std::vector<std::string> Zones {"a", "b", "c"};
+
+std::string jobText(int tasks, Milliseconds runTime)
+{
+    const json::object step {{"count", tasks}, {"cpu", 10000}, {"mem_mb", 64}, {"estimate_ms", runTime.count()}};
+    return json::serialize(json::object {{"spec", std::to_string(runTime.count())}, {"steps", json::array {step}}, {"best_effort", true}});
+}
 } // namespace
 
 ServiceSite::ServiceSite(ServiceSiteOptions options, const std::string &binaries)
@@ -148,9 +154,23 @@
 HttpReply ServiceSite::submit(
     std::size_t host, const std::string &queue, const std::string &id, int tasks, Milliseconds runTime, Milliseconds timeout)
 {
-    const json::object step {{"count", tasks}, {"cpu", 10000}, {"mem_mb", 64}, {"estimate_ms", runTime.count()}};
-    const json::object job {{"spec", std::to_string(runTime.count())}, {"steps", json::array {step}}, {"best_effort", true}};
-    return request(host, "POST", "/" + queue + "/" + id, json::serialize(job), timeout);
+    return request(host, "POST", "/" + queue + "/" + id, jobText(tasks, runTime), timeout);
+}
+
+std::string
+ServiceSite::submissionText(const std::string &queue, const std::string &id, int tasks, Milliseconds runTime, Milliseconds timeout)
+{
+    const auto body = jobText(tasks, runTime);
+    std::ostringstream text;
+    text << "POST /" << queue << "/" << id << " HTTP/1.1\r\nHost: " << CallerHost << "\r\n"
+         << Platform::Names::CallerTimeoutHeader << ": " << timeout.count() << "\r\nContent-Length: " << body.size() << "\r\n\r\n"
+         << body;
+    return text.str();
+}
+
+Endpoint ServiceSite::callerEndpoint(std::size_t host) const
+{
+    return {hostAddress(host), CallerPort};
 }
 
 HttpReply ServiceSite::submitCrashing(std::size_t host, const std::string &queue, const std::string &id, Milliseconds timeout)
--- a/standins/service/servicesite.h
+++ b/standins/service/servicesite.h
@@ -59,6 +59,13 @@
     /// The host's metrics in the Prometheus text format.
     std::string metrics(std::size_t host);
 
+    /// The callers' endpoint of a host.
+    Endpoint callerEndpoint(std::size_t host) const;
+
+    /// A job's request as it is sent to the callers' endpoint.
+    static std::string
+    submissionText(const std::string &queue, const std::string &id, int tasks, Milliseconds runTime, Milliseconds timeout);
+
     ChildProcess &host(std::size_t index);
     void startHost(std::size_t index);
     std::size_t hostCount() const;
--- a/tests/process/service.cpp
+++ b/tests/process/service.cpp
@@ -1,4 +1,5 @@
 #include "processsupport.h"
+#include "rawconnection.h"
 #include "service/servicesite.h"
 #include "verbs/requestexplanation.h"
 
@@ -160,6 +161,43 @@
     BOOST_TEST(site.log(leader).find("event=stop after_ms") != std::string::npos);
 }
 
+// Case hunt-3a24-19: a request that came after the stopping host had abandoned its jobs was passed on, and cut at the exit.
+BOOST_AUTO_TEST_CASE(A_request_that_a_stopping_host_can_no_longer_finish_is_refused_and_not_cut)
+{
+    const auto host = (dispatcher() + 1) % site.hostCount();
+    std::ofstream(site.settingsPath(host), std::ios::app) << "bounds.grace_s=3\n";
+    ::kill(site.host(host).id(), SIGHUP);
+    BOOST_REQUIRE(eventually([this, host] {
+        return site.log(host).find("event=reload result=applied") != std::string::npos;
+    }));
+    const auto request = [](const char *id) {
+        return ServiceSite::submissionText("checks", id, 1, Seconds(2), Seconds(5));
+    };
+    RawConnection kept(site.callerEndpoint(host));
+    RawConnection slow(site.callerEndpoint(host));
+    auto abandoned = std::async(std::launch::async, [this, host] {
+        return site.submit(host, "checks", "00000000000000ba", 1, Seconds(8), Seconds(12));
+    });
+    BOOST_REQUIRE(eventually([this] {
+        return site.startCount("00000000000000ba.0.0.0") == 1;
+    }));
+    site.host(host).terminate();
+    // A request of which only a part has come keeps the process from ending with its last job.
+    const auto slowRequest = request("00000000000000bc");
+    BOOST_TEST(slow.send(slowRequest.substr(0, slowRequest.size() / 2)));
+    BOOST_TEST(abandoned.get().status == 504);
+    BOOST_TEST(kept.send(request("00000000000000bb")));
+    const auto refusal = kept.readAll();
+    BOOST_TEST(refusal.starts_with("HTTP/1.1 503"), refusal);
+    BOOST_TEST(refusal.find("Retry-After: 1") != std::string::npos, refusal);
+    BOOST_TEST(refusal.find("Connection: close") != std::string::npos, refusal);
+    BOOST_TEST(slow.send(slowRequest.substr(slowRequest.size() / 2)));
+    BOOST_TEST(slow.readAll().starts_with("HTTP/1.1 503"));
+    BOOST_TEST(site.host(host).wait() == 0);
+    BOOST_TEST(site.startCount("00000000000000bb.0.0.0") == 0);
+    BOOST_TEST(site.startCount("00000000000000bc.0.0.0") == 0);
+}
+
 BOOST_AUTO_TEST_CASE(A_target_that_leaves_is_given_no_new_task)
 {
     BOOST_TEST(completes(0));
--- a/tests/unit/fleet/hostnode.cpp
+++ b/tests/unit/fleet/hostnode.cpp
@@ -91,6 +91,22 @@
     BOOST_TEST((submission->second.submissions.front().crashes == std::vector<TaskCrashes> {{0, 0, 1, 0, 0, true}}));
 }
 
+// Case hunt-3a24-19: it went to a dispatcher, and the process ended before the result came back.
+BOOST_FIXTURE_TEST_CASE(A_job_that_comes_after_a_stopping_host_has_abandoned_its_jobs_is_refused_at_once, HostNodeFixture)
+{
+    node.onFrame(report("h2", 2, true), now);
+    node.beginLeaving(now);
+    node.abandonRemainingJobs(now);
+    node.submit(job("j"), now);
+    BOOST_REQUIRE(port.answers.contains("j"));
+    BOOST_TEST((port.answers["j"].answer == CallerAnswer::NotRun));
+    BOOST_TEST((port.answers["j"].retryAfter >= Seconds(1)));
+    BOOST_TEST(node.isIdle());
+    BOOST_TEST(std::none_of(port.frames.begin(), port.frames.end(), [](const auto &sent) {
+        return !sent.second.submissions.empty();
+    }));
+}
+
 BOOST_FIXTURE_TEST_CASE(A_job_that_a_yielding_dispatcher_refuses_waits_for_the_successor, HostNodeFixture)
 {
     node.onFrame(report("h2", 2, true), now);
