--- a/src/scheduling/schedulertargets.cpp
+++ b/src/scheduling/schedulertargets.cpp
@@ -190,8 +190,9 @@
 {
     std::size_t count = 0;
     for (const auto &[id, target] : m_targets) {
-        count += static_cast<std::size_t>(std::count_if(target->runs().begin(), target->runs().end(), [&](const auto &entry) {
-            return entry.second.phase == RunPhase::Running || !target->unresponsive;
+        const bool unresponsive = target->unresponsive;
+        count += static_cast<std::size_t>(std::count_if(target->runs().begin(), target->runs().end(), [unresponsive](const auto &entry) {
+            return entry.second.phase == RunPhase::Running || !unresponsive;
         }));
     }
     return count;
