Keep an unanswered start on a silent target whose entry is gone

Cause: keeps such starts until the target answers, but dropped them once the entry was gone, which is silence, too. Change: only the target, or another incarnation at its endpoint, decides. The job ends at its deadline, and the target is released when the start is forgotten. Measured: the new test failed before (2 starts instead of 1) and passes now.

--- a/src/scheduling/targetledger.cpp
+++ b/src/scheduling/targetledger.cpp
@@ -193,7 +193,7 @@
         return expired;
     }
     for (auto it = m_runs.begin(); it != m_runs.end();) {
-        if (it->second.phase != RunPhase::Running && !entryGone && !replaced) {
+        if (it->second.phase != RunPhase::Running && !replaced) {
             ++it;
             continue;
         }
--- a/src/scheduling/targetledger.h
+++ b/src/scheduling/targetledger.h
@@ -130,7 +130,7 @@
 
     /// Removes and returns the runs that have ended with their leases; before haveLeasesEnded(), returns nothing. Call only while the
     /// target is unresponsive. An unanswered start remains, since the target may have restarted unnoticed and may still receive the start,
-    /// unless the entry of the target is gone or another incarnation has replaced it.
+    /// unless another incarnation has replaced it.
     std::vector<EndedLedgerRun> expireRuns(TimePoint now);
 
     /// Records a request that extends leases until that reading of the target's clock.
--- a/tests/unit/scheduling/restartedtargets.cpp
+++ b/tests/unit/scheduling/restartedtargets.cpp
@@ -252,4 +252,19 @@
     BOOST_TEST(scheduler.jobCount() == 0);
 }
 
+// The entry of a target that is cut off from the store expires, too.
+BOOST_AUTO_TEST_CASE(An_unanswered_start_on_a_silent_target_is_not_repeated_elsewhere_when_the_entry_is_gone)
+{
+    startOnRestartedTarget();
+    now += Milliseconds(50);
+    answerStart(0, RequestResult::Unknown);
+    fallSilent(Milliseconds(1000));
+    scheduler.onEntryGone("restarted");
+    fallSilent(Milliseconds(1000));
+    BOOST_TEST(port.starts.size() == 1);
+    fallSilent(Seconds(14));
+    BOOST_TEST(port.ended.size() == 1);
+    BOOST_TEST(port.released.size() == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
