Count a lost target that keeps an unanswered start once as silent

Two targets that crashed under their tasks, with another one at the same time, were taken for an outage, so that the tasks were not suspected (found in review, not seen by callers). Cause: since a silent target keeps unanswered starts after its other runs were reported lost. It was counted as silent and as a recent loss; three other targets are an outage. Change: of the silent targets, those count that have runs whose loss is not reported yet. Measured: the new test failed before (two of three tasks not suspected) and passes now, as CrashSuspectsSuite does.

--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -198,7 +198,7 @@
     Duration renewalWait(const TargetLedger &target, TimePoint now) const;
     void renew(TargetLedger &target, TimePoint now);
     void stop(TargetLedger &target, LedgerRun &run, const char *cause, TimePoint now);
-    std::vector<TimePoint> otherSilentTargets(const TargetLedger &lost) const;
+    std::vector<TimePoint> otherSilentTargets(const TargetLedger &lost, TimePoint now) const;
     void onRunsLost(
         TargetLedger &target, LossEvidence evidence, TimePoint lastAnswerAt, const std::vector<EndedLedgerRun> &ended, TimePoint now);
     void onRunEnded(TargetLedger &target, const EndedLedgerRun &ended, TimePoint now);
--- a/src/scheduling/schedulerruns.cpp
+++ b/src/scheduling/schedulerruns.cpp
@@ -175,7 +175,7 @@
     }
     const auto &serviceTargets = m_services[target.entry().service].targets;
     std::set<std::string> jobs;
-    for (const auto &name : m_crashSuspects.onTargetLost(loss, otherSilentTargets(target), serviceTargets.size(), now)) {
+    for (const auto &name : m_crashSuspects.onTargetLost(loss, otherSilentTargets(target, now), serviceTargets.size(), now)) {
         auto *job = findJob(name.jobId);
         if (auto *task = job == nullptr ? nullptr : job->find(name)) {
             task->avoidedTargets.insert(loss.target);
@@ -187,13 +187,17 @@
     }
 }
 
-/// The last answers of the other targets of the service that do not answer and still have runs, but for those that a suspected task has for
-/// itself: their loss was to be expected.
-std::vector<TimePoint> Scheduler::otherSilentTargets(const TargetLedger &lost) const
+/// The last answers of the other targets of the service that do not answer and have runs whose loss is not reported yet, but for those that
+/// a suspected task has for itself: their loss was to be expected.
+std::vector<TimePoint> Scheduler::otherSilentTargets(const TargetLedger &lost, TimePoint now) const
 {
     std::vector<TimePoint> lastAnswers;
     for (const auto *target : m_services.at(lost.entry().service).targets) {
-        if (target != &lost && target->unresponsive && !target->runs().empty() && !target->hasRunAlone()) {
+        const bool holdsRuns = (!target->runs().empty() && !target->haveLeasesEnded(now))
+            || std::any_of(target->runs().begin(), target->runs().end(), [](const auto &run) {
+                                   return run.second.phase == RunPhase::Running;
+                               });
+        if (target != &lost && target->unresponsive && holdsRuns && !target->hasRunAlone()) {
             lastAnswers.push_back(target->lastAnswerAt);
         }
     }
--- a/tests/unit/scheduling/crashsuspects.cpp
+++ b/tests/unit/scheduling/crashsuspects.cpp
@@ -320,6 +320,36 @@
     BOOST_TEST(!port.crashesOfJob.contains("d"));
 }
 
+// Three other targets are an outage; each of two lost ones was counted twice.
+BOOST_FIXTURE_TEST_CASE(A_lost_target_that_keeps_an_unanswered_start_counts_once_as_silent, CrashFixture)
+{
+    for (const auto *id : {"a", "b", "c"}) {
+        auto submission = patientJob(id);
+        submission.request.steps.front().demand.milliCores = 20000;
+        submit(submission);
+        acceptStartOf(id);
+    }
+    for (const auto *id : {"d", "e", "f", "g"}) {
+        auto submission = patientJob(id);
+        submission.request.steps.front().demand.milliCores = 12000;
+        submit(submission);
+    }
+    for (std::size_t index = 3; index < port.starts.size(); ++index) {
+        answerStart(index, RequestResult::Unknown);
+    }
+    const std::vector<std::string> lost {targetsOf("a").at(0), targetsOf("b").at(0), targetsOf("c").at(0)};
+    for (int step = 0; step < 40; ++step) {
+        now += Milliseconds(60);
+        for (const auto &target : lost) {
+            answerRenewal(target, {}, {}, RequestResult::Unknown);
+        }
+        scheduler.tick(now);
+    }
+    for (const auto *id : {"a", "b", "c"}) {
+        BOOST_TEST(port.crashesOfJob.contains(id));
+    }
+}
+
 BOOST_FIXTURE_TEST_CASE(The_loss_of_a_target_that_leaves_is_no_crash, CrashFixture)
 {
     submit(patientJob("j"));
