Emulate hosts that lose sight of each other in one direction

Callers had tasks run twice at once when an entry host lost sight of a dispatcher that went on, and handed its job to a dispatcher of another pool. The emulator could not show it: all its cuts were in both directions, and its targets made one pool, so that one host dispatched.

A host can now be cut off from a single other one, one way; what it sends arrives when the cut ends. The scenario "lost-sight" adds such cuts and pauses to a fleet with a pool in each zone, under load.

No existing test was changed.

--- a/emulator/emulatedfleet.cpp
+++ b/emulator/emulatedfleet.cpp
@@ -102,7 +102,7 @@
             return true;
         }
         auto bytes = encodeFrame(frame, fleet.m_clock.now());
-        fleet.m_clock.callAfter(fleet.delay(zone, other.zone), [this, &other, bytes = std::move(bytes), generation = other.generation] {
+        auto deliver = [this, &other, bytes = std::move(bytes), generation = other.generation] {
             other.callWhenRunning(generation, [this, &other, bytes] {
                 if (fleet.isPartitioned(name, other.name)) {
                     return;
@@ -111,7 +111,13 @@
                     other.node->onFrame(std::move(*decoded), fleet.m_clock.now());
                 }
             });
-        });
+        };
+        const auto cut = fleet.m_heldFrames.find({name, other.name});
+        if (cut != fleet.m_heldFrames.end()) {
+            cut->second.push_back(std::move(deliver));
+        } else {
+            fleet.m_clock.callAfter(fleet.delay(zone, other.zone), std::move(deliver));
+        }
         return true;
     }
 
@@ -507,6 +513,22 @@
     });
 }
 
+void EmulatedFleet::cutHostFromHost(std::size_t from, std::size_t to, Duration time, Duration length)
+{
+    const std::pair link(m_hosts[from]->name, m_hosts[to]->name);
+    scheduleAt(time, [this, link] {
+        m_heldFrames.try_emplace(link);
+    });
+    scheduleAt(time + length, [this, link] {
+        const auto held = m_heldFrames.extract(link);
+        if (!held.empty()) {
+            for (const auto &deliver : held.mapped()) {
+                deliver();
+            }
+        }
+    });
+}
+
 void EmulatedFleet::slowTargets(std::size_t count, double factor, Duration time, Duration length)
 {
     scheduleAt(time, [this, count, factor] {
--- a/emulator/emulatedfleet.h
+++ b/emulator/emulatedfleet.h
@@ -12,6 +12,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace Anvilcart::Emulation
@@ -85,6 +86,8 @@
     void partitionZone(const std::string &zone, Duration at, Duration length, bool resets = false);
     /// Separates a host from the other hosts, but not from targets.
     void partitionHost(std::size_t host, Duration at, Duration length);
+    /// Delays what one host sends to another until the cut ends; the other direction works.
+    void cutHostFromHost(std::size_t from, std::size_t to, Duration at, Duration length);
     void slowTargets(std::size_t count, double factor, Duration at, Duration length);
     void failTargets(std::size_t count, Duration at, Duration length);
     void hangTargets(std::size_t count, Duration at, Duration length);
@@ -142,6 +145,8 @@
     std::map<std::string, JobKindResult> m_results;
     std::set<std::string> m_partitionedZones;
     std::set<std::string> m_partitionedHosts;
+    /// By the names of sender and recipient, the frames that wait for the end of the cut, in the order in which they were sent.
+    std::map<std::pair<std::string, std::string>, std::vector<std::function<void()>>> m_heldFrames;
     /// By the ids of targets that are cut off, the requests that wait for the end of the cut.
     std::map<std::string, std::vector<std::function<void()>>> m_heldRequests;
     double m_delayedRequestShare = 0;
--- a/emulator/faultscenarios.cpp
+++ b/emulator/faultscenarios.cpp
@@ -92,6 +92,46 @@
     return description;
 }
 
+FleetOptions optionsOfSeveralPools(std::uint64_t seed)
+{
+    FleetOptions options;
+    options.seed = seed;
+    options.kinds = longTimeoutJobKinds();
+    options.targetsPerZone = 25;
+    for (auto &kind : options.kinds) {
+        kind.jobsPerSecond *= 3;
+    }
+    return options;
+}
+
+std::string addLossesOfSight(EmulatedFleet &fleet, const FleetOptions &options, std::uint64_t seed)
+{
+    std::mt19937_64 random(seed * 3571 + 11);
+    const auto hostCount = options.hostZones.size();
+    std::string description;
+    constexpr int CutCount = 6;
+    for (int cut = 0; cut < CutCount; ++cut) {
+        const auto from = random() % hostCount;
+        const auto to = (from + 1 + random() % (hostCount - 1)) % hostCount;
+        const auto at = Milliseconds(4000 + random() % 10000);
+        const auto length = Milliseconds(500 + random() % 4000);
+        fleet.cutHostFromHost(from, to, at, length);
+        description += "cut from host " + std::to_string(from) + " to " + std::to_string(to) + " at " + std::to_string(at.count())
+            + " ms for " + std::to_string(length.count()) + " ms, ";
+    }
+    constexpr int PauseCount = 4;
+    for (int pause = 0; pause < PauseCount; ++pause) {
+        const auto host = random() % hostCount;
+        const auto at = Milliseconds(4000 + random() % 10000);
+        const auto length = Milliseconds(300 + random() % 1500);
+        fleet.pauseHost(host, at, length);
+        description += "pause of host " + std::to_string(host) + " at " + std::to_string(at.count()) + " ms for "
+            + std::to_string(length.count()) + " ms, ";
+    }
+    fleet.increaseLoad(1.3, Seconds(4), Seconds(8));
+    return description + "burst from 4 s to 12 s";
+}
+
 std::string addRandomFaults(EmulatedFleet &fleet, const FleetOptions &options, std::uint64_t seed)
 {
     std::mt19937_64 random(seed * 7919 + 1);
--- a/emulator/faultscenarios.h
+++ b/emulator/faultscenarios.h
@@ -31,6 +31,13 @@
 /// description with times.
 std::string addRestartingTargets(EmulatedFleet &fleet, double lateShare, std::uint64_t seed);
 
+/// A fleet with so many targets that each zone's are a pool of their own, so that several hosts dispatch.
+FleetOptions optionsOfSeveralPools(std::uint64_t seed);
+
+/// Hosts are cut off from single others in one direction, and paused; the load is above the capacity, so that jobs wait at dispatchers.
+/// Returns a description with times.
+std::string addLossesOfSight(EmulatedFleet &fleet, const FleetOptions &options, std::uint64_t seed);
+
 /// Adds one to four random faults, chosen by the seed; returns a description with times.
 std::string addRandomFaults(EmulatedFleet &fleet, const FleetOptions &options, std::uint64_t seed);
 } // namespace Anvilcart::Emulation
--- a/emulator/main.cpp
+++ b/emulator/main.cpp
@@ -17,6 +17,9 @@
     FleetOptions options;
     options.seed = seed;
     options.kinds = longTimeoutJobKinds();
+    if (scenario == "lost-sight") {
+        options = optionsOfSeveralPools(seed);
+    }
     options.limits.policy = Fleet::queuePolicyNamed(policy);
     options.limits.refuseInfeasible = refuseInfeasible;
     EmulatedFleet fleet(options);
@@ -33,6 +36,8 @@
         description = addRestartingTargets(fleet, 0, seed);
     } else if (scenario == "late-restarts") {
         description = addRestartingTargets(fleet, 0.06, seed);
+    } else if (scenario == "lost-sight") {
+        description = addLossesOfSight(fleet, options, seed);
     } else if (scenario == "burst") {
         description = addLoadBurst(fleet);
     }
@@ -69,7 +74,7 @@
         TCLAP::ValueArg<std::string> policy("q", "queue", "queue policy", false, "fair-share", "POLICY", commandLine);
         TCLAP::SwitchArg keepInfeasible("", "keep-hopeless", "accept jobs that cannot meet their deadline", commandLine);
         std::vector<std::string> scenarios {
-            "mixed", "worst-load", "burst", "crashing-jobs", "crashes", "restarts", "late-restarts", "none"};
+            "mixed", "worst-load", "burst", "crashing-jobs", "crashes", "restarts", "late-restarts", "lost-sight", "none"};
         TCLAP::ValuesConstraint<std::string> knownScenarios(scenarios);
         TCLAP::ValueArg<std::string> scenario("t", "troubles", "fault scenario", false, "mixed", &knownScenarios, commandLine);
         TCLAP::SwitchArg verbose("v", "verbose", "print the faults of each seed", commandLine);
--- a/tests/unit/emulator/fleet.cpp
+++ b/tests/unit/emulator/fleet.cpp
@@ -88,6 +88,22 @@
     }
 }
 
+// Issue 28: an entry host lost sight of a dispatcher, which went on, and handed its jobs to the dispatcher of another pool.
+BOOST_AUTO_TEST_CASE(No_task_runs_twice_when_hosts_lose_sight_of_each_other_in_one_direction)
+{
+    for (const std::uint64_t seed : {3, 16, 29, 33, 37, 38}) {
+        BOOST_TEST_CONTEXT("seed " << seed)
+        {
+            const auto options = optionsOfSeveralPools(seed);
+            EmulatedFleet fleet(options);
+            addLossesOfSight(fleet, options, seed);
+            fleet.run(Seconds(3), Seconds(23), Seconds(28));
+            requireNoViolations(fleet);
+            BOOST_TEST(fleet.dispatcherCount() > 1);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(The_same_seed_gives_the_same_run)
 {
     const auto runOnce = [] {
