--- a/emulator/emulatedfleet.cpp
+++ b/emulator/emulatedfleet.cpp
@@ -205,7 +205,7 @@
     {
         callTarget<TargetReply>(
             target,
-            TargetRequestTimeout,
+            timeoutOfRepetition(TargetRequestTimeout, request.repetitions),
             [request](SimulatedTarget &simulated, const std::function<void(const TargetReply &)> &answer) {
                 answer(simulated.start(request));
             },
@@ -220,7 +220,7 @@
     {
         callTarget<TargetReply>(
             target,
-            TargetRequestTimeout,
+            timeoutOfRepetition(TargetRequestTimeout, request.repetitions),
             [request](SimulatedTarget &simulated, const std::function<void(const TargetReply &)> &answer) {
                 answer(simulated.stop(request));
             },
@@ -235,7 +235,7 @@
     {
         callTarget<RenewalReply>(
             target,
-            Milliseconds(request.waitMs) + RenewalTimeoutMargin,
+            renewalTimeout(request, Duration(0)),
             [request](SimulatedTarget &simulated, const std::function<void(const RenewalReply &)> &answer) {
                 simulated.renew(request, answer);
             },
@@ -243,6 +243,7 @@
                 auto replyWithToken = reply;
                 replyWithToken.fencingToken = request.fencingToken;
                 replyWithToken.sequence = request.sequence;
+                replyWithToken.sentAt = request.sentAt;
                 node->onRenewalReply(id, replyWithToken, fleet.m_clock.now());
             });
     }
@@ -282,6 +283,9 @@
     void onStop(const std::string &, const RunName &, const char *) override
     {
     }
+    void onRepeat(const std::string &, const RunName &, const char *) override
+    {
+    }
     void onEjection(const std::string &, EjectionCause, Duration) override
     {
     }
--- a/emulator/main.cpp
+++ b/emulator/main.cpp
@@ -38,6 +38,8 @@
         description = addRestartingTargets(fleet, 0.06, seed);
     } else if (scenario == "lost-sight") {
         description = addLossesOfSight(fleet, options, seed);
+    } else if (scenario == "unanswered-orders") {
+        description = addUnansweredOrders(fleet);
     } else if (scenario == "burst") {
         description = addLoadBurst(fleet);
     }
@@ -73,8 +75,16 @@
         TCLAP::ValueArg<std::uint64_t> seeds("n", "seeds", "number of seeds", false, 10, "COUNT", commandLine);
         TCLAP::ValueArg<std::string> policy("q", "queue", "queue policy", false, "fair-share", "POLICY", commandLine);
         TCLAP::SwitchArg keepInfeasible("", "keep-hopeless", "accept jobs that cannot meet their deadline", commandLine);
-        std::vector<std::string> scenarios {
-            "mixed", "worst-load", "burst", "crashing-jobs", "crashes", "restarts", "late-restarts", "lost-sight", "none"};
+        std::vector<std::string> scenarios {"mixed",
+                                            "worst-load",
+                                            "burst",
+                                            "crashing-jobs",
+                                            "crashes",
+                                            "restarts",
+                                            "late-restarts",
+                                            "lost-sight",
+                                            "unanswered-orders",
+                                            "none"};
         TCLAP::ValuesConstraint<std::string> knownScenarios(scenarios);
         TCLAP::ValueArg<std::string> scenario("t", "troubles", "fault scenario", false, "mixed", &knownScenarios, commandLine);
         TCLAP::SwitchArg verbose("v", "verbose", "print the faults of each seed", commandLine);
--- a/src/scheduling/targetledger.h
+++ b/src/scheduling/targetledger.h
@@ -52,6 +52,10 @@
     /// The run is no longer needed and is being stopped.
     bool stopRequested = false;
     bool stopInFlight = false;
+    /// How many unanswered requests for its start, and for its stop since the last pause, were repeated.
+    std::uint32_t startRepetitions = 0;
+    std::uint32_t stopRepetitions = 0;
+    bool startInFlight = true;
     TimePoint stopSentAt;
     /// When the target accepted a stop; TimePoint() before.
     TimePoint stoppedAt;
@@ -189,11 +193,14 @@
     /// Another incarnation answers at its address, which refuses the starts that were sent to this one.
     bool replaced = false;
     bool unresponsive = false;
+    /// A reply showed a reading of the target's clock that is far in the past: it has probably restarted.
+    bool restartSuspected = false;
     bool renewalInFlight = false;
-    /// The sequence number of the last renewal; replies to earlier ones are ignored.
+    /// The sequence number of the last renewal.
     std::uint64_t renewalSequence = 0;
     std::uint64_t renewalAcknowledgedEnds = 0;
-    TimePoint renewalSentAt;
+    /// The wait time of the renewal in flight.
+    std::int64_t renewalWaitMs = 0;
     TimePoint lastAnswerAt;
     /// The last answer before a restart whose losses are not reported yet; TimePoint() when there is none.
     TimePoint lastAnswerBeforeRestartAt;
--- a/tests/support/hostnodefixture.h
+++ b/tests/support/hostnodefixture.h
@@ -84,6 +84,9 @@
     void onStop(const std::string &, const RunName &, const char *) override
     {
     }
+    void onRepeat(const std::string &, const RunName &, const char *) override
+    {
+    }
     void onEjection(const std::string &, EjectionCause, Duration) override
     {
     }
@@ -182,6 +185,7 @@
             if (id == target) {
                 reply.fencingToken = request.fencingToken;
                 reply.sequence = request.sequence;
+                reply.sentAt = request.sentAt;
             }
         }
         return reply;
