--- a/standins/service/servicesite.cpp
+++ b/standins/service/servicesite.cpp
@@ -25,6 +25,14 @@
 constexpr int MetricsPort = 8604;
 constexpr int WorkerPort = 8605;
 const std::vector<std::string> Zones {"a", "b", "c"};
+
+HttpCall callerCall(const std::string &method, const std::string &path, const std::string &body, Milliseconds timeout)
+{
+    HttpCall call(method, path, body);
+    call.headers.push_back({"Host", CallerHost});
+    call.headers.push_back({Platform::Names::CallerTimeoutHeader, std::to_string(timeout.count())});
+    return call;
+}
 } // namespace
 
 ServiceSite::ServiceSite(ServiceSiteOptions options, const std::string &binaries)
@@ -47,6 +55,7 @@
         }
     }
     m_hosts.resize(m_options.hostZones.size());
+    m_startsOfHost.resize(m_hosts.size());
     for (std::size_t index = 0; index < m_hosts.size(); ++index) {
         startHost(index);
     }
@@ -65,6 +74,11 @@
     return "127." + std::to_string(m_block.number()) + ".1." + std::to_string(index + 1);
 }
 
+Endpoint ServiceSite::callerEndpoint(std::size_t host) const
+{
+    return {hostAddress(host), CallerPort};
+}
+
 std::filesystem::path ServiceSite::settingsPath(std::size_t host) const
 {
     return m_folder / ("host-" + std::to_string(host) + ".conf");
@@ -85,9 +99,13 @@
 
 void ServiceSite::startHost(std::size_t index)
 {
-    const bool isFirstStart = m_startedHosts.insert(index).second;
-    std::ofstream(settingsPath(index)) << settingsText(index) << "bootstrap=" << (isFirstStart ? "true" : "false") << "\n";
+    m_hosts[index].reset();
+    const auto earlierStarts = m_startsOfHost[index]++;
+    std::ofstream(settingsPath(index)) << settingsText(index) << "bootstrap=" << (earlierStarts == 0 ? "true" : "false") << "\n";
     const auto output = (m_folder / ("host-" + std::to_string(index) + ".log")).string();
+    if (earlierStarts > 0) {
+        std::filesystem::rename(output, output + "." + std::to_string(earlierStarts));
+    }
     const std::vector<std::string> arguments {
         "dispatch", "--settings", settingsPath(index).string(), "--metrics-port", std::to_string(MetricsPort)};
     m_hosts[index] = std::make_unique<ChildProcess>(m_binaries + "/anvilcart", arguments, output, output + ".err");
@@ -139,18 +157,20 @@
 HttpReply
 ServiceSite::request(std::size_t host, const std::string &method, const std::string &path, const std::string &body, Milliseconds timeout)
 {
-    HttpCall call(method, path, body);
-    call.headers.push_back({"Host", CallerHost});
-    call.headers.push_back({Platform::Names::CallerTimeoutHeader, std::to_string(timeout.count())});
-    return runCoroutine(callOnce({hostAddress(host), CallerPort}, std::move(call), timeout + Seconds(1)));
+    return runCoroutine(callOnce(callerEndpoint(host), callerCall(method, path, body, timeout), timeout + Seconds(1)));
 }
 
 HttpReply ServiceSite::submit(
     std::size_t host, const std::string &queue, const std::string &id, int tasks, Milliseconds runTime, Milliseconds timeout)
+{
+    return runCoroutine(callOnce(callerEndpoint(host), jobCall(queue, id, tasks, runTime, timeout), timeout + Seconds(1)));
+}
+
+HttpCall ServiceSite::jobCall(const std::string &queue, const std::string &id, int tasks, Milliseconds runTime, Milliseconds timeout)
 {
     const json::object step {{"count", tasks}, {"cpu", 10000}, {"mem_mb", 64}, {"estimate_ms", runTime.count()}};
     const json::object job {{"spec", std::to_string(runTime.count())}, {"steps", json::array {step}}, {"best_effort", true}};
-    return request(host, "POST", "/" + queue + "/" + id, json::serialize(job), timeout);
+    return callerCall("POST", "/" + queue + "/" + id, json::serialize(job), timeout);
 }
 
 HttpReply ServiceSite::submitCrashing(std::size_t host, const std::string &queue, const std::string &id, Milliseconds timeout)
--- a/standins/service/servicesite.h
+++ b/standins/service/servicesite.h
@@ -9,7 +9,6 @@
 
 #include <filesystem>
 #include <memory>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -49,6 +48,9 @@
                      Milliseconds runTime,
                      Milliseconds timeout = Seconds(5));
 
+    /// The call that submits such a job.
+    static HttpCall jobCall(const std::string &queue, const std::string &id, int tasks, Milliseconds runTime, Milliseconds timeout);
+
     /// Submits a job with one task that crashes each target that starts it.
     HttpReply submitCrashing(std::size_t host, const std::string &queue, const std::string &id, Milliseconds timeout);
 
@@ -60,7 +62,12 @@
     std::string metrics(std::size_t host);
 
     ChildProcess &host(std::size_t index);
+
+    /// Starts a host, also one that has ended; the log of its earlier process stays in the folder.
     void startHost(std::size_t index);
+
+    /// Where callers reach a host.
+    Endpoint callerEndpoint(std::size_t host) const;
     std::size_t hostCount() const;
     StoreStandin &store();
     WorkerStandin &worker(std::size_t index);
@@ -93,7 +100,7 @@
     std::unique_ptr<StoreStandin> m_store;
     std::vector<std::unique_ptr<WorkerStandin>> m_workers;
     std::vector<std::unique_ptr<ChildProcess>> m_hosts;
-    /// Hosts that were started before; the platform tells a process whether it starts with the whole system.
-    std::set<std::size_t> m_startedHosts;
+    /// Processes started of each host; the platform tells a process whether it starts with the whole system.
+    std::vector<std::size_t> m_startsOfHost;
 };
 } // namespace Anvilcart
--- a/standins/service/workerstandin.cpp
+++ b/standins/service/workerstandin.cpp
@@ -45,6 +45,8 @@
         std::int64_t run = 0;
         TimePoint startedAt;
         TimePoint endsAt;
+        /// Index in history.
+        std::size_t record = 0;
     };
 
     struct EndedRun
@@ -60,6 +62,11 @@
         return 1 + std::chrono::duration_cast<Milliseconds>(Clock::now() - startedAt).count();
     }
 
+    TimePoint leaseEnd() const
+    {
+        return startedAt + Milliseconds(leaseUntilMs);
+    }
+
     /// Ends the runs that have finished and, once the lease has expired, all others. Precondition: the mutex is held.
     void endFinishedRuns()
     {
@@ -70,6 +77,8 @@
                 ++it;
                 continue;
             }
+            const bool endedInTime = now >= it->endsAt && (!leaseExpired || it->endsAt <= leaseEnd());
+            history[it->record].endedAt = endedInTime ? it->endsAt : leaseEnd();
             recordEnd(*it, now >= it->endsAt ? (failing ? "failed" : "done") : "lapsed");
             it = runs.erase(it);
         }
@@ -129,6 +138,10 @@
     void crash()
     {
         const std::lock_guard lock(mutex);
+        endFinishedRuns();
+        for (const auto &run : runs) {
+            history[run.record].endedAt = Clock::now();
+        }
         downUntil = Clock::now() + DownTime;
         startedAt = downUntil;
         ++incarnation;
@@ -146,6 +159,9 @@
         const auto task = Platform::textAt(body, "task");
         const auto runNumber = Platform::integerAt(body, "run");
         const auto deadline = Platform::integerAt(body, "deadline_ms");
+        if (Clock::now() < downUntil) {
+            return answer(503, {});
+        }
         if (deadline <= clockMs()) {
             return answer(409, {{"clock_ms", clockMs()}, {"reason", "late"}});
         }
@@ -162,7 +178,9 @@
         std::int64_t runMs = DefaultRunMs;
         boost::conversion::try_lexical_convert(Platform::textAt(body, "spec"), runMs);
         ++startsOfTask[task];
-        runs.push_back({task, runNumber, Clock::now(), Clock::now() + Milliseconds(runMs)});
+        const auto now = Clock::now();
+        runs.push_back({task, runNumber, now, now + Milliseconds(runMs), history.size()});
+        history.push_back({task, runNumber, now});
         return answer(200, {{"clock_ms", clockMs()}});
     }
 
@@ -173,6 +191,7 @@
         const auto runNumber = Platform::integerAt(body, "run");
         for (auto it = runs.begin(); it != runs.end(); ++it) {
             if (it->task == task && it->run == runNumber) {
+                history[it->record].endedAt = Clock::now();
                 recordEnd(*it, "stopped");
                 runs.erase(it);
                 break;
@@ -237,6 +256,7 @@
     std::int64_t lastPosition = 0;
     std::vector<Run> runs;
     std::vector<EndedRun> ended;
+    std::vector<WorkerRun> history;
     /// Highest run number of each task that has ended or been stopped; starts up to this number are refused.
     std::map<std::string, std::int64_t> newestEndedRun;
     std::map<std::string, std::size_t> startsOfTask;
@@ -294,6 +314,13 @@
     return d->startsOfTask;
 }
 
+std::vector<WorkerRun> WorkerStandin::runs() const
+{
+    const std::lock_guard lock(d->mutex);
+    d->endFinishedRuns();
+    return d->history;
+}
+
 std::size_t WorkerStandin::duplicateRuns() const
 {
     const std::lock_guard lock(d->mutex);
--- a/standins/service/workerstandin.h
+++ b/standins/service/workerstandin.h
@@ -1,15 +1,27 @@
 #pragma once
 
 #include "kernel/eventloops.h"
+#include "kernel/time.h"
 #include "model/endpoint.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace Anvilcart
 {
+/// A run that a target has started. endedAt is TimePoint::max() while it is active.
+struct WorkerRun
+{
+    std::string task;
+    std::int64_t run = 0;
+    TimePoint startedAt;
+    TimePoint endedAt = TimePoint::max();
+};
+
 /// Stand-in for a target of the platform with fencing tokens, leases and lists of runs. A run lasts as many milliseconds as the job's
 /// payload states; with the payload CrashPayload, it crashes the target. Thread-safe.
 class WorkerStandin
@@ -32,6 +44,9 @@
     /// Number of starts of each task since construction.
     std::map<std::string, std::size_t> starts() const;
 
+    /// Every run since construction, in the order of their starts.
+    std::vector<WorkerRun> runs() const;
+
     /// Number of times that a run started while another run of the same task was active on this target.
     std::size_t duplicateRuns() const;
 
