--- a/src/scheduling/schedulertargets.cpp
+++ b/src/scheduling/schedulertargets.cpp
@@ -33,8 +33,8 @@
 constexpr Milliseconds ProbePeriodBeforeClaim {500};
 /// An idle target gets the acknowledgement of its listed ended runs after this time at the latest.
 constexpr Milliseconds MaxAcknowledgementDelay {1000};
-/// An unanswered start on an unresponsive target is remembered for this long after the end of its job: callers send a job again within 14 s
-/// on the sites.
+/// An unanswered start on an unresponsive target is remembered for this long, if its job has ended: callers send a job again within 14 s on
+/// the sites.
 constexpr Seconds UnconfirmedStartRetention {15};
 /// Leaving targets are removed when they have not replied for this long.
 constexpr Seconds RemoveUnresponsiveAfter {5};
