--- a/src/scheduling/repeatbudget.h
+++ b/src/scheduling/repeatbudget.h
@@ -26,9 +26,9 @@
     }
 
 private:
-    /// Where three requests in ten are lost, 0.43 repetitions a request reach every target.
+    /// Repetitions for each first request.
     static constexpr double RepeatShare = 0.5;
-    /// The starts of a few of the largest jobs.
+    /// The most repetitions in a burst.
     static constexpr double MaxSaved = 64;
 
     double m_saved = MaxSaved;
--- a/src/scheduling/schedulerruns.cpp
+++ b/src/scheduling/schedulerruns.cpp
@@ -9,10 +9,9 @@
 {
 /// A stop that stays unanswered though it was repeated is sent again after this time.
 constexpr Milliseconds StopRepeatInterval {200};
-/// An unanswered start or stop is repeated this often before its run is given up or the stop pauses. Where three requests in ten are lost,
-/// less than one in a hundred is lost so often.
+/// An unanswered start or stop is repeated this often before its run is given up or the stop pauses.
 constexpr std::uint32_t MaxRepetitions = 3;
-/// A target whose clock reads this much less than expected has restarted, as its clock is steady. More than a reply can be late.
+/// A target whose clock reads this much less than expected has restarted: replies are less late than that, and its clock is steady.
 constexpr Milliseconds RestartClockGap {1000};
 /// Runs of unknown jobs are stopped after this time unless the job is submitted.
 constexpr Milliseconds UnknownJobGracePeriod {250};
--- a/src/scheduling/targetledger.h
+++ b/src/scheduling/targetledger.h
@@ -55,6 +55,7 @@
     /// How many unanswered requests for its start, and for its stop since the last pause, were repeated.
     std::uint32_t startRepetitions = 0;
     std::uint32_t stopRepetitions = 0;
+    /// A request for its start is in flight.
     bool startInFlight = true;
     TimePoint stopSentAt;
     /// When the target accepted a stop; TimePoint() before.
@@ -190,7 +191,7 @@
     bool leaving = false;
     /// The entry is gone: the target is removed as soon as it holds no run.
     bool entryGone = false;
-    /// Another incarnation answers at its address, which refuses the starts that were sent to this one.
+    /// Another incarnation answers at its endpoint, which refuses the starts that were sent to this one.
     bool replaced = false;
     bool unresponsive = false;
     /// A reply showed a reading of the target's clock that is far in the past: it has probably restarted.
