--- a/emulator/faultscenarios.h
+++ b/emulator/faultscenarios.h
@@ -21,6 +21,9 @@
 /// description with times.
 std::string addLoadBurst(EmulatedFleet &fleet);
 
+/// For 12 s, three requests to targets in ten get no answer and act 2 to 12 s later. Returns a description with times.
+std::string addUnansweredOrders(EmulatedFleet &fleet);
+
 /// Some jobs crash each target that starts them, as on the users' day. Returns a description with times.
 std::string addCrashingJobs(EmulatedFleet &fleet, Duration at, Duration length);
 
@@ -31,6 +34,13 @@
 /// description with times.
 std::string addRestartingTargets(EmulatedFleet &fleet, double lateShare, std::uint64_t seed);
 
+/// A fleet with so many targets that each zone's are a pool of their own, so that several hosts dispatch.
+FleetOptions optionsOfSeveralPools(std::uint64_t seed);
+
+/// Hosts are cut off from single others in one direction, and paused; the load is above the capacity, so that jobs wait at dispatchers.
+/// Returns a description with times.
+std::string addLossesOfSight(EmulatedFleet &fleet, const FleetOptions &options, std::uint64_t seed);
+
 /// Adds one to four random faults, chosen by the seed; returns a description with times.
 std::string addRandomFaults(EmulatedFleet &fleet, const FleetOptions &options, std::uint64_t seed);
 } // namespace Anvilcart::Emulation
--- a/src/scheduling/schedulertargets.cpp
+++ b/src/scheduling/schedulertargets.cpp
@@ -38,6 +38,16 @@
 constexpr Seconds UnconfirmedStartRetention {15};
 /// Leaving targets are removed when they have not replied for this long.
 constexpr Seconds RemoveUnresponsiveAfter {5};
+
+/// True when the next listing decides what became of an unanswered start, or whether the target has restarted.
+bool isListingAwaited(const TargetLedger &target)
+{
+    return target.restartSuspected || std::any_of(target.runs().begin(), target.runs().end(), [](const auto &entry) {
+               const auto &run = entry.second;
+               return run.phase == RunPhase::Unconfirmed && !run.startInFlight && !run.stopInFlight
+                   && (!run.stopRequested || run.stoppedAt != TimePoint());
+           });
+}
 } // namespace
 
 void Scheduler::addTarget(const TargetEntry &entry, std::uint64_t fencingToken, TimePoint now)
@@ -190,8 +200,9 @@
 {
     std::size_t count = 0;
     for (const auto &[id, target] : m_targets) {
-        count += static_cast<std::size_t>(std::count_if(target->runs().begin(), target->runs().end(), [&](const auto &entry) {
-            return entry.second.phase == RunPhase::Running || !target->unresponsive;
+        const bool unresponsive = target->unresponsive;
+        count += static_cast<std::size_t>(std::count_if(target->runs().begin(), target->runs().end(), [unresponsive](const auto &entry) {
+            return entry.second.phase == RunPhase::Running || !unresponsive;
         }));
     }
     return count;
@@ -230,6 +241,14 @@
     return next;
 }
 
+/// Requests a listing that is made from now on, beside a renewal that waits for the end of a run.
+void Scheduler::requestListing(TargetLedger &target, TimePoint now)
+{
+    if (!target.renewalInFlight || (target.renewalWaitMs > 0 && isListingAwaited(target))) {
+        renew(target, now);
+    }
+}
+
 void Scheduler::renew(TargetLedger &target, TimePoint now)
 {
     RenewalRequest request;
@@ -239,7 +258,8 @@
         && (target.probesAnsweredSince == TimePoint() || now - target.probesAnsweredSince < ProbePeriodBeforeClaim);
     request.fencingToken = isProbe ? 0 : target.fencingToken();
     request.acknowledgedPosition = target.acknowledgedEnds();
-    const bool mayWait = !target.runs().empty() && target.failedProbes == 0 && target.ownership != Ownership::Claiming;
+    const bool mayWait =
+        !target.runs().empty() && target.failedProbes == 0 && target.ownership != Ownership::Claiming && !isListingAwaited(target);
     request.waitMs = mayWait ? std::chrono::duration_cast<Milliseconds>(renewalWait(target, now)).count() : 0;
     // The leases of a target that does not answer are allowed to expire, so that its runs can be started elsewhere. So are those of runs
     // that another host has started, which waits for the end of its leases if it is only cut off.
@@ -248,10 +268,13 @@
         request.leaseUntilMs = target.leaseEndMs(target.hasRunAlone() ? Duration(SuspectLease) : m_limits.maxLease, now);
         target.recordLease(request.leaseUntilMs, now);
     }
+    request.isRepeated = !isProbe && target.ownership != Ownership::Claiming && !target.unresponsive;
+    request.repetitions = static_cast<std::uint32_t>(target.failedProbes);
     request.sequence = ++m_lastRenewalSequence;
-    target.renewalInFlight = true;
     target.renewalSequence = request.sequence;
-    target.renewalSentAt = now;
+    request.sentAt = now;
+    target.renewalInFlight = true;
+    target.renewalWaitMs = request.waitMs;
     target.renewalAcknowledgedEnds = request.acknowledgedPosition;
     m_port.sendRenewal(target.entry().id, request);
 }
@@ -263,24 +286,26 @@
         return;
     }
     auto &target = *found->second;
-    if (reply.sequence != target.renewalSequence) {
-        // What is known of a listing depends on when it was requested. A later renewal is in flight or answered.
-        return;
-    }
-    if (reply.fencingToken == 0 && target.ownership == Ownership::Claiming) {
+    const bool isLatest = reply.sequence == target.renewalSequence;
+    if (reply.fencingToken == 0 && target.ownership == Ownership::Claiming && isLatest) {
         onProbeReply(target, reply, now);
         return;
     }
     if (reply.fencingToken != target.fencingToken()) {
         return;
     }
-    target.renewalInFlight = false;
+    // Each claim of a target has a token of its own, so this reply belongs to a renewal of the present claim.
+    if (!isLatest && reply.result != RequestResult::Accepted && reply.result != RequestResult::Fenced) {
+        return;
+    }
+    target.renewalInFlight = target.renewalInFlight && !isLatest;
     if (reply.result == RequestResult::Fenced) {
         m_port.onTargetLost(targetId, target.ownership != Ownership::Claiming);
         return;
     }
     if (reply.result == RequestResult::WrongIncarnation) {
         target.leaving = true;
+        target.replaced = true;
     }
     if (reply.result != RequestResult::Accepted && now - target.lastAnswerAt < UnresponsiveAfter
         && target.ownership != Ownership::Claiming) {
@@ -304,13 +329,17 @@
         m_observer.onTargetResponsivenessChanged(targetId, false, 0);
     }
     target.unresponsive = false;
+    target.replaced = false;
     target.failedProbes = 0;
+    target.restartSuspected = false;
     const auto previousAnswerAt = std::exchange(target.lastAnswerAt, now);
-    target.onAcknowledged(target.renewalAcknowledgedEnds);
+    if (isLatest) {
+        target.onAcknowledged(target.renewalAcknowledgedEnds);
+    }
     if (target.ownership == Ownership::Claiming) {
         recordListedRuns(reply.listing, now);
     }
-    const auto changes = target.applyListing(reply.listing, target.renewalSentAt, now);
+    const auto changes = target.applyListing(reply.listing, reply.sentAt, now);
     if (changes.outdated) {
         if (!target.renewalInFlight) {
             renew(target, now);
@@ -320,6 +349,9 @@
     const bool isClaimed = target.ownership == Ownership::Claiming && !changes.restarted;
     if (changes.restarted) {
         target.ownership = Ownership::Claiming;
+        if (target.lastAnswerBeforeRestartAt == TimePoint()) {
+            target.lastAnswerBeforeRestartAt = previousAnswerAt;
+        }
         m_crashSuspects.onTargetRestarted(targetId);
         m_port.onTargetRestarted(targetId);
     } else if (isClaimed) {
@@ -335,7 +367,8 @@
     }
     if (isClaimed) {
         // Only a target that has restarted is claimed while it has runs in the ledger.
-        onRunsLost(target, LossEvidence::Restarted, previousAnswerAt, changes.ended, now);
+        const auto lastAnswerAt = std::exchange(target.lastAnswerBeforeRestartAt, TimePoint());
+        onRunsLost(target, LossEvidence::Restarted, lastAnswerAt == TimePoint() ? previousAnswerAt : lastAnswerAt, changes.ended, now);
     }
     for (const auto &ended : changes.ended) {
         onRunEnded(target, ended, now);
--- a/src/scheduling/targetledger.h
+++ b/src/scheduling/targetledger.h
@@ -52,6 +52,10 @@
     /// The run is no longer needed and is being stopped.
     bool stopRequested = false;
     bool stopInFlight = false;
+    /// How many unanswered requests for its start, and for its stop since the last pause, were repeated.
+    std::uint32_t startRepetitions = 0;
+    std::uint32_t stopRepetitions = 0;
+    bool startInFlight = true;
     TimePoint stopSentAt;
     /// When the target accepted a stop; TimePoint() before.
     TimePoint stoppedAt;
@@ -130,12 +134,19 @@
 
     /// Removes and returns the runs that have ended with their leases; before haveLeasesEnded(), returns nothing. Call only while the
     /// target is unresponsive. An unanswered start remains, since the target may have restarted unnoticed and may still receive the start,
-    /// unless the entry of the target is gone.
+    /// unless another incarnation has replaced it.
     std::vector<EndedLedgerRun> expireRuns(TimePoint now);
 
     /// Records a request that extends leases until that reading of the target's clock.
     void recordLease(std::int64_t leaseUntilMs, TimePoint now);
 
+    /// Records that runs may hold the longest lease from now on: a target that has restarted cuts a deadline on its earlier clock to that,
+    /// and another host may just have granted it.
+    void recordLongestLease(TimePoint now);
+
+    /// Records that the target accepted the run's start, in a reply with this reading of its clock.
+    void confirmStart(LedgerRun &run, std::int64_t clockMs, TimePoint now);
+
     /// The reading of the target's clock at which a lease granted now should end.
     std::int64_t leaseEndMs(Duration length, TimePoint now) const;
 
@@ -179,13 +190,20 @@
     bool leaving = false;
     /// The entry is gone: the target is removed as soon as it holds no run.
     bool entryGone = false;
+    /// Another incarnation answers at its address, which refuses the starts that were sent to this one.
+    bool replaced = false;
     bool unresponsive = false;
+    /// A reply showed a reading of the target's clock that is far in the past: it has probably restarted.
+    bool restartSuspected = false;
     bool renewalInFlight = false;
-    /// The sequence number of the last renewal; replies to earlier ones are ignored.
+    /// The sequence number of the last renewal.
     std::uint64_t renewalSequence = 0;
     std::uint64_t renewalAcknowledgedEnds = 0;
-    TimePoint renewalSentAt;
+    /// The wait time of the renewal in flight.
+    std::int64_t renewalWaitMs = 0;
     TimePoint lastAnswerAt;
+    /// The last answer before a restart whose losses are not reported yet; TimePoint() when there is none.
+    TimePoint lastAnswerBeforeRestartAt;
     TimePoint nextProbeAt;
     /// The job for which the target is reserved until the queue is next evaluated; empty when there is none.
     std::string reservedForJob;
