Review case 4: a restarted worker is given tasks by its earlier life's labels

Cause: after a restart is seen in a target's listing, it is claimed again at once, and placed on by the labels and capacity of the entry of its earlier life, until the list of targets is read again.

--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -1,6 +1,7 @@
 #include "review/support/deployment.h"
 
 #include <future>
+#include <map>
 #include <string>
 #include <thread>
 #include <vector>
@@ -10,77 +11,102 @@
 using namespace Anvilcart;
 using namespace Anvilcart::Review;
 
-/// bounds.cancel_ms and bounds.stop_timeout_ms of the settings.
-constexpr Milliseconds CancelBound {3000};
-constexpr Milliseconds StopBound {50};
-/// Ten steps of 0.6 s: each task takes less than a second, the job six.
-constexpr int Steps = 10;
-constexpr Milliseconds TaskLength {600};
-constexpr Milliseconds CallerTimeout {12000};
-constexpr unsigned Jobs = 6;
-/// The client moves to the next zone while its job is at work, and then cancels it there on a new connection.
-constexpr Milliseconds ShiftAfter {500};
-constexpr Milliseconds CancelAfterShift {400};
+constexpr int Workers = 8;
+constexpr std::int64_t MilliCores = 48000;
+constexpr std::int64_t TaskMilliCores = 14000;
+constexpr Milliseconds TaskLength {60};
+constexpr int TasksOfJob = 8;
+constexpr Milliseconds CallerTimeout {1500};
+/// A job each 18 ms: 1.1 times what eight workers do, 50 jobs a second, so that work waits.
+constexpr Milliseconds JobPeriod {18};
+constexpr Seconds TrafficTime {24};
+/// When a worker crashes, each time another one, and for how long it is down.
+const std::vector<Milliseconds> Crashes {Milliseconds(4000), Milliseconds(9000), Milliseconds(14000), Milliseconds(19000)};
+constexpr Milliseconds DownTime {300};
+/// A read of the store takes 4 ms. Starts so soon after a worker has registered itself are not counted, though the rule names no time.
+constexpr Milliseconds ReadTime {20};
+/// The kind that every task requires, and the kind as which a worker starts again.
+const std::string RequiredKind = "a";
+const std::string OtherKind = "b";
 
-/// The job's runs that began, or were still at work, later than the rule allows.
-int lateRuns(const std::vector<Run> &runs, const std::string &id, TimePoint acknowledgedAt, Record &record)
+/// Counts the starts on workers of the other kind. otherSince tells since when the store has a worker's entry with that kind.
+int startsWithoutLabel(const std::vector<Run> &runs, const std::map<std::string, TimePoint> &otherSince, Record &record)
 {
-    int late = 0;
+    int count = 0;
     for (const auto &run : runs) {
-        if (!run.task.starts_with(id)) {
+        const auto since = otherSince.find(run.worker);
+        if (since == otherSince.end() || run.startedAt <= since->second + ReadTime) {
             continue;
         }
-        const bool startedLate = run.startedAt > acknowledgedAt + CancelBound;
-        const bool ranOn = run.endedAt > acknowledgedAt + CancelBound + StopBound;
-        if (startedLate || ranOn) {
-            ++late;
-            record.line("UNASKED broken: " + run.task + " on " + run.worker + (startedLate ? " started " : " was at work ")
-                        + std::to_string(toMilliseconds((startedLate ? run.startedAt : run.endedAt) - acknowledgedAt))
-                        + " ms after the cancelling was acknowledged");
-        }
+        ++count;
+        record.lineAt(run.startedAt,
+                      "ROUTE broken: " + run.task + " requires the label " + RequiredKind + " and starts on " + run.worker + ", "
+                          + std::to_string(toMilliseconds(run.startedAt - since->second))
+                          + " ms after the store has its entry with the label " + OtherKind);
     }
-    return late;
+    return count;
 }
 } // namespace
 
 int main(int, char **argv)
 {
     Record record(argv[1]);
-    Deployment deployment({{"a", "b", "c"}, Milliseconds(12000)}, record);
-    const auto endpoints = deployment.startWorkers("w", 6);
-    const char *zones[] {"a", "b", "c"};
-    for (std::size_t index = 0; index < endpoints.size(); ++index) {
-        deployment.registerWorker({"w-" + std::to_string(index), endpoints[index], zones[index % 3], 32000, wallClockMs()});
+    Deployment deployment({{"a", "b", "c"}, CallerTimeout}, record);
+    const std::vector<std::string> zones {"a", "b", "c"};
+    std::map<std::string, TimePoint> otherSince;
+    const auto startWorker = [&](int index, const std::string &kind) {
+        const auto process = "i-" + std::to_string(index);
+        const auto endpoint = deployment.startWorkers(process, 1).front();
+        WorkerEntry entry {process + "-0", endpoint, zones[static_cast<std::size_t>(index) % zones.size()], MilliCores, wallClockMs()};
+        entry.kind = kind;
+        // A worker registers itself as soon as it listens.
+        deployment.registerWorker(entry);
+        if (kind == OtherKind) {
+            otherSince[entry.id] = Clock::now();
+        }
+        record.line(entry.id + " has started and registered itself with the label " + kind);
+    };
+    for (int index = 0; index < Workers; ++index) {
+        startWorker(index, RequiredKind);
     }
     if (!deployment.startHosts()) {
         record.line("the hosts are not ready");
         return CouldNotRun;
     }
-    int late = 0;
-    for (unsigned number = 1; number <= Jobs; ++number) {
-        const auto id = jobId(number);
-        // The platform forwards a client's connections to the host of the client's zone.
-        const std::size_t firstHost = number % deployment.hostCount();
-        auto submitted = std::async(std::launch::async, [&] {
-            return deployment.call(firstHost, "POST", id, jobBody(Steps, 2, 14000, TaskLength), CallerTimeout);
-        });
-        std::this_thread::sleep_for(ShiftAfter);
-        const auto host = hasTrouble() ? (firstHost + 1) % deployment.hostCount() : firstHost;
-        if (hasTrouble()) {
-            record.line("the client moves from zone " + std::string(zones[firstHost]) + " to zone " + zones[host]);
-        }
-        std::this_thread::sleep_for(CancelAfterShift);
-        const auto cancelled = deployment.call(host, "DELETE", id, {}, Milliseconds(1500));
-        const auto acknowledgedAt = Clock::now();
-        if (cancelled.status != 200 && cancelled.status != 410) {
-            record.line("the cancelling got no answer that acknowledges it");
-            return CouldNotRun;
+    const auto begin = Clock::now();
+    std::jthread crashes([&](const std::stop_token &) {
+        for (std::size_t number = 0; hasTrouble() && number < Crashes.size(); ++number) {
+            std::this_thread::sleep_until(begin + Crashes[number]);
+            const int index = static_cast<int>(number);
+            record.line("i-" + std::to_string(index) + "-0 crashes");
+            deployment.killWorkers("i-" + std::to_string(index));
+            std::this_thread::sleep_for(DownTime);
+            startWorker(index, OtherKind);
         }
-        submitted.wait();
-        std::this_thread::sleep_until(acknowledgedAt + CancelBound + Seconds(1));
-        late += lateRuns(deployment.runs(), id, acknowledgedAt, record);
+    });
+    std::vector<std::future<Answer>> answers;
+    unsigned number = 0;
+    for (auto next = begin; next < begin + TrafficTime; next += JobPeriod) {
+        std::this_thread::sleep_until(next);
+        ++number;
+        answers.push_back(std::async(std::launch::async, [&, number] {
+            const auto host = number % deployment.hostCount();
+            return deployment.call(
+                host, "POST", jobId(number), jobBody(1, TasksOfJob, TaskMilliCores, TaskLength, RequiredKind), CallerTimeout);
+        }));
     }
+    int served = 0;
+    for (auto &answer : answers) {
+        served += answer.get().status == 200 ? 1 : 0;
+    }
+    crashes.join();
     deployment.recordRuns();
-    record.line(std::to_string(late) + " runs after the end of the bound");
-    return late == 0 ? Held : Broken;
+    const auto runs = deployment.runs();
+    const int wrong = startsWithoutLabel(runs, otherSince, record);
+    record.line(std::to_string(served) + " of " + std::to_string(number) + " jobs were served, " + std::to_string(runs.size()) + " runs, "
+                + std::to_string(wrong) + " starts without the required label");
+    if (served == 0) {
+        return CouldNotRun;
+    }
+    return wrong == 0 ? Held : Broken;
 }
--- a/review/support/deployment.cpp
+++ b/review/support/deployment.cpp
@@ -231,7 +231,7 @@
                                {"cold_remaining_ms", 0},
                                {"born", entry.bornMs},
                                {"capacity", {{"cpu", entry.milliCores}, {"mem_mb", 131072}, {"gpu", 0}}},
-                               {"labels", json::array {"a", "r1-1"}},
+                               {"labels", json::array {entry.kind, "r1-1"}},
                                {"sequence", ++m_sequence}};
     m_store->put(Platform::Names::TargetTopic, entry.id, json::serialize(object));
 }
@@ -402,11 +402,14 @@
     return m_folder;
 }
 
-std::string jobBody(int steps, int count, std::int64_t milliCores, Milliseconds length)
+std::string jobBody(int steps, int count, std::int64_t milliCores, Milliseconds length, const std::string &requiredLabel)
 {
     json::array list;
     for (int step = 0; step < steps; ++step) {
         json::object object {{"count", count}, {"cpu", milliCores}, {"mem_mb", 64}, {"estimate_ms", length.count()}};
+        if (!requiredLabel.empty()) {
+            object["required_label"] = requiredLabel;
+        }
         if (step > 0) {
             object["depends_on"] = json::array {step - 1};
         }
--- a/review/support/deployment.h
+++ b/review/support/deployment.h
@@ -83,6 +83,8 @@
     std::int64_t milliCores = 32000;
     std::int64_t bornMs = 1;
     std::string state = "ready";
+    /// The worker's kind, one of its labels.
+    std::string kind = "a";
 };
 
 /// A small deployment on loopback addresses: hosts started with the command of the deploy file, the platform's store, and workers in
@@ -156,7 +158,8 @@
 };
 
 /// The body of a job that need not be stored: steps that each wait for the one before, with count tasks that run for length.
-std::string jobBody(int steps, int count, std::int64_t milliCores, Milliseconds length);
+/// Each task needs the label, unless it is empty.
+std::string jobBody(int steps, int count, std::int64_t milliCores, Milliseconds length, const std::string &requiredLabel = {});
 
 /// An id of a job: 16 hexadecimal digits.
 std::string jobId(unsigned number);
