--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -2,6 +2,7 @@
 
 #include <future>
 #include <map>
+#include <sstream>
 #include <string>
 #include <thread>
 #include <vector>
@@ -39,10 +40,10 @@
             continue;
         }
         ++count;
-        record.lineAt(run.startedAt,
-                      "ROUTE broken: " + run.task + " requires the label " + RequiredKind + " and starts on " + run.worker + ", "
-                          + std::to_string(toMilliseconds(run.startedAt - since->second))
-                          + " ms after the store has its entry with the label " + OtherKind);
+        std::ostringstream text;
+        text << "ROUTE broken: " << run.task << " requires the label " << RequiredKind << " and starts on " << run.worker << ", "
+             << toMilliseconds(run.startedAt - since->second) << " ms after the store has its entry with the label " << OtherKind;
+        record.lineAt(run.startedAt, text.str());
     }
     return count;
 }
