--- a/emulator/emulatedfleet.cpp
+++ b/emulator/emulatedfleet.cpp
@@ -295,6 +295,9 @@
     void onTargetResponsivenessChanged(const std::string &, bool, std::size_t) override
     {
     }
+    void onJobsReturned(const std::string &, std::size_t, const char *) override
+    {
+    }
     void onRunsLost(const TargetLoss &, TimePoint) override
     {
     }
--- a/emulator/faultscenarios.cpp
+++ b/emulator/faultscenarios.cpp
@@ -138,6 +138,47 @@
     return description + "burst from 4 s to 12 s";
 }
 
+std::string addFlappingZone(EmulatedFleet &fleet, const FleetOptions &options, std::uint64_t seed)
+{
+    constexpr Milliseconds CutLength {600};
+    constexpr Milliseconds CutPeriod {750};
+    constexpr int CutCount = 20;
+    const auto &zone = options.targetZones[seed % options.targetZones.size()];
+    for (int cut = 0; cut < CutCount; ++cut) {
+        const auto at = Seconds(4) + cut * CutPeriod;
+        for (std::size_t host = 0; host < options.hostZones.size(); ++host) {
+            for (std::size_t other = 0; other < options.hostZones.size(); ++other) {
+                if ((options.hostZones[host] == zone) != (options.hostZones[other] == zone)) {
+                    fleet.cutHostFromHost(host, other, at, CutLength);
+                }
+            }
+        }
+    }
+    fleet.increaseLoad(1.3, Seconds(4), CutCount * CutPeriod);
+    return "zone " + zone + " is cut off for 600 ms every 750 ms from 4 s to 19 s";
+}
+
+std::string addShortHostCuts(EmulatedFleet &fleet, const FleetOptions &options, std::uint64_t seed)
+{
+    std::mt19937_64 random(seed * 2953 + 5);
+    constexpr Milliseconds CutLength {600};
+    constexpr Milliseconds CutPeriod {700};
+    constexpr int CutCount = 20;
+    std::string description = "every 700 ms from 4 s on one of these hosts is cut off for 600 ms:";
+    for (int cut = 0; cut < CutCount; ++cut) {
+        const auto host = random() % options.hostZones.size();
+        for (std::size_t other = 0; other < options.hostZones.size(); ++other) {
+            if (other != host) {
+                fleet.cutHostFromHost(host, other, Seconds(4) + cut * CutPeriod, CutLength);
+                fleet.cutHostFromHost(other, host, Seconds(4) + cut * CutPeriod, CutLength);
+            }
+        }
+        description += " " + std::to_string(host);
+    }
+    fleet.increaseLoad(1.3, Seconds(4), CutCount * CutPeriod);
+    return description;
+}
+
 std::string addRandomFaults(EmulatedFleet &fleet, const FleetOptions &options, std::uint64_t seed)
 {
     std::mt19937_64 random(seed * 7919 + 1);
--- a/emulator/faultscenarios.h
+++ b/emulator/faultscenarios.h
@@ -41,6 +41,12 @@
 /// Returns a description with times.
 std::string addLossesOfSight(EmulatedFleet &fleet, const FleetOptions &options, std::uint64_t seed);
 
+/// The links of one zone fail for 0.6 s and come back for 0.15 s, over and over. Returns a description with times.
+std::string addFlappingZone(EmulatedFleet &fleet, const FleetOptions &options, std::uint64_t seed);
+
+/// Single hosts are cut off from all other hosts for 0.6 s, one after the other. Returns a description with times.
+std::string addShortHostCuts(EmulatedFleet &fleet, const FleetOptions &options, std::uint64_t seed);
+
 /// Adds one to four random faults, chosen by the seed; returns a description with times.
 std::string addRandomFaults(EmulatedFleet &fleet, const FleetOptions &options, std::uint64_t seed);
 } // namespace Anvilcart::Emulation
--- a/emulator/main.cpp
+++ b/emulator/main.cpp
@@ -17,7 +17,7 @@
     FleetOptions options;
     options.seed = seed;
     options.kinds = longTimeoutJobKinds();
-    if (scenario == "lost-sight") {
+    if (scenario == "lost-sight" || scenario == "short-cuts") {
         options = optionsOfSeveralPools(seed);
     }
     options.limits.policy = Fleet::queuePolicyNamed(policy);
@@ -38,6 +38,10 @@
         description = addRestartingTargets(fleet, 0.06, seed);
     } else if (scenario == "lost-sight") {
         description = addLossesOfSight(fleet, options, seed);
+    } else if (scenario == "flapping-zone") {
+        description = addFlappingZone(fleet, options, seed);
+    } else if (scenario == "short-cuts") {
+        description = addShortHostCuts(fleet, options, seed);
     } else if (scenario == "unanswered-orders") {
         description = addUnansweredOrders(fleet);
     } else if (scenario == "burst") {
@@ -83,6 +87,8 @@
                                             "restarts",
                                             "late-restarts",
                                             "lost-sight",
+                                            "flapping-zone",
+                                            "short-cuts",
                                             "unanswered-orders",
                                             "none"};
         TCLAP::ValuesConstraint<std::string> knownScenarios(scenarios);
--- a/src/fleet/entryjob.h
+++ b/src/fleet/entryjob.h
@@ -41,6 +41,13 @@
     /// The dispatcher that the job was submitted to, and its incarnation at that time; empty while there is none.
     std::string dispatcher;
     std::uint64_t dispatcherIncarnation = 0;
+    /// The epoch of the grant under which that dispatcher has the job.
+    std::uint64_t grantEpoch = 0;
+    /// That dispatcher is not live: the job waits for it, or for another one that can have it first.
+    bool dispatcherIsLost = false;
+    /// The lost dispatcher from which the job was taken last, and the epoch under which it had the job.
+    std::string previousDispatcher;
+    std::uint64_t previousGrantEpoch = 0;
     /// How often the job was submitted to a dispatcher.
     int submissionCount = 0;
     /// A dispatcher may have started a task of the job.
--- a/src/fleet/fleetframe.cpp
+++ b/src/fleet/fleetframe.cpp
@@ -18,6 +18,11 @@
     return std::chrono::microseconds(microseconds);
 }
 
+std::int64_t remainingMicroseconds(TimePoint end, TimePoint now)
+{
+    return end > now ? toMicroseconds(end - now) : 0;
+}
+
 void encodeStep(const StepRequest &step, Wire::Step &wire)
 {
     wire.set_task_count(step.taskCount);
@@ -86,7 +91,8 @@
     wire.set_entry_host(submission.entryHost);
     wire.set_waited_us(toMicroseconds(now - submission.arrivedAt));
     wire.set_answer_within_us(toMicroseconds(submission.callerDeadline - now));
-    wire.set_earlier_runs_for_us(submission.earlierRunsEndBy > now ? toMicroseconds(submission.earlierRunsEndBy - now) : 0);
+    wire.set_earlier_runs_for_us(remainingMicroseconds(submission.earlierRunsEndBy, now));
+    wire.set_lost_dispatcher_for_us(remainingMicroseconds(submission.lostDispatcherRunsEndBy, now));
     wire.set_transfers(submission.transfers);
     wire.set_lost_dispatcher(submission.lostDispatcher);
     encodeCrashes(submission.crashes, wire);
@@ -126,6 +132,7 @@
     submission.arrivedAt = now - fromMicroseconds(wire.waited_us());
     submission.callerDeadline = now + fromMicroseconds(wire.answer_within_us());
     submission.earlierRunsEndBy = now + fromMicroseconds(wire.earlier_runs_for_us());
+    submission.lostDispatcherRunsEndBy = now + fromMicroseconds(wire.lost_dispatcher_for_us());
     submission.transfers = wire.transfers();
     submission.lostDispatcher = wire.lost_dispatcher();
     submission.crashes = decodeCrashes(wire);
@@ -141,6 +148,8 @@
     wire.set_configuration_version(report.configurationVersion);
     wire.set_leaving(report.leaving);
     wire.set_processor_percent(report.processorPercent);
+    wire.set_claim_count(report.claimCount);
+    wire.set_targets_digest(report.targetsDigest);
     wire.set_period_ms(static_cast<std::uint32_t>(std::chrono::duration_cast<Milliseconds>(report.period).count()));
     wire.set_unheard_ms(static_cast<std::uint32_t>(std::chrono::duration_cast<Milliseconds>(frame.timeSinceLastReport).count()));
     for (const auto &claim : report.claims) {
@@ -176,6 +185,8 @@
     report.configurationVersion = wire.configuration_version();
     report.leaving = wire.leaving();
     report.processorPercent = wire.processor_percent();
+    report.claimCount = wire.claim_count();
+    report.targetsDigest = wire.targets_digest();
     report.period = Milliseconds(wire.period_ms());
     for (const auto &row : wire.claims()) {
         PoolClaim claim;
@@ -191,6 +202,42 @@
     }
     return report;
 }
+
+void encodeGrant(const JobGrant &grant, Wire::Grant &wire)
+{
+    wire.set_epoch(grant.epoch);
+    wire.set_until_us(toMicroseconds(grant.until.time_since_epoch()));
+    wire.set_confirmed_claims(grant.confirmedClaims);
+    wire.set_recipient_incarnation(grant.dispatcherIncarnation);
+}
+
+void encodeLostDispatcher(const LostDispatcher &lost, TimePoint now, Wire::LostDispatcher &wire)
+{
+    wire.set_host(lost.host);
+    wire.set_incarnation(lost.incarnation);
+    wire.set_report_sent_at_us(toMicroseconds(lost.reportSentAt));
+    wire.set_heard_ago_us(toMicroseconds(now - lost.heardAt));
+    wire.set_targets_digest(lost.targetsDigest);
+    for (const auto &pool : lost.pools) {
+        auto &row = *wire.add_claims();
+        row.set_zone(pool.zone);
+        row.set_shard(pool.shard);
+    }
+}
+
+LostDispatcher decodeLostDispatcher(const Wire::LostDispatcher &wire, TimePoint now)
+{
+    LostDispatcher lost;
+    lost.host = wire.host();
+    lost.incarnation = wire.incarnation();
+    lost.reportSentAt = fromMicroseconds(wire.report_sent_at_us());
+    lost.heardAt = now - fromMicroseconds(wire.heard_ago_us());
+    lost.targetsDigest = wire.targets_digest();
+    for (const auto &row : wire.claims()) {
+        lost.pools.push_back({row.zone(), row.shard()});
+    }
+    return lost;
+}
 } // namespace
 
 std::string encodeFrame(const FleetFrame &frame, TimePoint now)
@@ -202,6 +249,12 @@
     if (frame.report) {
         encodeReport(frame, *wire.mutable_heartbeat());
     }
+    if (frame.grant) {
+        encodeGrant(*frame.grant, *wire.mutable_grant());
+    }
+    for (const auto &lost : frame.lostDispatchers) {
+        encodeLostDispatcher(lost, now, *wire.add_lost_dispatchers());
+    }
     for (const auto &submission : frame.submissions) {
         encodeJob(submission, now, *wire.add_submits());
     }
@@ -217,6 +270,12 @@
         row.set_reason(static_cast<std::uint32_t>(notice.result.reason));
         row.set_retry_after_ms(std::chrono::duration_cast<Milliseconds>(notice.result.retryAfter).count());
         row.set_elsewhere(notice.result.preferredDispatcher);
+        row.set_grant_epoch(notice.grantEpoch);
+    }
+    for (const auto &release : frame.releases) {
+        auto &row = *wire.add_releases();
+        row.set_id(release.jobId);
+        row.set_lost_dispatcher(release.lostDispatcher);
     }
     for (const auto &id : frame.cancellations) {
         wire.add_cancels()->set_id(id);
@@ -250,6 +309,15 @@
             frame.knownEndpoints.push_back({row.address(), static_cast<std::uint16_t>(row.port())});
         }
     }
+    if (wire.has_grant()) {
+        frame.grant = JobGrant {wire.grant().epoch(),
+                                TimePoint(fromMicroseconds(wire.grant().until_us())),
+                                wire.grant().confirmed_claims(),
+                                wire.grant().recipient_incarnation()};
+    }
+    for (const auto &row : wire.lost_dispatchers()) {
+        frame.lostDispatchers.push_back(decodeLostDispatcher(row, now));
+    }
     for (const auto &row : wire.submits()) {
         if (auto submission = decodeJob(row, now)) {
             frame.submissions.push_back(std::move(*submission));
@@ -264,7 +332,10 @@
         }
         JobResult result {
             static_cast<JobEnd>(row.end()), static_cast<JobEndReason>(row.reason()), Milliseconds(row.retry_after_ms()), row.elsewhere()};
-        frame.ended.push_back({row.id(), result});
+        frame.ended.push_back({row.id(), result, row.grant_epoch()});
+    }
+    for (const auto &row : wire.releases()) {
+        frame.releases.push_back({row.id(), row.lost_dispatcher()});
     }
     for (const auto &row : wire.cancels()) {
         frame.cancellations.push_back(row.id());
--- a/src/fleet/fleetframe.h
+++ b/src/fleet/fleetframe.h
@@ -15,6 +15,8 @@
 {
     std::string jobId;
     JobResult result;
+    /// The epoch of the grant under which the job was submitted.
+    std::uint64_t grantEpoch = 0;
 };
 
 /// Targets were lost under tasks of a job; sent from the dispatcher to the entry host.
@@ -31,6 +33,27 @@
     std::string record;
 };
 
+/// What a host knows of a dispatcher that it has lost, by its last report.
+struct LostDispatcher
+{
+    std::string host;
+    std::uint64_t incarnation = 0;
+    /// When the report was sent, on the lost dispatcher's clock, and when it arrived.
+    Duration reportSentAt {0};
+    TimePoint heardAt;
+    std::vector<PoolName> pools;
+    /// See HostReport::targetsDigest.
+    std::uint64_t targetsDigest = 0;
+};
+
+/// A lost dispatcher runs nothing of the job any more; sent to the dispatcher that has the job now.
+struct JobRelease
+{
+    std::string jobId;
+    /// See JobSubmission::lostDispatcher.
+    std::string lostDispatcher;
+};
+
 /// One message between two hosts.
 struct FleetFrame
 {
@@ -43,9 +66,14 @@
     std::vector<Endpoint> knownEndpoints;
     /// Time since the sender received the recipient's last report. Sent only with a report.
     Duration timeSinceLastReport {0};
+    /// The sender's permission for the recipient to run its jobs.
+    std::optional<JobGrant> grant;
+    /// The dispatchers that had the submitted jobs before.
+    std::vector<LostDispatcher> lostDispatchers;
     std::vector<JobSubmission> submissions;
     std::vector<CrashNotice> crashNotices;
     std::vector<JobEndNotice> ended;
+    std::vector<JobRelease> releases;
     std::vector<std::string> cancellations;
     bool requestsConfiguration = false;
     std::optional<ConfigurationRecord> configuration;
--- a/src/fleet/fleetview.cpp
+++ b/src/fleet/fleetview.cpp
@@ -15,7 +15,7 @@
 constexpr Milliseconds UnresponsiveMargin {100};
 } // namespace
 
-bool FleetView::onReport(HostReport report, TimePoint now)
+bool FleetView::onReport(HostReport report, TimePoint now, Duration sentAt)
 {
     auto &member = m_members[report.host];
     const bool becameLive = member.report.incarnation != report.incarnation || !isLive(member, now);
@@ -24,6 +24,7 @@
     }
     member.report = std::move(report);
     member.lastReportAt = now;
+    member.reportSentAt = sentAt;
     member.disconnectedAt = TimePoint();
     return becameLive;
 }
@@ -59,8 +60,18 @@
 bool FleetView::isLive(const FleetMember &member, TimePoint now)
 {
     const bool disconnected = member.disconnectedAt != TimePoint() && now - member.disconnectedAt > ReconnectGrace;
-    return !disconnected && member.lastReportAt != TimePoint()
-        && now - member.lastReportAt <= member.report.period * UnresponsivePeriods + UnresponsiveMargin;
+    return !disconnected && member.lastReportAt != TimePoint() && now - member.lastReportAt <= longestSilence(member.report.period);
+}
+
+bool FleetView::isLive(const std::string &host, std::uint64_t incarnation, TimePoint now) const
+{
+    const auto found = m_members.find(host);
+    return found != m_members.end() && found->second.report.incarnation == incarnation && isLive(found->second, now);
+}
+
+Duration FleetView::longestSilence(Duration period)
+{
+    return period * UnresponsivePeriods + UnresponsiveMargin;
 }
 
 std::vector<const FleetMember *> FleetView::liveMembers(TimePoint now) const
--- a/src/fleet/fleetview.h
+++ b/src/fleet/fleetview.h
@@ -55,6 +55,10 @@
     bool leaving = false;
     std::vector<PoolClaim> claims;
     std::vector<ServiceLoad> loads;
+    /// The number of claims of targets that the host has made.
+    std::uint64_t claimCount = 0;
+    /// Identifies the set of targets that the host claims or holds.
+    std::uint64_t targetsDigest = 0;
     /// Processor time that the host may use, in hundredths of a core.
     std::uint32_t processorPercent = 0;
     /// The next report follows within this time.
@@ -68,6 +72,8 @@
     /// Since when the host is live in its present incarnation.
     TimePoint liveSince;
     TimePoint lastReportAt;
+    /// When that report was sent, on the host's clock.
+    Duration reportSentAt {0};
     /// When its connection closed; TimePoint() when a report has arrived since, or the connection is open.
     TimePoint disconnectedAt;
 };
@@ -76,8 +82,8 @@
 class FleetView
 {
 public:
-    /// Records a report. True when the host was not live here, or has restarted.
-    bool onReport(HostReport report, TimePoint now);
+    /// Records a report, which was sent at sentAt on its sender's clock. True when the host was not live here, or has restarted.
+    bool onReport(HostReport report, TimePoint now, Duration sentAt = Duration(0));
 
     /// Records that a connection closed. The host becomes unresponsive soon, unless it reports on another connection.
     void onDisconnect(const std::string &host, std::uint64_t incarnation, TimePoint now);
@@ -86,6 +92,10 @@
     std::vector<FleetMember> removeUnresponsive(TimePoint now);
 
     bool isLive(const std::string &host, TimePoint now) const;
+    bool isLive(const std::string &host, std::uint64_t incarnation, TimePoint now) const;
+
+    /// How long a live host may send no report that announced the next one within this period. Thread-safe.
+    static Duration longestSilence(Duration period);
 
     /// Live hosts, sorted by name.
     std::vector<const FleetMember *> liveMembers(TimePoint now) const;
--- a/src/fleet/hostnode.cpp
+++ b/src/fleet/hostnode.cpp
@@ -36,7 +36,7 @@
 bool mayRetryElsewhere(JobEndReason reason)
 {
     return reason == JobEndReason::Stopping || reason == JobEndReason::NoTargets || reason == JobEndReason::TargetsLost
-        || reason == JobEndReason::BetterElsewhere;
+        || reason == JobEndReason::BetterElsewhere || reason == JobEndReason::GrantEnded;
 }
 } // namespace
 
@@ -77,6 +77,12 @@
     }
     const auto dispatcher = found->second.dispatcher;
     m_jobs.erase(found);
+    cancelAtDispatcher(jobId, dispatcher, now);
+    processSchedulerEvents(now);
+}
+
+void HostNode::cancelAtDispatcher(const std::string &jobId, const std::string &dispatcher, TimePoint now)
+{
     if (dispatcher == m_identity.host) {
         m_scheduler.cancel(jobId, m_identity.host, now);
     } else if (!dispatcher.empty()) {
@@ -84,7 +90,6 @@
         frame.cancellations.push_back(jobId);
         send(dispatcher, std::move(frame), now);
     }
-    processSchedulerEvents(now);
 }
 
 bool HostNode::hasWaitingCaller(const std::string &jobId) const
@@ -141,7 +146,10 @@
 void HostNode::placeJob(EntryJob &job, TimePoint now)
 {
     const auto id = job.submission.request.id;
-    if (!job.submission.lostDispatcher.empty() && placeWithSuccessor(job, now)) {
+    if (job.dispatcherIsLost && returnToDispatcher(job, now)) {
+        return;
+    }
+    if (placeWithSuccessor(job, now)) {
         return;
     }
     for (const auto &dispatcher : dispatchersFor(job.submission.service, now)) {
@@ -149,8 +157,10 @@
             return;
         }
     }
-    job.dispatcher.clear();
     job.nextTryAt = now + PlacementRetryPeriod;
+    if (job.dispatcherIsLost && now < m_issuedGrants.endOf(job.dispatcher, job.dispatcherIncarnation, job.grantEpoch)) {
+        return;
+    }
     if (now - job.submission.arrivedAt > FindDispatcherTimeout) {
         CallerReply reply;
         reply.answer = answerForUnstarted(job, now);
@@ -160,15 +170,48 @@
     }
 }
 
+/// Leaves a job with its dispatcher that is live again. False when it is not, or the job was taken back meanwhile.
+bool HostNode::returnToDispatcher(EntryJob &job, TimePoint now)
+{
+    const bool isLive = m_view.isLive(job.dispatcher, job.dispatcherIncarnation, now);
+    if (!isLive || m_issuedGrants.epoch(job.dispatcher, job.dispatcherIncarnation) != job.grantEpoch) {
+        return false;
+    }
+    job.dispatcherIsLost = false;
+    return true;
+}
+
+/// When the runs that the job's dispatcher started, or may yet start, have ended if that hears nothing more.
+TimePoint HostNode::runsEndBy(const EntryJob &job, TimePoint now) const
+{
+    const auto grantEnd = job.grantEpoch == 0 ? now : m_issuedGrants.endOf(job.dispatcher, job.dispatcherIncarnation, job.grantEpoch);
+    return grantEnd + m_identity.limits.maxLease + LeaseExpiryMargin;
+}
+
+/// Takes a job from its lost dispatcher, so that another one can have it.
+void HostNode::takeBack(EntryJob &job, TimePoint now)
+{
+    if (m_issuedGrants.epoch(job.dispatcher, job.dispatcherIncarnation) == job.grantEpoch) {
+        m_issuedGrants.revoke(job.dispatcher, job.dispatcherIncarnation);
+    }
+    job.submission.earlierRunsEndBy = job.submission.mayStartAt();
+    job.submission.lostDispatcher = incarnationKey(job.dispatcher, job.dispatcherIncarnation);
+    job.submission.lostDispatcherRunsEndBy = runsEndBy(job, now);
+    job.previousDispatcher = std::exchange(job.dispatcher, {});
+    job.previousGrantEpoch = job.grantEpoch;
+    job.dispatcherIsLost = false;
+}
+
 /// Submits a job of a lost dispatcher to the host that took over its pools, which knows the runs that remain. False when any dispatcher
 /// may have the job.
 bool HostNode::placeWithSuccessor(EntryJob &job, TimePoint now)
 {
-    const auto lost = m_lostDispatchers.find(job.submission.lostDispatcher);
-    if (lost == m_lostDispatchers.end() || lost->second.targetsOfPool.empty() || now - lost->second.lostAt > FindSuccessorTimeout) {
+    const auto lost = m_lostDispatchers.find(job.dispatcherIsLost ? incarnationKey(job.dispatcher, job.dispatcherIncarnation)
+                                                                  : job.submission.lostDispatcher);
+    if (lost == m_lostDispatchers.end() || lost->second.dispatcher.pools.empty() || now - lost->second.lostAt > FindSuccessorTimeout) {
         return false;
     }
-    const auto successor = successorOf(lost->second.targetsOfPool.begin()->first, now);
+    const auto successor = successorOf(lost->second.dispatcher.pools.front(), now);
     if (!successor.empty()) {
         Dispatcher dispatcher;
         dispatcher.host = successor;
@@ -178,15 +221,21 @@
             return true;
         }
     }
-    job.dispatcher.clear();
     job.nextTryAt = now + PlacementRetryPeriod;
     return true;
 }
 
 bool HostNode::submitTo(EntryJob &job, const Dispatcher &dispatcher, TimePoint now)
 {
+    if (job.dispatcherIsLost) {
+        takeBack(job, now);
+    }
     if (dispatcher.host != m_identity.host) {
         FleetFrame frame;
+        const auto lost = m_lostDispatchers.find(job.submission.lostDispatcher);
+        if (lost != m_lostDispatchers.end()) {
+            frame.lostDispatchers.push_back(lost->second.dispatcher);
+        }
         frame.submissions.push_back(job.submission);
         if (!send(dispatcher.host, std::move(frame), now)) {
             return false;
@@ -194,6 +243,7 @@
     }
     job.dispatcher = dispatcher.host;
     job.dispatcherIncarnation = dispatcher.incarnation;
+    job.grantEpoch = m_issuedGrants.epoch(dispatcher.host, dispatcher.incarnation);
     ++job.submissionCount;
     m_observer.onJobSent(job, dispatcher.host, dispatcher.reportAge);
     if (dispatcher.host == m_identity.host) {
@@ -209,7 +259,7 @@
     for (const auto &[id, job] : m_jobs) {
         if (now >= job.answerBy) {
             expired.push_back(id);
-        } else if (job.dispatcher.empty() && now >= job.nextTryAt) {
+        } else if ((job.dispatcher.empty() || job.dispatcherIsLost) && now >= job.nextTryAt) {
             due.push_back(id);
         }
     }
@@ -231,23 +281,24 @@
         reply.reason = "time_is_over";
         reply.retryAfter = Seconds(1);
         answer(id, reply, now);
-        if (dispatcher == m_identity.host) {
-            m_scheduler.cancel(id, m_identity.host, now);
-        } else if (!dispatcher.empty()) {
-            FleetFrame frame;
-            frame.cancellations.push_back(id);
-            send(dispatcher, std::move(frame), now);
-        }
+        cancelAtDispatcher(id, dispatcher, now);
     }
 }
 
-void HostNode::onJobResult(const std::string &jobId, const std::string &from, const JobResult &result, TimePoint now)
+void HostNode::onJobResult(const JobEndNotice &notice, const std::string &from, TimePoint now)
 {
+    const auto &[jobId, result, grantEpoch] = notice;
     const auto found = m_jobs.find(jobId);
-    if (found == m_jobs.end() || found->second.dispatcher != from) {
+    if (found == m_jobs.end()) {
         return;
     }
     auto &job = found->second;
+    const bool isOfEarlierEpoch = grantEpoch != 0 && grantEpoch != job.grantEpoch;
+    if (job.dispatcher != from || isOfEarlierEpoch) {
+        onResultOfPrevious(job, notice, from, now);
+        return;
+    }
+    job.dispatcherIsLost = false;
     CallerReply reply;
     reply.reason = toName(result.reason);
     reply.retryAfter = result.retryAfter;
@@ -270,7 +321,8 @@
     case JobEnd::Abandoned:
         job.mayHaveRun = true;
         if (result.reason == JobEndReason::TargetsLost && job.submissionCount < MaxSubmissions) {
-            job.submission.earlierRunsEndBy = now + m_identity.limits.maxLease + LeaseExpiryMargin;
+            const auto lostRunsEndBy = now + m_identity.limits.maxLease + LeaseExpiryMargin;
+            job.submission.earlierRunsEndBy = std::max(job.submission.earlierRunsEndBy, lostRunsEndBy);
             job.dispatcher.clear();
             job.nextTryAt = now + PlacementRetryPeriod;
             return;
@@ -285,6 +337,33 @@
     answer(jobId, reply, now);
 }
 
+/// Handles a result of a dispatcher from which the job was taken.
+void HostNode::onResultOfPrevious(EntryJob &job, const JobEndNotice &notice, const std::string &from, TimePoint now)
+{
+    const auto jobId = notice.jobId;
+    if (notice.result.end == JobEnd::Completed) {
+        const auto dispatcher = job.dispatcher;
+        CallerReply reply;
+        reply.answer = CallerAnswer::Completed;
+        reply.reason = toName(notice.result.reason);
+        answer(jobId, reply, now);
+        cancelAtDispatcher(jobId, dispatcher, now);
+        return;
+    }
+    const bool isNewest = job.previousDispatcher == from && job.previousGrantEpoch == notice.grantEpoch;
+    const bool hasNoRuns = notice.result.end != JobEnd::Failed && notice.result.reason != JobEndReason::TargetsLost;
+    if (isNewest && hasNoRuns && job.submission.lostDispatcherRunsEndBy > now) {
+        job.submission.lostDispatcherRunsEndBy = now;
+        if (job.dispatcher == m_identity.host) {
+            m_scheduler.onLostDispatcherDone(jobId, job.submission.lostDispatcher, now);
+        } else if (!job.dispatcher.empty() && !job.dispatcherIsLost) {
+            FleetFrame frame;
+            frame.releases.push_back({jobId, job.submission.lostDispatcher});
+            send(job.dispatcher, std::move(frame), now);
+        }
+    }
+}
+
 /// Schedules another submission when the reason may not apply to another dispatcher. During a hand-over a dispatcher refuses a little
 /// before its successor is known.
 bool HostNode::retryElsewhere(EntryJob &job, JobEndReason reason, TimePoint now)
@@ -324,7 +403,7 @@
     m_port.answerCaller(jobId, reply);
 }
 
-/// Schedules the jobs of a lost dispatcher for submission to its successor. Their earlier runs end with the longest lease at the latest.
+/// Marks the jobs of a lost dispatcher. They stay with it while no other one can have them, since it may only be out of sight.
 void HostNode::onDispatcherLost(const std::string &host, std::uint64_t incarnation, TimePoint now)
 {
     for (auto &[id, job] : m_jobs) {
@@ -332,9 +411,7 @@
             continue;
         }
         job.mayHaveRun = true;
-        job.submission.lostDispatcher = incarnationKey(host, incarnation);
-        job.submission.earlierRunsEndBy = now + m_identity.limits.maxLease + LeaseExpiryMargin;
-        job.dispatcher.clear();
+        job.dispatcherIsLost = true;
         job.nextTryAt = now;
     }
 }
@@ -343,11 +420,11 @@
 {
     m_observer.onJobEnded(job, result, m_now - job.arrivedAt);
     if (job.entryHost == m_identity.host) {
-        m_locallyEndedJobs.push_back({job.request.id, result});
+        m_locallyEndedJobs.push_back({job.request.id, result, job.grantEpoch});
         return;
     }
     FleetFrame frame;
-    frame.ended.push_back({job.request.id, result});
+    frame.ended.push_back({job.request.id, result, job.grantEpoch});
     send(job.entryHost, std::move(frame), m_now);
 }
 
@@ -377,7 +454,7 @@
     while (!m_locallyEndedJobs.empty() || !m_takenOverTargets.empty() || !m_restartedTargets.empty()) {
         const auto ended = std::exchange(m_locallyEndedJobs, {});
         for (const auto &notice : ended) {
-            onJobResult(notice.jobId, m_identity.host, notice.result, now);
+            onJobResult(notice, m_identity.host, now);
         }
         const auto takenOver = std::exchange(m_takenOverTargets, {});
         for (const auto &target : takenOver) {
--- a/src/fleet/hostnode.h
+++ b/src/fleet/hostnode.h
@@ -3,6 +3,7 @@
 #include "fleet/fleetview.h"
 #include "fleet/interfaces/hostobserver.h"
 #include "fleet/interfaces/hostport.h"
+#include "fleet/issuedgrants.h"
 #include "fleet/overloaddetector.h"
 #include "fleet/poolassignment.h"
 #include "scheduling/scheduler.h"
@@ -146,7 +147,12 @@
     bool submitTo(EntryJob &job, const Dispatcher &dispatcher, TimePoint now);
     std::vector<Dispatcher> dispatchersFor(const std::string &service, TimePoint now) const;
     void onCrashNotice(const CrashNotice &notice, const std::string &from);
-    void onJobResult(const std::string &jobId, const std::string &from, const JobResult &result, TimePoint now);
+    void onJobResult(const JobEndNotice &notice, const std::string &from, TimePoint now);
+    void onResultOfPrevious(EntryJob &job, const JobEndNotice &notice, const std::string &from, TimePoint now);
+    void cancelAtDispatcher(const std::string &jobId, const std::string &dispatcher, TimePoint now);
+    bool returnToDispatcher(EntryJob &job, TimePoint now);
+    void takeBack(EntryJob &job, TimePoint now);
+    TimePoint runsEndBy(const EntryJob &job, TimePoint now) const;
     void answer(const std::string &jobId, const CallerReply &reply, TimePoint now);
     void abandon(const std::string &jobId, TimePoint now);
     void onDispatcherLost(const std::string &host, std::uint64_t incarnation, TimePoint now);
@@ -154,6 +160,9 @@
     bool retryElsewhere(EntryJob &job, JobEndReason reason, TimePoint now);
     bool followRedirect(EntryJob &job, const JobResult &result, TimePoint now);
     bool isStale(const FleetFrame &frame, TimePoint now);
+    bool acceptGrant(FleetFrame &frame, TimePoint now);
+    void addGrant(FleetFrame &frame, const FleetMember &recipient, TimePoint now);
+    void recordLostDispatcher(const LostDispatcher &lost, TimePoint now);
     void probePoolsOfOtherZones(const std::set<PoolName> &pools, TimePoint now);
     bool onProbeReply(const std::string &target, const RenewalReply &reply, TimePoint now);
 
@@ -171,7 +180,6 @@
     std::string successorOf(const PoolName &pool, TimePoint now) const;
     const TargetEntry *findTargetEntry(const std::string &target) const;
     bool ownsAnyOf(const PoolName &pool) const;
-    std::uint32_t listedTargetCount(const PoolName &pool) const;
     std::uint32_t answeringTargetCount(const PoolName &pool) const;
     std::uint32_t removedTargetCount(const PoolName &pool) const;
     std::uint64_t nextFencingToken(const std::string &target);
@@ -227,14 +235,15 @@
     std::vector<JobEndNotice> m_locallyEndedJobs;
     std::vector<std::string> m_takenOverTargets;
     std::vector<std::string> m_restartedTargets;
-    /// A lost dispatcher: its pools, each with the number of targets that it had, and the time of the loss.
-    struct LostDispatcher
+    struct LossRecord
     {
-        std::map<PoolName, std::uint32_t> targetsOfPool;
+        LostDispatcher dispatcher;
         TimePoint lostAt;
     };
 
-    std::map<std::string, LostDispatcher> m_lostDispatchers;
+    /// By incarnationKey().
+    std::map<std::string, LossRecord> m_lostDispatchers;
+    IssuedGrants m_issuedGrants;
     ConfigurationRecord m_configuration;
     std::uint64_t m_highestRound = 0;
     TimePoint m_lastTickAt;
--- a/src/fleet/hostnodepeers.cpp
+++ b/src/fleet/hostnodepeers.cpp
@@ -76,10 +76,16 @@
     if (frame.report) {
         onReport(frame, now);
     }
-    if (isStale(frame, now)) {
+    for (const auto &lost : frame.lostDispatchers) {
+        recordLostDispatcher(lost, now);
+    }
+    const bool isAccepted = acceptGrant(frame, now);
+    if (isStale(frame, now) || !isAccepted) {
         for (const auto &submission : frame.submissions) {
             FleetFrame refusal;
-            refusal.ended.push_back({submission.request.id, {JobEnd::NotRun, JobEndReason::WaitedTooLong, Seconds(1), {}}});
+            const auto reason = isAccepted ? JobEndReason::WaitedTooLong : JobEndReason::GrantEnded;
+            const JobResult result {JobEnd::NotRun, reason, Seconds(1), {}};
+            refusal.ended.push_back({submission.request.id, result, submission.grantEpoch});
             send(frame.host, std::move(refusal), now);
         }
         frame.submissions.clear();
@@ -91,7 +97,10 @@
         onCrashNotice(notice, frame.host);
     }
     for (const auto &notice : frame.ended) {
-        onJobResult(notice.jobId, frame.host, notice.result, now);
+        onJobResult(notice, frame.host, now);
+    }
+    for (const auto &release : frame.releases) {
+        m_scheduler.onLostDispatcherDone(release.jobId, release.lostDispatcher, now);
     }
     for (const auto &id : frame.cancellations) {
         m_scheduler.cancel(id, frame.host, now);
@@ -107,6 +116,45 @@
     processSchedulerEvents(now);
 }
 
+/// Takes the grant from a frame, which covers the jobs in it. False when it is outdated, has ended or was given to an earlier incarnation
+/// of this host, so that the jobs must be refused.
+bool HostNode::acceptGrant(FleetFrame &frame, TimePoint now)
+{
+    if (!frame.grant) {
+        return true;
+    }
+    for (auto &submission : frame.submissions) {
+        submission.grantEpoch = frame.grant->epoch;
+    }
+    return frame.grant->dispatcherIncarnation == m_identity.incarnation
+        && m_scheduler.onGrant(frame.host, frame.incarnation, *frame.grant, now) && frame.grant->until > now;
+}
+
+/// Adds the grant for the recipient. It outlasts the silence after which either of the two hosts counts as lost to the other, by the time
+/// between two reports.
+void HostNode::addGrant(FleetFrame &frame, const FleetMember &recipient, TimePoint now)
+{
+    const auto &report = recipient.report;
+    if (report.claims.empty() && frame.submissions.empty()) {
+        return;
+    }
+    const auto longestPeriod = std::max(report.period, reportPeriod(&recipient, now));
+    frame.grant = m_issuedGrants.renew(report.host, report.incarnation, FleetView::longestSilence(longestPeriod) + report.period);
+}
+
+/// Keeps what the newest report of a lost dispatcher has said, whichever host it has reached.
+void HostNode::recordLostDispatcher(const LostDispatcher &lost, TimePoint now)
+{
+    std::erase_if(m_lostDispatchers, [now](const auto &entry) {
+        return now - entry.second.lostAt > LostDispatcherRetention;
+    });
+    const auto [found, added] = m_lostDispatchers.try_emplace(incarnationKey(lost.host, lost.incarnation), LossRecord {lost, now});
+    auto &known = found->second.dispatcher;
+    if (!added && lost.reportSentAt > known.reportSentAt) {
+        known = lost;
+    }
+}
+
 /// True for a frame with jobs that was delayed for too long: the relative times of its jobs are wrong by the delay, and the sender may
 /// have submitted the jobs to another dispatcher.
 bool HostNode::isStale(const FleetFrame &frame, TimePoint now)
@@ -124,15 +172,20 @@
 void HostNode::onReport(const FleetFrame &frame, TimePoint now)
 {
     const auto &report = *frame.report;
+    if (!m_issuedGrants.onReport(report.host, report.incarnation, report.claimCount, frame.sentAt, now)) {
+        return;
+    }
     const auto *known = m_view.find(report.host);
     if (known != nullptr && known->report.incarnation != report.incarnation) {
         const auto previous = *known;
+        m_issuedGrants.onEnded(previous.report.host, previous.report.incarnation, now);
+        m_scheduler.cancelAllOf(previous.report.host, now);
         onHostLost(previous, now);
     }
     const bool assignmentChanged = known == nullptr || affectsAssignment(known->report, report);
     const bool loadsChanged = !report.loads.empty() || (known != nullptr && !known->report.loads.empty());
     bool becameLive = false;
-    if (m_view.onReport(report, now)) {
+    if (m_view.onReport(report, now, frame.sentAt)) {
         if (m_shortestDelay.contains(report.incarnation)) {
             // It was cut off, and may have dispatched until now.
             m_scheduler.onHistoryLost(now);
@@ -191,17 +244,15 @@
 {
     const auto &report = member.report;
     m_observer.onHostLivenessChanged(report, false, now - member.lastReportAt);
-    std::map<PoolName, std::uint32_t> targetsOfPool;
+    LostDispatcher lost {report.host, report.incarnation, member.reportSentAt, member.lastReportAt, {}, report.targetsDigest};
     for (const auto &claim : report.claims) {
-        targetsOfPool[claim.pool] = claim.ownedTargets;
+        lost.pools.push_back(claim.pool);
     }
-    std::erase_if(m_lostDispatchers, [now](const auto &entry) {
-        return now - entry.second.lostAt > LostDispatcherRetention;
-    });
-    m_lostDispatchers[incarnationKey(report.host, report.incarnation)] = {targetsOfPool, now};
+    recordLostDispatcher(lost, now);
+    m_lostDispatchers.at(incarnationKey(report.host, report.incarnation)).lostAt = now;
+    m_issuedGrants.removeOld(now);
     // The host may have been the only one to know what ran. If it is only cut off, it may dispatch on its own now.
     m_scheduler.onHistoryLost(now);
-    m_scheduler.cancelAllOf(report.host, now);
     onDispatcherLost(report.host, report.incarnation, now);
     updatePeerLoads(now);
 }
@@ -372,6 +423,8 @@
     report.configurationVersion = m_configuration.version;
     report.leaving = m_leaving;
     report.processorPercent = m_assignment.self().processorPercent;
+    report.claimCount = m_scheduler.claimCount();
+    report.targetsDigest = m_scheduler.ownedTargetsDigest();
     for (auto &[pool, claim] : m_assignment.self().claims) {
         auto row = claim;
         if (claim.yielding) {
@@ -445,6 +498,7 @@
     frame.report = report;
     if (member != nullptr) {
         frame.timeSinceLastReport = now - member->lastReportAt;
+        addGrant(frame, *member, now);
     }
     if (member == nullptr || peer.listedEndpoints != m_peers.size() || m_reportsSent % EndpointListInterval == 0) {
         peer.listedEndpoints = m_peers.size();
@@ -457,7 +511,7 @@
     peer.nextReportAt = now + report.period;
 }
 
-bool HostNode::send(const std::string &host, FleetFrame frame, TimePoint)
+bool HostNode::send(const std::string &host, FleetFrame frame, TimePoint now)
 {
     const auto *member = m_view.find(host);
     if (member == nullptr) {
@@ -465,6 +519,7 @@
     }
     frame.host = m_identity.host;
     frame.incarnation = m_identity.incarnation;
+    addGrant(frame, *member, now);
     return m_port.sendFrame(member->report.peerEndpoint, frame);
 }
 } // namespace Anvilcart::Fleet
--- a/src/fleet/hostnodepools.cpp
+++ b/src/fleet/hostnodepools.cpp
@@ -157,14 +157,6 @@
     return true;
 }
 
-std::uint32_t HostNode::listedTargetCount(const PoolName &pool) const
-{
-    const auto &targets = m_poolPlan.targetsOf(pool);
-    return static_cast<std::uint32_t>(std::count_if(targets.begin(), targets.end(), [this](const std::string &id) {
-        return m_scheduler.isListed(id);
-    }));
-}
-
 /// Targets beyond a network partition do not count: of two hosts that claim a pool, the one that reaches more targets keeps it.
 std::uint32_t HostNode::answeringTargetCount(const PoolName &pool) const
 {
@@ -254,6 +246,8 @@
             const auto token = nextFencingToken(id);
             claim.round = std::max(claim.round, token >> TokenSaltBits);
             m_scheduler.addTarget(m_targets.at(id), token, now);
+            // Entry hosts must have confirmed the claim before their jobs may start there.
+            m_loadReportsDue = true;
         }
     }
 }
@@ -300,20 +294,32 @@
     }
 }
 
-/// True while this host has the run list of every target of a lost dispatcher, and so knows each run of its jobs. The dispatcher may have
-/// had targets that this host's list does not show yet, or no longer.
+/// True while this host has listed every target of a lost dispatcher, under claims that it made after the last report of that which has
+/// reached any entry host of the job. It then knows each run of the jobs that were taken from the dispatcher, and that can start no other:
+/// the targets refuse it under the claims that it reported, and it must not start those jobs under later ones (JobGrant::confirmedClaims).
 bool HostNode::isTakenOver(const std::string &lostDispatcher, TimePoint now) const
 {
     const auto lost = m_lostDispatchers.find(lostDispatcher);
-    if (lost == m_lostDispatchers.end() || lost->second.targetsOfPool.empty()) {
+    if (lost == m_lostDispatchers.end() || lost->second.dispatcher.pools.empty()) {
         return false;
     }
-    const auto &pools = lost->second.targetsOfPool;
-    return std::all_of(pools.begin(), pools.end(), [&](const auto &pool) {
-        const auto listed = listedTargetCount(pool.first);
-        return successorOf(pool.first, now) == m_identity.host && listed == m_poolPlan.targetsOf(pool.first).size()
-            && listed >= pool.second;
-    });
+    const auto &dispatcher = lost->second.dispatcher;
+    if (m_view.isLive(dispatcher.host, dispatcher.incarnation, now)) {
+        return false;
+    }
+    std::uint64_t digest = 0;
+    for (const auto &pool : dispatcher.pools) {
+        if (successorOf(pool, now) != m_identity.host) {
+            return false;
+        }
+        for (const auto &id : m_poolPlan.targetsOf(pool)) {
+            if (!m_scheduler.isListedUnderClaimAfter(id, dispatcher.heardAt)) {
+                return false;
+            }
+            digest += Scheduler::digestOf(id);
+        }
+    }
+    return digest == dispatcher.targetsDigest;
 }
 
 void HostNode::checkTakeovers(TimePoint now)
@@ -329,7 +335,7 @@
 void HostNode::schedule(JobSubmission submission, TimePoint now)
 {
     if (isTakenOver(submission.lostDispatcher, now)) {
-        submission.earlierRunsEndBy = now;
+        submission.lostDispatcherRunsEndBy = now;
     }
     m_scheduler.submit(std::move(submission), now);
 }
--- /dev/null
+++ b/src/fleet/issuedgrants.cpp
@@ -0,0 +1,89 @@
+#include "fleet/issuedgrants.h"
+
+#include <algorithm>
+
+namespace Anvilcart::Fleet
+{
+namespace
+{
+/// The dispatcher's clock may run this much slower.
+constexpr double ClockDrift = 0.02;
+/// Records are kept this long after the last grant: longer than callers wait.
+constexpr Seconds RecordRetention {30};
+} // namespace
+
+bool IssuedGrants::onReport(const std::string &host, std::uint64_t incarnation, std::uint64_t claims, Duration sentAt, TimePoint now)
+{
+    const auto [found, added] = m_records.try_emplace({host, incarnation});
+    auto &record = found->second;
+    if (!added && sentAt < record.reportSentAt) {
+        return false;
+    }
+    record.reportSentAt = sentAt;
+    record.reportArrivedAt = now;
+    record.claims = claims;
+    return true;
+}
+
+std::optional<JobGrant> IssuedGrants::renew(const std::string &host, std::uint64_t incarnation, Duration length)
+{
+    const auto found = m_records.find({host, incarnation});
+    if (found == m_records.end()) {
+        return std::nullopt;
+    }
+    auto &record = found->second;
+    const auto drift = std::chrono::duration_cast<Duration>(length * ClockDrift);
+    record.endsBy = std::max(record.endsBy, record.reportArrivedAt + length + drift);
+    return JobGrant {record.epoch, TimePoint(record.reportSentAt + length), record.claims, incarnation};
+}
+
+const IssuedGrants::Record *IssuedGrants::find(const std::string &host, std::uint64_t incarnation) const
+{
+    const auto found = m_records.find({host, incarnation});
+    return found == m_records.end() ? nullptr : &found->second;
+}
+
+std::uint64_t IssuedGrants::epoch(const std::string &host, std::uint64_t incarnation) const
+{
+    const auto *record = find(host, incarnation);
+    return record == nullptr ? 0 : record->epoch;
+}
+
+void IssuedGrants::revoke(const std::string &host, std::uint64_t incarnation)
+{
+    const auto found = m_records.find({host, incarnation});
+    if (found != m_records.end()) {
+        auto &record = found->second;
+        ++record.epoch;
+        record.earlierEndBy = std::max(record.earlierEndBy, record.endsBy);
+        record.endsBy = TimePoint();
+    }
+}
+
+void IssuedGrants::onEnded(const std::string &host, std::uint64_t incarnation, TimePoint now)
+{
+    const auto found = m_records.find({host, incarnation});
+    if (found != m_records.end()) {
+        auto &record = found->second;
+        record.endsBy = std::min(record.endsBy, now);
+        record.earlierEndBy = std::min(record.earlierEndBy, now);
+    }
+}
+
+TimePoint IssuedGrants::endOf(const std::string &host, std::uint64_t incarnation, std::uint64_t epoch) const
+{
+    const auto *record = find(host, incarnation);
+    if (record == nullptr) {
+        return {};
+    }
+    return epoch == record->epoch ? record->endsBy : record->earlierEndBy;
+}
+
+void IssuedGrants::removeOld(TimePoint now)
+{
+    std::erase_if(m_records, [now](const auto &entry) {
+        const auto &record = entry.second;
+        return now - std::max({record.endsBy, record.earlierEndBy, record.reportArrivedAt}) > RecordRetention;
+    });
+}
+} // namespace Anvilcart::Fleet
--- /dev/null
+++ b/src/fleet/issuedgrants.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "kernel/time.h"
+#include "scheduling/heldgrants.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+
+namespace Anvilcart::Fleet
+{
+/// The grants that an entry host has given to dispatchers, and when each has certainly ended. A grant counts from the sending of the
+/// dispatcher's last report, on the dispatcher's clock; here it counts from the arrival of that report, which is later. So it ends at the
+/// dispatcher first, whatever the delays of messages, and clocks need not agree. Not thread-safe.
+class IssuedGrants
+{
+public:
+    /// Records a report of a dispatcher that had made this number of claims. sentAt is on the dispatcher's clock. False when a newer
+    /// report of the same incarnation has arrived before.
+    bool onReport(const std::string &host, std::uint64_t incarnation, std::uint64_t claims, Duration sentAt, TimePoint now);
+
+    /// The grant for the next frame to the dispatcher, which ends this long after its last report; nothing without a report.
+    std::optional<JobGrant> renew(const std::string &host, std::uint64_t incarnation, Duration length);
+
+    /// The epoch under which jobs are submitted to the dispatcher; 0 without a report.
+    std::uint64_t epoch(const std::string &host, std::uint64_t incarnation) const;
+
+    /// Takes back all jobs that the dispatcher has by now.
+    void revoke(const std::string &host, std::uint64_t incarnation);
+
+    /// The incarnation of the dispatcher has ended, and all of its grants with it.
+    void onEnded(const std::string &host, std::uint64_t incarnation, TimePoint now);
+
+    /// When every grant under this epoch has ended, if it is not renewed.
+    TimePoint endOf(const std::string &host, std::uint64_t incarnation, std::uint64_t epoch) const;
+
+    /// Removes the records of dispatchers whose grants ended long ago.
+    void removeOld(TimePoint now);
+
+private:
+    using Key = std::pair<std::string, std::uint64_t>;
+
+    struct Record
+    {
+        std::uint64_t epoch = 1;
+        Duration reportSentAt {0};
+        TimePoint reportArrivedAt;
+        std::uint64_t claims = 0;
+        /// When the grants of the present epoch end, and those of all earlier ones.
+        TimePoint endsBy;
+        TimePoint earlierEndBy;
+    };
+
+    const Record *find(const std::string &host, std::uint64_t incarnation) const;
+
+    std::map<Key, Record> m_records;
+};
+} // namespace Anvilcart::Fleet
--- a/src/hostruntime/hosttelemetry.cpp
+++ b/src/hostruntime/hosttelemetry.cpp
@@ -247,6 +247,12 @@
     }
 }
 
+void HostTelemetry::onJobsReturned(const std::string &entryHost, std::size_t jobs, const char *cause)
+{
+    count("anvilcart_job_returns_total", "cause", cause);
+    write(LogLine("jobs_returned").add("entry", entryHost).add("jobs", std::uint64_t(jobs)).add("cause", cause), LogPriority::Important);
+}
+
 void HostTelemetry::onStaleFrame(const std::string &host, Duration delay, std::size_t jobs)
 {
     count("anvilcart_stale_messages_total", "peer", host);
--- /dev/null
+++ b/src/scheduling/heldgrants.cpp
@@ -0,0 +1,92 @@
+#include "scheduling/heldgrants.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace Anvilcart::Fleet
+{
+namespace
+{
+/// Runs whose grant has ended are stopped after this time, so that a report that is a little late does not cost their work. Shorter than
+/// any lease, which is not extended meanwhile.
+constexpr Milliseconds ExpiryDelay {250};
+} // namespace
+
+HeldGrants::Change HeldGrants::onGrant(const std::string &entryHost, std::uint64_t entryIncarnation, const JobGrant &grant, TimePoint now)
+{
+    auto &held = m_grants[entryHost];
+    auto confirmed = grant;
+    confirmed.until = grant.confirmedClaims >= m_requiredClaims ? grant.until : std::min(grant.until, now);
+    if (held.entryIncarnation == entryIncarnation && grant.epoch < held.newest.epoch) {
+        return Change::Outdated;
+    }
+    const bool hasRestarted = held.entryIncarnation != 0 && held.entryIncarnation != entryIncarnation;
+    const bool isRenewal = held.entryIncarnation == entryIncarnation && grant.epoch == held.newest.epoch;
+    if (isRenewal) {
+        confirmed.until = std::max(held.newest.until, confirmed.until);
+        confirmed.confirmedClaims = std::max(held.newest.confirmedClaims, confirmed.confirmedClaims);
+    }
+    const auto until = std::exchange(confirmed.until, held.newest.until);
+    held.newest = confirmed;
+    held.entryIncarnation = entryIncarnation;
+    setEnd(entryHost, held.newest, until);
+    if (hasRestarted) {
+        return Change::EntryRestarted;
+    }
+    return isRenewal ? Change::Renewed : Change::EpochRaised;
+}
+
+void HeldGrants::setEnd(const std::string &entryHost, JobGrant &grant, TimePoint until)
+{
+    m_ends.erase({grant.until, entryHost});
+    m_expiries.erase({grant.until + ExpiryDelay, entryHost});
+    grant.until = until;
+    m_ends.emplace(until, entryHost);
+    m_expiries.emplace(until + ExpiryDelay, entryHost);
+}
+
+void HeldGrants::endAll(std::uint64_t claims, TimePoint now)
+{
+    m_requiredClaims = claims + 1;
+    for (auto &[entryHost, held] : m_grants) {
+        if (held.newest.until > now) {
+            setEnd(entryHost, held.newest, now);
+        }
+    }
+}
+
+bool HeldGrants::isValid(const std::string &entryHost, std::uint64_t epoch, TimePoint now) const
+{
+    if (epoch == 0) {
+        return true;
+    }
+    const auto held = m_grants.find(entryHost);
+    return held != m_grants.end() && held->second.newest.epoch == epoch && now < held->second.newest.until;
+}
+
+std::uint64_t HeldGrants::confirmedClaims(const std::string &entryHost) const
+{
+    const auto held = m_grants.find(entryHost);
+    return held == m_grants.end() ? 0 : held->second.newest.confirmedClaims;
+}
+
+std::vector<std::string> HeldGrants::takeUntil(Ends &ends, TimePoint time)
+{
+    std::vector<std::string> hosts;
+    while (!ends.empty() && ends.begin()->first <= time) {
+        hosts.push_back(ends.begin()->second);
+        ends.erase(ends.begin());
+    }
+    return hosts;
+}
+
+std::vector<std::string> HeldGrants::takeEnded(TimePoint now)
+{
+    return takeUntil(m_ends, now);
+}
+
+std::vector<std::string> HeldGrants::takeExpired(TimePoint now)
+{
+    return takeUntil(m_expiries, now);
+}
+} // namespace Anvilcart::Fleet
--- a/src/scheduling/interfaces/schedulerobserver.h
+++ b/src/scheduling/interfaces/schedulerobserver.h
@@ -57,6 +57,9 @@
     /// A target became unresponsive or answers again. lostRuns is the number of its runs whose leases have expired.
     virtual void onTargetResponsivenessChanged(const std::string &target, bool unresponsive, std::size_t lostRuns) = 0;
 
+    /// This many jobs of an entry host were returned to it unfinished, since its grant had ended or was taken back.
+    virtual void onJobsReturned(const std::string &entryHost, std::size_t jobs, const char *cause) = 0;
+
     /// A target has lost all of its runs.
     virtual void onRunsLost(const TargetLoss &loss, TimePoint now) = 0;
 };
--- a/src/scheduling/jobsubmission.h
+++ b/src/scheduling/jobsubmission.h
@@ -4,6 +4,7 @@
 #include "workload/jobrequest.h"
 #include "workload/taskcrashes.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -26,14 +27,25 @@
     TimePoint arrivedAt;
     /// The caller stops waiting at this time.
     TimePoint callerDeadline;
-    /// Earlier runs of the job have ended by this time. No task may start before it unless those runs are known.
-    TimePoint earlierRunsEndBy;
-    /// The dispatcher that had the job before and was lost; empty when there was none.
+    /// The epoch of the entry host's grant that covers the job; 0 when none is needed.
+    std::uint64_t grantEpoch = 0;
+    /// The dispatcher that had the job last and was lost; empty when there was none.
     std::string lostDispatcher;
+    /// Runs that the lost dispatcher started, or may yet start, have ended by this time. No task may start before it unless that
+    /// dispatcher was taken over.
+    TimePoint lostDispatcherRunsEndBy;
+    /// The same for the dispatchers before that one; no takeover shortens it.
+    TimePoint earlierRunsEndBy;
     /// How many times a dispatcher has redirected the job to another one.
     std::uint32_t transfers = 0;
     /// The tasks under which earlier dispatchers have lost targets.
     std::vector<TaskCrashes> crashes;
+
+    /// When no earlier dispatcher can have a run of the job any more.
+    TimePoint mayStartAt() const
+    {
+        return std::max(lostDispatcherRunsEndBy, earlierRunsEndBy);
+    }
 };
 
 /// How a job ended at its dispatcher.
@@ -67,8 +79,10 @@
     BetterElsewhere,
     /// One of its tasks has crashed as many targets as it may.
     CrashesTargets,
+    /// The entry host has taken the job back, or was not heard for too long.
+    GrantEnded,
 };
-constexpr std::size_t JobEndReasonCount = 12;
+constexpr std::size_t JobEndReasonCount = 13;
 
 /// The name in logs and metrics. Thread-safe.
 constexpr const char *toName(JobEndReason reason)
@@ -84,7 +98,8 @@
                                                       "stopping",
                                                       "no_targets",
                                                       "better_elsewhere",
-                                                      "crashes_targets"};
+                                                      "crashes_targets",
+                                                      "grant_ended"};
     return Names[static_cast<std::size_t>(reason)];
 }
 
--- a/src/scheduling/placementchoice.cpp
+++ b/src/scheduling/placementchoice.cpp
@@ -47,6 +47,9 @@
         || target.failedProbes > 0 || target.health.isEjected(now)) {
         return false;
     }
+    if (target.claimNumber > request.confirmedClaims || target.hasRunsWithoutGrant()) {
+        return false;
+    }
     if (target.ownership == Ownership::Retiring && !request.jobHasStarted) {
         return false;
     }
--- a/src/scheduling/placementchoice.h
+++ b/src/scheduling/placementchoice.h
@@ -2,6 +2,8 @@
 
 #include "scheduling/targetledger.h"
 
+#include <cstdint>
+#include <limits>
 #include <set>
 #include <string>
 #include <vector>
@@ -20,6 +22,8 @@
     std::uint32_t maxPerTarget = 0;
     /// The task needs a target without other runs.
     bool alone = false;
+    /// The job's entry host has confirmed this many claims of targets; the task may start only under those.
+    std::uint64_t confirmedClaims = std::numeric_limits<std::uint64_t>::max();
     /// Tasks of a started job may also run on retiring targets, which accept no new jobs.
     bool jobHasStarted = false;
     /// The expected run time on a target of ordinary speed.
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -35,14 +35,19 @@
 
 void Scheduler::submit(JobSubmission submission, TimePoint now)
 {
+    updateGrants(now);
     if (auto *existing = findJob(submission.request.id)) {
         if (existing->pendingResult) {
             existing->resubmission = std::move(submission);
             return;
         }
-        existing->submission.entryHost = submission.entryHost;
-        existing->submission.callerDeadline = submission.callerDeadline;
+        auto &known = existing->submission;
+        known.earlierRunsEndBy = std::max(known.earlierRunsEndBy, submission.mayStartAt());
+        known.entryHost = submission.entryHost;
+        known.grantEpoch = submission.grantEpoch;
+        known.callerDeadline = submission.callerDeadline;
         existing->resultReported = false;
+        markRunsWithoutGrant(*existing, !isGranted(known, now));
         return;
     }
     auto owned = std::make_unique<ScheduledJob>(std::move(submission));
@@ -245,6 +250,77 @@
     }
 }
 
+bool Scheduler::isGranted(const JobSubmission &submission, TimePoint now) const
+{
+    return m_grants.isValid(submission.entryHost, submission.grantEpoch, now);
+}
+
+bool Scheduler::onGrant(const std::string &entryHost, std::uint64_t entryIncarnation, const JobGrant &grant, TimePoint now)
+{
+    updateGrants(now);
+    const auto change = m_grants.onGrant(entryHost, entryIncarnation, grant, now);
+    if (change == HeldGrants::Change::EntryRestarted) {
+        cancelAllOf(entryHost, now);
+    }
+    if (change == HeldGrants::Change::EpochRaised) {
+        returnJobs(entryHost, "taken back", now);
+    }
+    if (change != HeldGrants::Change::Outdated) {
+        markRunsWithoutGrant(entryHost, now);
+    }
+    return change != HeldGrants::Change::Outdated;
+}
+
+/// Must be called before anything is started or renewed at this time.
+void Scheduler::updateGrants(TimePoint now)
+{
+    for (const auto &entryHost : m_grants.takeEnded(now)) {
+        markRunsWithoutGrant(entryHost, now);
+    }
+}
+
+void Scheduler::markRunsWithoutGrant(const std::string &entryHost, TimePoint now)
+{
+    for (const auto &[id, job] : m_jobs) {
+        if (job->submission.entryHost == entryHost && job->hasStarted()) {
+            markRunsWithoutGrant(*job, !isGranted(job->submission, now));
+        }
+    }
+}
+
+void Scheduler::markRunsWithoutGrant(const ScheduledJob &job, bool withoutGrant)
+{
+    for (const auto &task : job.tasks) {
+        const auto target = task.phase == TaskPhase::Assigned ? m_targets.find(task.target) : m_targets.end();
+        auto *run = target == m_targets.end()
+            ? nullptr
+            : target->second->find({{job.submission.request.id, 0, task.step, task.index}, task.lastRunNumber});
+        if (run != nullptr) {
+            run->withoutGrant = withoutGrant;
+        }
+    }
+}
+
+/// Returns the jobs of an entry host whose grant does not cover them: their runs are stopped, and then the entry host is told.
+void Scheduler::returnJobs(const std::string &entryHost, const char *cause, TimePoint now)
+{
+    std::vector<ScheduledJob *> jobs;
+    for (const auto &[id, job] : m_jobs) {
+        if (job->submission.entryHost == entryHost && !job->pendingResult && !isGranted(job->submission, now)) {
+            jobs.push_back(job.get());
+        }
+    }
+    if (jobs.empty()) {
+        return;
+    }
+    m_observer.onJobsReturned(entryHost, jobs.size(), cause);
+    for (auto *job : jobs) {
+        markRunsWithoutGrant(*job, true);
+        const auto end = job->hasStarted() ? JobEnd::Abandoned : JobEnd::NotRun;
+        stopRunsAndEnd(*job, {end, JobEndReason::GrantEnded, Seconds(1), {}}, now);
+    }
+}
+
 /// Stops the job's runs and starts no new ones; the job ends with result when its last run has ended.
 void Scheduler::stopRunsAndEnd(ScheduledJob &job, const JobResult &result, TimePoint now)
 {
@@ -306,8 +382,10 @@
         }
         m_port.onJobEnd(job->submission, reported);
     }
-    if (job->resubmission) {
+    if (job->resubmission && isGranted(*job->resubmission, now)) {
         submit(std::move(*job->resubmission), now);
+    } else if (job->resubmission) {
+        m_port.onJobEnd(*job->resubmission, {JobEnd::Abandoned, JobEndReason::GrantEnded, Seconds(1), {}});
     }
 }
 
@@ -375,6 +453,10 @@
 
 void Scheduler::onTimeGap(TimePoint now)
 {
+    // The clock may not count the time of a suspension, so that grants which were confirmed before it prove nothing.
+    m_grants.endAll(m_claimCount, now);
+    ++m_claimCount;
+    updateGrants(now);
     std::vector<ScheduledJob *> jobs;
     for (const auto &[id, job] : m_jobs) {
         jobs.push_back(job.get());
@@ -390,8 +472,8 @@
 {
     bool released = false;
     for (const auto &[id, job] : m_jobs) {
-        if (job->submission.lostDispatcher == lostDispatcher && job->submission.earlierRunsEndBy > now) {
-            job->submission.earlierRunsEndBy = now;
+        if (job->submission.lostDispatcher == lostDispatcher && job->submission.lostDispatcherRunsEndBy > now) {
+            job->submission.lostDispatcherRunsEndBy = now;
             released = true;
         }
     }
@@ -403,6 +485,15 @@
     }
 }
 
+void Scheduler::onLostDispatcherDone(const std::string &jobId, const std::string &lostDispatcher, TimePoint now)
+{
+    auto *job = findJob(jobId);
+    if (job != nullptr && job->submission.lostDispatcher == lostDispatcher && job->submission.lostDispatcherRunsEndBy > now) {
+        job->submission.lostDispatcherRunsEndBy = now;
+        schedule(job->submission.service, now);
+    }
+}
+
 void Scheduler::endInfeasibleJobs(TimePoint now)
 {
     std::vector<std::pair<std::string, bool>> infeasible;
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -2,6 +2,7 @@
 
 #include "scheduling/crashsuspects.h"
 #include "scheduling/fairqueueclock.h"
+#include "scheduling/heldgrants.h"
 #include "scheduling/interfaces/schedulerobserver.h"
 #include "scheduling/interfaces/schedulerport.h"
 #include "scheduling/placementchoice.h"
@@ -85,9 +86,13 @@
     /// Stops the runs of a job that its entry host abandoned; no result is reported.
     void cancel(const std::string &jobId, const std::string &entryHost, TimePoint now);
 
-    /// Cancels every job of an entry host that was lost.
+    /// Cancels every job of an entry host that has ended.
     void cancelAllOf(const std::string &entryHost, TimePoint now);
 
+    /// Records an entry host's grant, and returns the jobs that the entry host has taken back. False when the grant is outdated, so that
+    /// jobs that came with it must be refused.
+    bool onGrant(const std::string &entryHost, std::uint64_t entryIncarnation, const JobGrant &grant, TimePoint now);
+
     /// Begins to claim a target under a fencing token. For a target that is being claimed already, only a higher token has an effect; for
     /// one that is owned, none has.
     void addTarget(const TargetEntry &entry, std::uint64_t fencingToken, TimePoint now);
@@ -116,6 +121,16 @@
     std::vector<std::string> ownedTargets() const;
     std::size_t ownedTargetCount() const;
 
+    /// True once the target was listed under a token that was first sent after this time.
+    bool isListedUnderClaimAfter(const std::string &target, TimePoint time) const;
+
+    /// The number of claims of targets that were made so far; see JobGrant::confirmedClaims.
+    std::uint64_t claimCount() const;
+
+    /// Identifies a set of targets: the sum of hashes of their ids. ownedTargetsDigest() is that of the targets that are claimed or held.
+    static std::uint64_t digestOf(const std::string &target);
+    std::uint64_t ownedTargetsDigest() const;
+
     void onStartReply(const std::string &target, const RunName &run, const TargetReply &reply, TimePoint now);
     void onStopReply(const std::string &target, const RunName &run, const TargetReply &reply, TimePoint now);
     void onRenewalReply(const std::string &target, const RenewalReply &reply, TimePoint now);
@@ -127,10 +142,14 @@
     /// The process was suspended for longer than leases last: every job is ended before anything is started.
     void onTimeGap(TimePoint now);
 
-    /// Every target of the lost dispatcher has been listed here, so that its jobs have no runs but those that were found. Applies only to
-    /// the jobs that are here now, since the dispatcher may come back and be lost again.
+    /// Every target of the lost dispatcher has been listed here, so that it can start no job that was taken from it, and those have no runs
+    /// of it but the ones that were found. Applies only to the jobs that are here now, since the dispatcher may come back and be lost
+    /// again.
     void onTakeoverComplete(const std::string &lostDispatcher, TimePoint now);
 
+    /// The lost dispatcher has said that it runs nothing of the job any more.
+    void onLostDispatcherDone(const std::string &jobId, const std::string &lostDispatcher, TimePoint now);
+
     /// From now on a run of any job may have been missed: a host that knew of it was lost, or this one has just started.
     void onHistoryLost(TimePoint now);
 
@@ -216,6 +235,11 @@
     void onRunAdopted(TargetLedger &target, const RunName &run, TimePoint now);
     void stopRunsAndEnd(ScheduledJob &job, const JobResult &result, TimePoint now);
     void endCrashingJob(ScheduledJob &job, TimePoint now);
+    void updateGrants(TimePoint now);
+    void markRunsWithoutGrant(const std::string &entryHost, TimePoint now);
+    void markRunsWithoutGrant(const ScheduledJob &job, bool withoutGrant);
+    void returnJobs(const std::string &entryHost, const char *cause, TimePoint now);
+    bool isGranted(const JobSubmission &submission, TimePoint now) const;
     void endIfNoRunsLeft(const std::string &jobId, TimePoint now);
     void endJob(const std::string &jobId, const JobResult &result, TimePoint now);
     bool hasRuns(const std::string &jobId) const;
@@ -236,6 +260,8 @@
     /// Jobs that recently had a run, including those started by an earlier dispatcher.
     RecentJobs m_recentlyRunJobs;
     CrashSuspects m_crashSuspects;
+    HeldGrants m_grants;
+    std::uint64_t m_claimCount = 0;
     RepeatBudget m_repeatBudget;
     std::unordered_map<std::string, std::unique_ptr<TargetLedger>> m_targets;
     std::unordered_map<std::string, std::unique_ptr<ScheduledJob>> m_jobs;
--- a/src/scheduling/schedulerqueue.cpp
+++ b/src/scheduling/schedulerqueue.cpp
@@ -267,7 +267,7 @@
         if (remaining == 0 || job.timeliness != Timeliness::InTime) {
             return;
         }
-        if (now >= job.submission.earlierRunsEndBy) {
+        if (now >= job.submission.mayStartAt() && isGranted(job.submission, now)) {
             remaining -= reserveTargets(job, service, remaining, now);
         }
     }
@@ -313,6 +313,9 @@
     request.maxPerTarget = step.maxPerTarget;
     request.alone = m_crashSuspects.mustRunAlone({request.jobId, 0, task.step, task.index});
     request.jobHasStarted = job.hasStarted();
+    if (job.submission.grantEpoch != 0) {
+        request.confirmedClaims = m_grants.confirmedClaims(job.submission.entryHost);
+    }
     request.expectedRunTime = job.expectedRunTimes[task.step];
     request.callerDeadline = job.submission.callerDeadline;
     request.objectiveAt = job.objectiveAt;
@@ -341,7 +344,7 @@
 /// Starts the waiting tasks for which there is capacity; true when at least one was started.
 bool Scheduler::startTasks(ScheduledJob &job, Service &service, TimePoint now)
 {
-    if (now < job.submission.earlierRunsEndBy) {
+    if (now < job.submission.mayStartAt() || !isGranted(job.submission, now)) {
         return false;
     }
     bool any = false;
--- a/src/scheduling/schedulerruns.cpp
+++ b/src/scheduling/schedulerruns.cpp
@@ -61,8 +61,8 @@
 bool Scheduler::repeatStart(const TargetLedger &target, LedgerRun &run)
 {
     const auto *job = findJob(run.name.task.jobId);
-    const bool mayRepeat = job != nullptr && !run.stopRequested && !target.unresponsive && run.fencingToken == target.fencingToken()
-        && target.ownership != Ownership::Claiming;
+    const bool mayRepeat = job != nullptr && !run.stopRequested && !target.hasRunsWithoutGrant() && !target.unresponsive
+        && run.fencingToken == target.fencingToken() && target.ownership != Ownership::Claiming;
     if (!mayRepeat || run.startRepetitions >= MaxRepetitions || !m_repeatBudget.takeRepeat()) {
         return false;
     }
@@ -75,6 +75,7 @@
 
 void Scheduler::onStartReply(const std::string &targetId, const RunName &name, const TargetReply &reply, TimePoint now)
 {
+    updateGrants(now);
     const auto found = m_targets.find(targetId);
     if (found == m_targets.end()) {
         return;
@@ -156,6 +157,7 @@
 
 void Scheduler::onStopReply(const std::string &targetId, const RunName &name, const TargetReply &reply, TimePoint now)
 {
+    updateGrants(now);
     const auto found = m_targets.find(targetId);
     if (found == m_targets.end()) {
         return;
@@ -185,7 +187,7 @@
     }
 }
 
-void Scheduler::onRunAdopted(TargetLedger &target, const RunName &name, TimePoint)
+void Scheduler::onRunAdopted(TargetLedger &target, const RunName &name, TimePoint now)
 {
     auto *job = findJob(name.task.jobId);
     auto *task = job == nullptr ? nullptr : job->find(name.task);
@@ -202,6 +204,7 @@
         run->estimate = step.estimate;
         run->expectedRunTime = job->expectedRunTimes[task->step];
     }
+    markRunsWithoutGrant(*job, !isGranted(job->submission, now));
     if (m_crashSuspects.mustRunAlone(name.task)) {
         target.reserveFor(name);
     }
--- a/src/scheduling/schedulertargets.cpp
+++ b/src/scheduling/schedulertargets.cpp
@@ -1,5 +1,7 @@
 #include "scheduling/scheduler.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -57,6 +59,8 @@
         auto &target = *found->second;
         if (target.ownership == Ownership::Claiming && fencingToken > target.fencingToken()) {
             target.setFencingToken(fencingToken);
+            target.claimNumber = ++m_claimCount;
+            target.claimedAt = now;
             renew(target, now);
         }
         return;
@@ -67,6 +71,8 @@
     auto owned = std::make_unique<TargetLedger>(entry, fencingToken, m_limits.maxLease);
     auto &target = *owned;
     target.lastAnswerAt = now;
+    target.claimNumber = ++m_claimCount;
+    target.claimedAt = now;
     m_targets[entry.id] = std::move(owned);
     m_services[entry.service].targets.push_back(&target);
     renew(target, now);
@@ -152,6 +158,10 @@
         }
         task->phase = TaskPhase::Waiting;
         task->target.clear();
+        if (job->pendingResult && job->pendingResult->reason == JobEndReason::GrantEnded) {
+            // The run may go on under its target's new owner.
+            job->pendingResult = {JobEnd::Abandoned, JobEndReason::TargetsLost, Duration(0), {}};
+        }
         stopRunsAndEnd(*job, {JobEnd::Abandoned, JobEndReason::TargetsLost, Duration(0), {}}, now);
         endIfNoRunsLeft(name.task.jobId, now);
     }
@@ -196,6 +206,31 @@
     return m_targets.size();
 }
 
+bool Scheduler::isListedUnderClaimAfter(const std::string &target, TimePoint time) const
+{
+    const auto found = m_targets.find(target);
+    return found != m_targets.end() && found->second->ownership != Ownership::Claiming && found->second->claimedAt > time;
+}
+
+std::uint64_t Scheduler::claimCount() const
+{
+    return m_claimCount;
+}
+
+std::uint64_t Scheduler::digestOf(const std::string &target)
+{
+    return XXH64(target.data(), target.size(), 0);
+}
+
+std::uint64_t Scheduler::ownedTargetsDigest() const
+{
+    std::uint64_t digest = 0;
+    for (const auto &[id, target] : m_targets) {
+        digest += digestOf(id);
+    }
+    return digest;
+}
+
 std::size_t Scheduler::runCount() const
 {
     std::size_t count = 0;
@@ -264,7 +299,8 @@
     // The leases of a target that does not answer are allowed to expire, so that its runs can be started elsewhere. So are those of runs
     // that another host has started, which waits for the end of its leases if it is only cut off.
     const bool answeredRecently = !target.unresponsive && now - target.lastAnswerAt < LeaseExtensionLimit;
-    if (target.clock.isKnown() && !target.runs().empty() && answeredRecently && !target.hasUnidentifiedRuns()) {
+    const bool mayExtend = !target.hasUnidentifiedRuns() && !target.hasRunsWithoutGrant();
+    if (target.clock.isKnown() && !target.runs().empty() && answeredRecently && mayExtend) {
         request.leaseUntilMs = target.leaseEndMs(target.hasRunAlone() ? Duration(SuspectLease) : m_limits.maxLease, now);
         target.recordLease(request.leaseUntilMs, now);
     }
@@ -281,6 +317,7 @@
 
 void Scheduler::onRenewalReply(const std::string &targetId, const RenewalReply &reply, TimePoint now)
 {
+    updateGrants(now);
     const auto found = m_targets.find(targetId);
     if (found == m_targets.end()) {
         return;
@@ -406,6 +443,10 @@
 
 void Scheduler::tick(TimePoint now)
 {
+    updateGrants(now);
+    for (const auto &entryHost : m_grants.takeExpired(now)) {
+        returnJobs(entryHost, "not heard", now);
+    }
     std::vector<std::string> ids;
     for (const auto &[id, target] : m_targets) {
         ids.push_back(id);
--- a/src/scheduling/targetledger.cpp
+++ b/src/scheduling/targetledger.cpp
@@ -281,6 +281,13 @@
     return m_unidentifiedRuns > 0;
 }
 
+bool TargetLedger::hasRunsWithoutGrant() const
+{
+    return std::any_of(m_runs.begin(), m_runs.end(), [](const auto &entry) {
+        return entry.second.withoutGrant;
+    });
+}
+
 std::size_t TargetLedger::runsOfStep(const std::string &jobId, std::uint32_t step) const
 {
     return static_cast<std::size_t>(std::count_if(m_runs.begin(), m_runs.end(), [&](const auto &entry) {
--- a/src/scheduling/targetledger.h
+++ b/src/scheduling/targetledger.h
@@ -49,6 +49,8 @@
     Duration estimate {0};
     /// No other run may be started beside it.
     bool alone = false;
+    /// The grant of its job has ended: its lease must not be extended.
+    bool withoutGrant = false;
     /// The run is no longer needed and is being stopped.
     bool stopRequested = false;
     bool stopInFlight = false;
@@ -163,6 +165,9 @@
     /// True while the demand of a run is unknown; the target then counts as full.
     bool hasUnidentifiedRuns() const;
 
+    /// True while a run's lease must not be extended. A start would extend it too, since leases are those of the whole target.
+    bool hasRunsWithoutGrant() const;
+
     /// The number of runs of this step of a job.
     std::size_t runsOfStep(const std::string &jobId, std::uint32_t step) const;
 
@@ -187,6 +192,9 @@
     TargetClock clock;
     TargetHealthRecord health;
     Ownership ownership = Ownership::Claiming;
+    /// The number of the claim under whose token the target is held: claims are counted by their host.
+    std::uint64_t claimNumber = 0;
+    TimePoint claimedAt;
     /// The target gets no new work: its entry is gone or marks it as draining, or another incarnation answers at its address.
     bool leaving = false;
     /// The entry is gone: the target is removed as soon as it holds no run.
--- a/tests/support/schedulerfixture.h
+++ b/tests/support/schedulerfixture.h
@@ -107,6 +107,9 @@
     void onTargetResponsivenessChanged(const std::string &, bool, std::size_t) override
     {
     }
+    void onJobsReturned(const std::string &, std::size_t, const char *) override
+    {
+    }
     void onRunsLost(const TargetLoss &loss, TimePoint) override
     {
         losses.push_back(loss);
--- a/tests/unit/emulator/fleet.cpp
+++ b/tests/unit/emulator/fleet.cpp
@@ -104,6 +104,41 @@
     }
 }
 
+// Issue 35, review/2: during short cuts of single hosts a job was handed to the dispatcher of another pool while the first one went on.
+BOOST_AUTO_TEST_CASE(No_task_runs_twice_during_short_cuts_of_single_hosts)
+{
+    for (std::uint64_t seed = 1; seed <= 8; ++seed) {
+        BOOST_TEST_CONTEXT("seed " << seed)
+        {
+            const auto options = optionsOfSeveralPools(seed);
+            EmulatedFleet fleet(options);
+            addShortHostCuts(fleet, options, seed);
+            fleet.run(Seconds(3), Seconds(20), Seconds(25));
+            requireNoViolations(fleet);
+            BOOST_TEST(fleet.dispatcherCount() > 1);
+        }
+    }
+}
+
+// Issue 35, review/1: jobs of a zone whose links flapped were lost or ran twice.
+BOOST_AUTO_TEST_CASE(While_the_links_of_a_zone_flap_no_task_runs_twice_and_most_jobs_are_served)
+{
+    for (std::uint64_t seed = 1; seed <= 4; ++seed) {
+        BOOST_TEST_CONTEXT("seed " << seed)
+        {
+            auto options = ordinaryOptions(seed);
+            options.kinds = longTimeoutJobKinds();
+            EmulatedFleet fleet(options);
+            addFlappingZone(fleet, options, seed);
+            fleet.run(Seconds(3), Seconds(20), Seconds(25));
+            requireNoViolations(fleet);
+            for (const auto &[route, result] : fleet.results()) {
+                BOOST_TEST(shareServed(result) > 0.75);
+            }
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(The_same_seed_gives_the_same_run)
 {
     const auto runOnce = [] {
--- a/tests/unit/fleet/fleetframe.cpp
+++ b/tests/unit/fleet/fleetframe.cpp
@@ -32,11 +32,15 @@
     submission.arrivedAt = Now - Milliseconds(40);
     submission.callerDeadline = Now + Milliseconds(1400);
     submission.earlierRunsEndBy = Now + Milliseconds(900);
+    submission.lostDispatcherRunsEndBy = Now + Milliseconds(1100);
     submission.crashes.push_back({0, 2, 3, 1, 2, true});
     frame.submissions.push_back(submission);
     frame.crashNotices.push_back({"00000000000000dd", {{1, 3, 2, 2, 0, false}}});
     frame.ended.push_back({"00000000000000bb", {JobEnd::NotRun, JobEndReason::BetterElsewhere, Seconds(2), "h2"}});
     frame.cancellations.emplace_back("00000000000000cc");
+    frame.grant = JobGrant {3, Now + Milliseconds(700), 41, 8};
+    frame.lostDispatchers.push_back({"h3", 9, Seconds(12), Now - Milliseconds(800), {{"a", 1}}, 55});
+    frame.releases.push_back({"00000000000000ee", "h3#9"});
     return frame;
 }
 } // namespace
@@ -58,6 +62,13 @@
     BOOST_TEST((frame->crashNotices.at(0).crashes == completeFrame().crashNotices.at(0).crashes));
     BOOST_TEST(frame->ended.at(0).result.preferredDispatcher == "h2");
     BOOST_TEST(frame->cancellations.size() == 1);
+    BOOST_TEST((frame->submissions.at(0).lostDispatcherRunsEndBy == later + Milliseconds(1100)));
+    // A grant counts on the recipient's clock.
+    BOOST_TEST((frame->grant->until == Now + Milliseconds(700)));
+    BOOST_TEST(frame->grant->confirmedClaims == 41);
+    BOOST_TEST((frame->lostDispatchers.at(0).heardAt == later - Milliseconds(800)));
+    BOOST_TEST((frame->lostDispatchers.at(0).pools.at(0) == PoolName {"a", 1}));
+    BOOST_TEST(frame->releases.at(0).lostDispatcher == "h3#9");
 }
 
 BOOST_AUTO_TEST_CASE(Bytes_that_are_not_a_valid_frame_are_rejected_without_a_crash)
--- /dev/null
+++ b/tests/unit/fleet/grants.cpp
@@ -0,0 +1,314 @@
+#include "fleet/issuedgrants.h"
+#include "hostnodefixture.h"
+#include "schedulerfixture.h"
+#include "scheduling/heldgrants.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace Anvilcart;
+using namespace Anvilcart::Fleet;
+
+namespace
+{
+constexpr TimePoint Start {std::chrono::hours(1)};
+constexpr Milliseconds GrantLength {900};
+constexpr std::uint64_t EntryIncarnation = 5;
+
+JobGrant grantUntil(TimePoint until, std::uint64_t epoch = 1, std::uint64_t confirmedClaims = 100)
+{
+    return {epoch, until, confirmedClaims, 1};
+}
+
+/// A scheduler with a target, and a job of an entry host whose grant ends after GrantLength.
+struct GrantedJobFixture : SchedulerFixture
+{
+    GrantedJobFixture()
+    {
+        claimTarget("t1");
+        scheduler.onGrant("entry", EntryIncarnation, grantUntil(now + GrantLength), now);
+    }
+
+    JobSubmission grantedJob(const std::string &id, std::uint64_t epoch = 1) const
+    {
+        auto submission = job(id);
+        submission.entryHost = "entry";
+        submission.grantEpoch = epoch;
+        return submission;
+    }
+};
+
+/// A host node whose only live peer is the dispatcher h2 of the pool of all targets. It has submitted job "j" there.
+struct LostDispatcherFixture : HostNodeFixture
+{
+    LostDispatcherFixture()
+    {
+        sendReport();
+        node.submit(job("j"), now);
+    }
+
+    /// Delivers a report of h2, which has sent it now on a clock of its own.
+    void sendReport()
+    {
+        auto frame = report("h2", 2, true);
+        frame.sentAt = now - Begin;
+        frame.report->targetsDigest = targetsDigest;
+        node.onFrame(frame, now);
+        lastReportAt = now;
+    }
+
+    /// The jobs that were submitted to h2, each with the epoch of the grant beside it.
+    std::vector<std::pair<std::string, std::uint64_t>> submissionsToDispatcher() const
+    {
+        std::vector<std::pair<std::string, std::uint64_t>> submissions;
+        for (const auto &[endpoint, frame] : port.frames) {
+            for (const auto &submission : frame.submissions) {
+                submissions.emplace_back(submission.request.id, frame.grant->epoch);
+            }
+        }
+        return submissions;
+    }
+
+    /// Lets h2 fall silent until this host claims its pool, and answers the claim of t1.
+    void takeOver()
+    {
+        listTargets({"t1"});
+        advance(Milliseconds(800));
+        answerRenewal("t1", {});
+    }
+
+    std::uint64_t targetsDigest = Scheduler::digestOf("t1");
+    TimePoint lastReportAt;
+};
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(GrantsSuite, *boost::unit_test::label("fleet"))
+
+BOOST_AUTO_TEST_CASE(A_held_grant_ends_at_its_time_unless_it_is_renewed)
+{
+    HeldGrants grants;
+    BOOST_TEST(!grants.isValid("entry", 1, Start));
+    BOOST_TEST(grants.isValid("entry", 0, Start));
+    grants.onGrant("entry", EntryIncarnation, grantUntil(Start + GrantLength), Start);
+    BOOST_TEST(grants.isValid("entry", 1, Start + GrantLength - Milliseconds(1)));
+    BOOST_TEST(!grants.isValid("entry", 1, Start + GrantLength));
+    BOOST_TEST(grants.takeEnded(Start + GrantLength).size() == 1U);
+    BOOST_TEST(grants.takeEnded(Start + GrantLength).empty());
+    grants.onGrant("entry", EntryIncarnation, grantUntil(Start + 2 * GrantLength), Start + GrantLength);
+    BOOST_TEST(grants.isValid("entry", 1, Start + GrantLength));
+    BOOST_TEST(grants.takeExpired(Start + 2 * GrantLength).empty());
+    BOOST_TEST(grants.takeExpired(Start + 3 * GrantLength).size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(A_grant_of_a_lower_epoch_or_an_earlier_time_changes_nothing)
+{
+    HeldGrants grants;
+    grants.onGrant("entry", EntryIncarnation, grantUntil(Start + GrantLength, 2), Start);
+    BOOST_TEST((grants.onGrant("entry", EntryIncarnation, grantUntil(Start + 2 * GrantLength, 1), Start) == HeldGrants::Change::Outdated));
+    BOOST_TEST(!grants.isValid("entry", 1, Start));
+    grants.onGrant("entry", EntryIncarnation, grantUntil(Start, 2, 7), Start);
+    BOOST_TEST(grants.isValid("entry", 2, Start));
+    BOOST_TEST(grants.confirmedClaims("entry") == 100);
+}
+
+// The steady clock may not count a suspension, so that a grant from before it would seem to last.
+BOOST_AUTO_TEST_CASE(After_a_suspension_only_grants_that_confirm_a_later_report_count)
+{
+    HeldGrants grants;
+    grants.onGrant("entry", EntryIncarnation, grantUntil(Start + GrantLength, 1, 8), Start);
+    grants.endAll(8, Start);
+    BOOST_TEST(!grants.isValid("entry", 1, Start));
+    grants.onGrant("entry", EntryIncarnation, grantUntil(Start + GrantLength, 1, 8), Start);
+    BOOST_TEST(!grants.isValid("entry", 1, Start));
+    grants.onGrant("entry", EntryIncarnation, grantUntil(Start + GrantLength, 1, 9), Start);
+    BOOST_TEST(grants.isValid("entry", 1, Start));
+}
+
+BOOST_AUTO_TEST_CASE(An_issued_grant_ends_later_here_than_at_the_dispatcher_however_long_frames_take)
+{
+    // The dispatcher's clock is 50 minutes behind, and its report has travelled for 300 ms.
+    const auto sentAt = Start - std::chrono::minutes(50);
+    const auto arrivedAt = Start + Milliseconds(300);
+    IssuedGrants grants;
+    BOOST_TEST(grants.onReport("h2", 2, 4, sentAt.time_since_epoch(), arrivedAt));
+    const auto grant = grants.renew("h2", 2, GrantLength);
+    BOOST_REQUIRE(grant.has_value());
+    BOOST_TEST((grant->until == sentAt + GrantLength));
+    BOOST_TEST(grant->confirmedClaims == 4);
+    BOOST_TEST((grants.endOf("h2", 2, grant->epoch) >= arrivedAt + GrantLength));
+    BOOST_TEST(!grants.onReport("h2", 2, 3, (sentAt - Milliseconds(1)).time_since_epoch(), arrivedAt));
+}
+
+BOOST_AUTO_TEST_CASE(A_revoked_epoch_keeps_its_end_while_the_next_one_is_renewed)
+{
+    IssuedGrants grants;
+    grants.onReport("h2", 2, 0, Duration(0), Start);
+    grants.renew("h2", 2, GrantLength);
+    const auto end = grants.endOf("h2", 2, 1);
+    grants.revoke("h2", 2);
+    grants.onReport("h2", 2, 0, Seconds(1), Start + Seconds(1));
+    BOOST_TEST(grants.renew("h2", 2, GrantLength)->epoch == 2);
+    BOOST_TEST((grants.endOf("h2", 2, 1) == end));
+    BOOST_TEST((grants.endOf("h2", 2, 2) > end));
+    grants.onEnded("h2", 2, Start + Seconds(1));
+    BOOST_TEST((grants.endOf("h2", 2, 2) == Start + Seconds(1)));
+}
+
+// Issue 35, review/1: a dispatcher that was only cut off started jobs that had been handed on.
+BOOST_FIXTURE_TEST_CASE(A_dispatcher_starts_no_job_after_its_grant_has_ended, GrantedJobFixture)
+{
+    scheduler.onGrant("entry", EntryIncarnation, grantUntil(now + Milliseconds(10)), now);
+    auto blocked = grantedJob("blocked");
+    blocked.earlierRunsEndBy = now + GrantLength;
+    submit(blocked);
+    advance(GrantLength + Milliseconds(300));
+    BOOST_TEST(port.starts.empty());
+    BOOST_REQUIRE(port.ended.size() == 1);
+    BOOST_TEST((port.ended.at(0).result.end == JobEnd::NotRun));
+    BOOST_TEST((port.ended.at(0).result.reason == JobEndReason::GrantEnded));
+}
+
+BOOST_FIXTURE_TEST_CASE(A_run_whose_grant_has_ended_is_stopped_and_its_target_extends_no_lease_and_starts_nothing, GrantedJobFixture)
+{
+    submit(grantedJob("j"));
+    answerStart(0);
+    advance(GrantLength + Milliseconds(50));
+    answerRenewal("t1", {{port.starts.at(0).request.name, 40}});
+    BOOST_TEST(lastRenewal("t1").leaseUntilMs == 0);
+    submit(job("of another host"));
+    BOOST_TEST(port.starts.size() == 1);
+    BOOST_TEST(port.stops.empty());
+    advance(Milliseconds(250));
+    BOOST_REQUIRE(port.stops.size() == 1);
+    answerRenewal("t1", {}, {{1, port.starts.at(0).request.name, RunEnd::Stopped}});
+    BOOST_REQUIRE(port.ended.size() == 1);
+    BOOST_TEST((port.ended.at(0).result.end == JobEnd::Abandoned));
+    BOOST_TEST(port.starts.size() == 2);
+}
+
+BOOST_FIXTURE_TEST_CASE(A_grant_that_is_renewed_a_little_late_costs_no_work, GrantedJobFixture)
+{
+    submit(grantedJob("j"));
+    answerStart(0);
+    advance(GrantLength + Milliseconds(100));
+    scheduler.onGrant("entry", EntryIncarnation, grantUntil(now + GrantLength), now);
+    advance(Milliseconds(400));
+    BOOST_TEST(port.stops.empty());
+    BOOST_TEST(port.ended.empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(A_higher_epoch_takes_back_the_jobs_of_lower_ones, GrantedJobFixture)
+{
+    submit(grantedJob("j"));
+    answerStart(0);
+    scheduler.onGrant("entry", EntryIncarnation, grantUntil(now + GrantLength, 2), now);
+    BOOST_REQUIRE(port.stops.size() == 1);
+    // Sent again under the new epoch, it starts when the run of the old one has ended.
+    submit(grantedJob("j", 2));
+    BOOST_TEST(port.starts.size() == 1);
+    answerRenewal("t1", {}, {{1, port.starts.at(0).request.name, RunEnd::Stopped}});
+    BOOST_REQUIRE(port.ended.size() == 1);
+    BOOST_TEST(port.ended.at(0).job.grantEpoch == 1);
+    BOOST_TEST(port.starts.size() == 2);
+}
+
+// A dispatcher that lost its targets to a successor may claim them again.
+BOOST_FIXTURE_TEST_CASE(A_job_starts_only_on_targets_whose_claim_its_entry_host_has_confirmed, GrantedJobFixture)
+{
+    scheduler.onGrant("entry", EntryIncarnation, grantUntil(now + GrantLength, 2, 0), now);
+    submit(grantedJob("j", 2));
+    BOOST_TEST(port.starts.empty());
+    scheduler.onGrant("entry", EntryIncarnation, grantUntil(now + GrantLength, 2, scheduler.claimCount()), now);
+    advance(Milliseconds(25));
+    BOOST_TEST(port.starts.size() == 1);
+}
+
+BOOST_FIXTURE_TEST_CASE(A_returned_job_whose_target_was_taken_over_is_not_said_to_have_no_runs, GrantedJobFixture)
+{
+    submit(grantedJob("j"));
+    answerStart(0);
+    scheduler.onGrant("entry", EntryIncarnation, grantUntil(now + GrantLength, 2), now);
+    scheduler.loseTarget("t1", now);
+    BOOST_REQUIRE(port.ended.size() == 1);
+    BOOST_TEST((port.ended.at(0).result.reason == JobEndReason::TargetsLost));
+}
+
+// Issue 35, review/2: a host that was silent for 186 ms was seen again at once, when its jobs had been handed on.
+BOOST_FIXTURE_TEST_CASE(A_job_stays_with_its_dispatcher_that_is_seen_again_before_another_can_have_it, LostDispatcherFixture)
+{
+    advance(Milliseconds(750));
+    sendReport();
+    advance(Milliseconds(100));
+    BOOST_TEST(submissionsToDispatcher().size() == 1U);
+    FleetFrame result;
+    result.host = "h2";
+    result.incarnation = 2;
+    result.ended.push_back({"j", {JobEnd::Completed, JobEndReason::AllTasksDone, Duration(0), {}}, 1});
+    node.onFrame(result, now);
+    BOOST_TEST((port.answers.at("j").answer == CallerAnswer::Completed));
+}
+
+// Issue 35, review/1: the successor had listed as many targets as the lost dispatcher, but not the one that ran the job.
+BOOST_FIXTURE_TEST_CASE(A_successor_starts_no_job_while_the_lost_dispatcher_may_use_a_target_that_it_has_not_listed, LostDispatcherFixture)
+{
+    targetsDigest = Scheduler::digestOf("t2");
+    sendReport();
+    takeOver();
+    advance(Milliseconds(900));
+    answerRenewal("t1", {});
+    BOOST_TEST(port.starts.empty());
+    advance(Milliseconds(500));
+    BOOST_TEST(port.starts.size() == 1);
+    BOOST_TEST((now - lastReportAt > GrantLength + Seconds(1)));
+}
+
+BOOST_FIXTURE_TEST_CASE(A_successor_that_has_listed_every_target_of_the_lost_dispatcher_starts_its_jobs_at_once, LostDispatcherFixture)
+{
+    takeOver();
+    advance(Milliseconds(100));
+    BOOST_TEST(port.starts.size() == 1);
+}
+
+BOOST_FIXTURE_TEST_CASE(A_dispatcher_that_is_seen_again_learns_that_its_jobs_were_taken_back, LostDispatcherFixture)
+{
+    takeOver();
+    advance(Milliseconds(100));
+    port.frames.clear();
+    sendReport();
+    advance(Milliseconds(250));
+    BOOST_REQUIRE(!port.frames.empty());
+    BOOST_TEST(port.frames.back().second.grant->epoch == 2);
+}
+
+BOOST_FIXTURE_TEST_CASE(A_job_waits_no_longer_once_the_lost_dispatcher_says_that_it_runs_nothing_of_it, LostDispatcherFixture)
+{
+    targetsDigest = 0;
+    sendReport();
+    takeOver();
+    advance(Milliseconds(100));
+    BOOST_TEST(port.starts.empty());
+    FleetFrame result;
+    result.host = "h2";
+    result.incarnation = 2;
+    result.ended.push_back({"j", {JobEnd::Abandoned, JobEndReason::GrantEnded, Seconds(1), {}}, 1});
+    node.onFrame(result, now);
+    BOOST_TEST(port.starts.size() == 1);
+}
+
+BOOST_FIXTURE_TEST_CASE(Jobs_that_come_with_a_grant_for_an_earlier_incarnation_of_the_host_are_refused, HostNodeFixture)
+{
+    claimTarget("t1");
+    node.onFrame(report("h2", 2, false), now);
+    for (const std::uint64_t incarnation : {1, 77}) {
+        FleetFrame frame;
+        frame.host = "h2";
+        frame.incarnation = 2;
+        frame.submissions.push_back(job("j" + std::to_string(incarnation)));
+        frame.submissions.back().entryHost = "h2";
+        frame.grant = JobGrant {1, now + GrantLength, 100, incarnation};
+        node.onFrame(frame, now);
+    }
+    BOOST_REQUIRE(port.starts.size() == 1);
+    BOOST_TEST(port.starts.at(0).second.name.task.jobId == "j1");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/scheduling/scheduler.cpp
+++ b/tests/unit/scheduling/scheduler.cpp
@@ -491,7 +491,7 @@
     const RunName found {{"j", 0, 0, 0}, 1};
     answerRenewal("t1", {{found, 40}});
     auto submission = job("j", 2);
-    submission.earlierRunsEndBy = now + Milliseconds(1100);
+    submission.lostDispatcherRunsEndBy = now + Milliseconds(1100);
     submission.lostDispatcher = "lost#1";
     submit(submission);
     BOOST_TEST(port.starts.empty());
@@ -616,7 +616,7 @@
     scheduler.onTakeoverComplete("lost#1", now);
     // The same dispatcher has come back since, started the job and been lost again.
     auto submission = job("j");
-    submission.earlierRunsEndBy = now + Milliseconds(1100);
+    submission.lostDispatcherRunsEndBy = now + Milliseconds(1100);
     submission.lostDispatcher = "lost#1";
     submit(submission);
     BOOST_TEST(port.starts.empty());
