A restarted target gets no task before the entry of its new life is known

A listing with another start time shows the restart, and the target is claimed again; its entry in the ledger stays that of the earlier life until the list of targets is read, up to 0.3 s later. Nothing compared the two start times.

TargetLedger::isEntryOfAnotherLife() compares them. Such a target gets no task and counts as capacity to come, so that no job is refused for its sake. Two tests that used a target in its new life by the entry of the earlier one now tell the new entry first.

--- a/src/scheduling/schedulerqueue.cpp
+++ b/src/scheduling/schedulerqueue.cpp
@@ -36,7 +36,8 @@
 
 bool isUsable(const TargetLedger &target, TimePoint now)
 {
-    return target.ownership == Ownership::Owned && !target.leaving && !target.unresponsive && !target.health.isEjected(now);
+    return target.ownership == Ownership::Owned && !target.leaving && !target.unresponsive && !target.isEntryOfAnotherLife()
+        && !target.health.isEjected(now);
 }
 
 /// The number of tasks of this many thousandths of a core that fit into the capacity.
@@ -178,8 +179,9 @@
     double cores = 0;
     std::uint32_t freeNow = 0;
     for (const auto *target : service.targets) {
-        const bool isBeingClaimed = target->ownership == Ownership::Claiming && target->failedProbes == 0 && !target->leaving;
-        if (isUsable(*target, now) || isBeingClaimed) {
+        const bool isUsableSoon =
+            (target->ownership == Ownership::Claiming || target->isEntryOfAnotherLife()) && target->failedProbes == 0 && !target->leaving;
+        if (isUsable(*target, now) || isUsableSoon) {
             cores += tasksIn(target->entry().capacity, demand) * demand / 1000.0 / target->health.slowness(now);
         }
         if (isUsable(*target, now)) {
--- a/src/scheduling/targetledger.cpp
+++ b/src/scheduling/targetledger.cpp
@@ -325,6 +325,11 @@
     return m_startedAtMs;
 }
 
+bool TargetLedger::isEntryOfAnotherLife() const
+{
+    return m_startedAtMs != 0 && m_entry.startedAtMs != 0 && m_startedAtMs != m_entry.startedAtMs;
+}
+
 std::uint64_t TargetLedger::fencingToken() const
 {
     return m_fencingToken;
--- a/src/scheduling/targetledger.h
+++ b/src/scheduling/targetledger.h
@@ -186,6 +186,9 @@
     /// When the target started, by its last listing or, before the first, by its entry, in milliseconds since 1970; 0 when unknown.
     std::int64_t startedAtMs() const;
 
+    /// True while the entry is known to be of another life of the target than the last listing: capacity and labels may have changed.
+    bool isEntryOfAnotherLife() const;
+
     std::uint64_t fencingToken() const;
     void setFencingToken(std::uint64_t token);
 
--- a/tests/support/schedulerfixture.h
+++ b/tests/support/schedulerfixture.h
@@ -198,6 +198,14 @@
         }
     }
 
+    /// The target's entry of its life that began at bornAtMs.
+    TargetEntry entryOfLife(const std::string &id, std::int64_t bornAtMs, std::int64_t milliCores = 32000) const
+    {
+        auto targetEntry = entry(id, milliCores);
+        targetEntry.startedAtMs = bornAtMs;
+        return targetEntry;
+    }
+
     /// The starts that were sent, without those that only repeat an unanswered request for the same run to the same target.
     std::vector<FakeSchedulerPort::SentStart> startsButRepetitions() const
     {
--- a/tests/unit/scheduling/restartedtargets.cpp
+++ b/tests/unit/scheduling/restartedtargets.cpp
@@ -159,12 +159,40 @@
     claimAgain();
     now += Milliseconds(3);
     scheduler.onRenewalReply("restarted", listing({}, NextToken), now);
+    scheduler.updateTarget(entryOfLife("restarted", 2, 16000));
     startOnRestartedTarget();
     scheduler.onRenewalReply("restarted", earlier, now);
     BOOST_TEST(port.restarted.size() == 1);
     BOOST_TEST(port.starts.size() == 1);
 }
 
+// Issue 35, review/4: a target that had restarted as another kind got tasks by the labels and the capacity of its earlier life.
+BOOST_AUTO_TEST_CASE(A_restarted_target_gets_no_task_before_the_entry_of_its_new_life_is_known)
+{
+    scheduler.onRenewalReply("restarted", listing({}, Token), now);
+    claimAgain();
+    scheduler.onRenewalReply("restarted", listing({}, NextToken), now);
+    auto submission = job("j", 1, 15000);
+    submission.request.steps.front().requiredLabel = "a";
+    submission.callerDeadline = now + Seconds(9);
+    auto newEntry = entryOfLife("restarted", 2, 16000);
+    scheduler.updateTarget([&] {
+        auto oldEntry = entryOfLife("restarted", 1, 16000);
+        oldEntry.labels = {"a"};
+        return oldEntry;
+    }());
+    submit(submission);
+    BOOST_TEST(port.starts.empty());
+    newEntry.labels = {"b"};
+    scheduler.updateTarget(newEntry);
+    scheduler.tick(now);
+    BOOST_TEST(port.starts.empty());
+    newEntry.labels = {"a"};
+    scheduler.updateTarget(newEntry);
+    scheduler.tick(now);
+    BOOST_TEST(port.starts.size() == 1);
+}
+
 // Silence does not tell a cut target from one that has restarted behind the cut, where a start that was held up still takes effect.
 BOOST_AUTO_TEST_CASE(An_unanswered_start_on_a_silent_target_is_not_repeated_elsewhere_when_its_lease_has_ended)
 {
--- a/tests/unit/scheduling/scheduler.cpp
+++ b/tests/unit/scheduling/scheduler.cpp
@@ -210,6 +210,9 @@
     BOOST_TEST(lastRenewal("t1").fencingToken == Token + 1);
     BOOST_TEST(lastRenewal("t1").acknowledgedPosition == 0);
     answerRenewal("t1", {});
+    BOOST_TEST(port.starts.size() == 1);
+    scheduler.updateTarget(entryOfLife("t1", 2));
+    scheduler.tick(now);
     BOOST_TEST(port.starts.size() == 2);
 }
 
