A host that cannot read the list of targets yields its pools to one that can

After a failed read nothing told the HostNode that its list had grown old, and whether a host can read the list did not count when pools are assigned.

Reads that fail for longer than a heartbeat of the targets (the setting heartbeat_ms) make the list stale. A host with a stale list yields its pools when another one has read the list since its own reads began to fail; stale hosts rank last for free pools, and lose a pool that two hosts claim. While the store serves nobody, no host has such a later read, so that pools stay where they are.

--- a/src/fleet/fleetframe.cpp
+++ b/src/fleet/fleetframe.cpp
@@ -150,6 +150,8 @@
     wire.set_processor_percent(report.processorPercent);
     wire.set_claim_count(report.claimCount);
     wire.set_targets_digest(report.targetsDigest);
+    wire.set_target_list_stale(report.targetListIsStale);
+    wire.set_target_list_age_ms(static_cast<std::uint32_t>(std::chrono::duration_cast<Milliseconds>(report.targetListAge).count()) + 1);
     wire.set_period_ms(static_cast<std::uint32_t>(std::chrono::duration_cast<Milliseconds>(report.period).count()));
     wire.set_unheard_ms(static_cast<std::uint32_t>(std::chrono::duration_cast<Milliseconds>(frame.timeSinceLastReport).count()));
     for (const auto &claim : report.claims) {
@@ -187,6 +189,10 @@
     report.processorPercent = wire.processor_percent();
     report.claimCount = wire.claim_count();
     report.targetsDigest = wire.targets_digest();
+    report.targetListIsStale = wire.target_list_stale();
+    if (wire.target_list_age_ms() > 0) {
+        report.targetListAge = Milliseconds(wire.target_list_age_ms() - 1);
+    }
     report.period = Milliseconds(wire.period_ms());
     for (const auto &row : wire.claims()) {
         PoolClaim claim;
--- a/src/fleet/fleetview.h
+++ b/src/fleet/fleetview.h
@@ -61,6 +61,10 @@
     std::uint64_t targetsDigest = 0;
     /// Processor time that the host may use, in hundredths of a core.
     std::uint32_t processorPercent = 0;
+    /// The host has failed to read the list of targets for so long that it should not dispatch by it.
+    bool targetListIsStale = false;
+    /// Time since it last read the list.
+    Duration targetListAge = std::chrono::hours(1);
     /// The next report follows within this time.
     Duration period {0};
 };
--- a/src/fleet/hostnode.h
+++ b/src/fleet/hostnode.h
@@ -31,6 +31,8 @@
     /// Peer endpoints to connect to from the start; never removed.
     std::vector<Endpoint> seeds;
     SchedulerLimits limits;
+    /// A list of targets that could not be read for this long is stale.
+    Duration targetListExpiry = Milliseconds(1500);
 };
 
 /// One host of the fleet: accepts callers' jobs, submits them to dispatchers, and dispatches for the pools that it claims.
@@ -64,6 +66,9 @@
     /// Updates the list of targets. Known targets that are missing from it are removed only if storeIsFresh is set.
     void onTargetList(const std::map<std::string, TargetEntry> &entries, bool storeIsFresh, TimePoint now);
 
+    /// The list of targets could not be read.
+    void onTargetListFailure(TimePoint now);
+
     /// Adds peer endpoints, such as those of the hosts in the store.
     void onKnownEndpoints(const std::vector<Endpoint> &endpoints);
 
@@ -246,6 +251,8 @@
     IssuedGrants m_issuedGrants;
     ConfigurationRecord m_configuration;
     std::uint64_t m_highestRound = 0;
+    /// TimePoint() before the first read.
+    TimePoint m_targetListReadAt;
     TimePoint m_lastTickAt;
     TimePoint m_configurationRequestedAt;
     TimePoint m_now;
--- a/src/fleet/hostnodepeers.cpp
+++ b/src/fleet/hostnodepeers.cpp
@@ -53,7 +53,8 @@
 bool affectsAssignment(const HostReport &before, const HostReport &after)
 {
     return before.incarnation != after.incarnation || before.leaving != after.leaving || before.claims != after.claims
-        || before.processorPercent != after.processorPercent || before.zone != after.zone;
+        || before.processorPercent != after.processorPercent || before.zone != after.zone
+        || before.targetListIsStale != after.targetListIsStale;
 }
 } // namespace
 
@@ -423,6 +424,8 @@
     report.configurationVersion = m_configuration.version;
     report.leaving = m_leaving;
     report.processorPercent = m_assignment.self().processorPercent;
+    report.targetListIsStale = m_assignment.hasStaleTargets(now);
+    report.targetListAge = m_targetListReadAt == TimePoint() ? Duration(std::chrono::hours(1)) : now - m_targetListReadAt;
     report.claimCount = m_scheduler.claimCount();
     report.targetsDigest = m_scheduler.ownedTargetsDigest();
     for (auto &[pool, claim] : m_assignment.self().claims) {
--- a/src/fleet/hostnodepools.cpp
+++ b/src/fleet/hostnodepools.cpp
@@ -38,6 +38,8 @@
 void HostNode::onTargetList(const std::map<std::string, TargetEntry> &entries, bool storeIsFresh, TimePoint now)
 {
     beginEvent(now);
+    m_targetListReadAt = now;
+    m_assignment.self().targetListFailsSince.reset();
     if (entries == m_targets) {
         updatePools(now);
         processSchedulerEvents(now);
@@ -67,6 +69,19 @@
     processSchedulerEvents(now);
 }
 
+void HostNode::onTargetListFailure(TimePoint now)
+{
+    beginEvent(now);
+    auto &failsSince = m_assignment.self().targetListFailsSince;
+    const bool wasStale = m_assignment.hasStaleTargets(m_lastTickAt);
+    failsSince = failsSince.value_or(now);
+    if (m_assignment.hasStaleTargets(now) && !wasStale) {
+        m_reportsDue = true;
+    }
+    updatePools(now);
+    processSchedulerEvents(now);
+}
+
 void HostNode::updatePools(TimePoint now)
 {
     m_poolsUpdatedAt = now;
--- a/src/fleet/poolassignment.cpp
+++ b/src/fleet/poolassignment.cpp
@@ -115,13 +115,14 @@
     return m_self;
 }
 
-/// Prefers hosts of the pool's zone, then those with the fewest other pools, then those with the most processor time; a hash breaks ties.
+/// Prefers hosts that can read the list of targets, then those of the pool's zone, then those with the fewest other pools, then those with
+/// the most processor time; a hash breaks ties.
 std::string PoolAssignment::preferredHost(const PoolName &pool, const FleetView &view, TimePoint now) const
 {
-    using Rank = std::tuple<bool, std::size_t, std::int64_t, std::uint64_t, std::string>;
+    using Rank = std::tuple<bool, bool, std::size_t, std::int64_t, std::uint64_t, std::string>;
     std::vector<Rank> ranks;
-    const auto add = [&](const std::string &host, const std::string &zone, std::size_t claims, std::uint32_t percent) {
-        ranks.emplace_back(!isInZoneOf(zone, pool), claims, -static_cast<std::int64_t>(percent), tieBreaker(host, pool), host);
+    const auto add = [&](const std::string &host, const std::string &zone, bool isStale, std::size_t claims, std::uint32_t percent) {
+        ranks.emplace_back(isStale, !isInZoneOf(zone, pool), claims, -static_cast<std::int64_t>(percent), tieBreaker(host, pool), host);
     };
     const auto otherClaims = [&](const auto &claims) {
         return static_cast<std::size_t>(std::count_if(claims.begin(), claims.end(), [&](const PoolClaim &claim) {
@@ -133,16 +134,36 @@
         for (const auto &[name, claim] : m_self.claims) {
             own.push_back(claim);
         }
-        add(m_self.host, m_self.zone, otherClaims(own), m_self.processorPercent);
+        add(m_self.host, m_self.zone, hasStaleTargets(now), otherClaims(own), m_self.processorPercent);
     }
     for (const auto *member : view.liveMembers(now)) {
         if (!member->report.leaving && member->report.host != m_self.host) {
-            add(member->report.host, member->report.zone, otherClaims(member->report.claims), member->report.processorPercent);
+            const auto &report = member->report;
+            add(report.host, report.zone, report.targetListIsStale, otherClaims(report.claims), report.processorPercent);
         }
     }
     return ranks.empty() ? std::string() : std::get<std::string>(*std::min_element(ranks.begin(), ranks.end()));
 }
 
+bool PoolAssignment::hasStaleTargets(TimePoint now) const
+{
+    return m_self.targetListFailsSince && now - *m_self.targetListFailsSince >= m_self.targetListExpiry;
+}
+
+/// True when this host's list of targets is stale and another host has read it since. While the store serves nobody, pools stay.
+bool PoolAssignment::hostWithNewerTargetsIsReady(const FleetView &view, TimePoint now) const
+{
+    if (!hasStaleTargets(now)) {
+        return false;
+    }
+    const auto members = view.liveMembers(now);
+    return std::any_of(members.begin(), members.end(), [&](const FleetMember *member) {
+        const auto &report = member->report;
+        const auto readAt = member->lastReportAt - report.targetListAge;
+        return !report.leaving && !report.targetListIsStale && readAt > *m_self.targetListFailsSince;
+    });
+}
+
 /// True when a host with much more processor time can take over this host's pool.
 bool PoolAssignment::strongerHostIsReady(const PoolName &pool, const FleetView &view, TimePoint now) const
 {
@@ -204,13 +225,15 @@
         const auto own = m_self.claims.find(pool);
         const bool mine = own != m_self.claims.end() && !own->second.yielding;
         const bool inZone = isInZoneOf(m_self.zone, pool);
-        const bool mustYield = mine && (m_self.leaving || (otherClaim == nullptr && strongerHostIsReady(pool, view, now)));
+        const bool betterHostIsReady = hostWithNewerTargetsIsReady(view, now) || strongerHostIsReady(pool, view, now);
+        const bool mustYield = mine && (m_self.leaving || (otherClaim == nullptr && betterHostIsReady));
         if (mustYield) {
             decision.yield.push_back(pool);
         } else if (mine && otherClaim != nullptr) {
             const bool otherInZone = isInZoneOf(owner->report.zone, pool);
-            const auto ownRank = std::make_tuple(inZone, own->second.ownedTargets, own->second.round, m_self.host);
-            const auto otherRank = std::make_tuple(otherInZone, otherClaim->ownedTargets, otherClaim->round, owner->report.host);
+            const auto ownRank = std::make_tuple(!hasStaleTargets(now), inZone, own->second.ownedTargets, own->second.round, m_self.host);
+            const auto otherRank = std::make_tuple(
+                !owner->report.targetListIsStale, otherInZone, otherClaim->ownedTargets, otherClaim->round, owner->report.host);
             if (otherRank > ownRank) {
                 decision.yield.push_back(pool);
             }
--- a/src/fleet/poolassignment.h
+++ b/src/fleet/poolassignment.h
@@ -4,6 +4,7 @@
 #include "workload/targetentry.h"
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -48,6 +49,10 @@
     std::uint32_t processorPercent = 0;
     bool leaving = false;
     std::map<PoolName, PoolClaim> claims;
+    /// Since when every read of the list of targets has failed; nothing while they succeed.
+    std::optional<TimePoint> targetListFailsSince;
+    /// The list of targets is stale when reads have failed for this long.
+    Duration targetListExpiry = Milliseconds(1500);
 };
 
 /// Decides which pools this host dispatches to, from its view of the fleet. Hosts with different views may claim the same pool;
@@ -64,8 +69,12 @@
     PoolCandidate &self();
     const PoolCandidate &self() const;
 
+    /// True when this host should not dispatch by its list of targets if another one can.
+    bool hasStaleTargets(TimePoint now) const;
+
 private:
     std::string preferredHost(const PoolName &pool, const FleetView &view, TimePoint now) const;
+    bool hostWithNewerTargetsIsReady(const FleetView &view, TimePoint now) const;
     bool strongerHostIsReady(const PoolName &pool, const FleetView &view, TimePoint now) const;
     void updateHeldSince(TimePoint now);
 
--- a/src/hostruntime/hostprocess.cpp
+++ b/src/hostruntime/hostprocess.cpp
@@ -79,6 +79,7 @@
     identity.processorPercent = static_cast<std::uint32_t>(settings.processorShare * Percent);
     identity.seeds = settings.seeds;
     identity.limits.maxLease = settings.maxLease;
+    identity.targetListExpiry = settings.targetHeartbeat;
     identity.limits.stopTime = settings.maxStopTime;
     identity.limits.policy = queuePolicyNamed(options.queuePolicy);
     identity.limits.refuseInfeasible = options.refuseInfeasible;
@@ -173,6 +174,9 @@
             },
             [this](const std::map<std::string, TargetEntry> &entries, bool fresh) {
                 node.onTargetList(entries, fresh, Clock::now());
+            },
+            [this] {
+                node.onTargetListFailure(Clock::now());
             });
         targetListFollower->start();
         peerDiscovery = std::make_shared<PeerDiscovery>(
--- a/src/hostruntime/storefollower.cpp
+++ b/src/hostruntime/storefollower.cpp
@@ -127,13 +127,15 @@
                                        Duration targetHeartbeat,
                                        HostTelemetry &telemetry,
                                        PollPeriod pollPeriod,
-                                       Handler handler)
+                                       Handler handler,
+                                       FailureHandler failureHandler)
     : m_executor(executor)
     , m_client(executor, store)
     , m_targetHeartbeat(targetHeartbeat)
     , m_telemetry(telemetry)
     , m_pollPeriod(std::move(pollPeriod))
     , m_handler(std::move(handler))
+    , m_failureHandler(std::move(failureHandler))
 {
 }
 
@@ -164,10 +166,9 @@
         if (succeeded) {
             const bool fresh = m_reachabilityChangedAt == TimePoint() || Clock::now() - m_reachabilityChangedAt > EntryRecoveryTime;
             m_handler(m_entries, fresh);
-        }
-        if (succeeded) {
             co_await waitForNextRead();
         } else {
+            m_failureHandler();
             co_await sleepFor(m_executor, RetryDelay);
         }
     }
--- a/src/hostruntime/storefollower.h
+++ b/src/hostruntime/storefollower.h
@@ -55,6 +55,8 @@
     /// Called with the whole list after each successful read. fresh is false while entries may be missing only because the store was
     /// unavailable.
     using Handler = std::function<void(const std::map<std::string, TargetEntry> &entries, bool fresh)>;
+    /// Called after each read that failed.
+    using FailureHandler = std::function<void()>;
     /// The time between reads, for a list of this many targets. Asked again while the follower waits, so that it may become shorter.
     using PollPeriod = std::function<Duration(std::size_t targets)>;
 
@@ -64,7 +66,8 @@
                        Duration targetHeartbeat,
                        HostTelemetry &telemetry,
                        PollPeriod pollPeriod,
-                       Handler handler);
+                       Handler handler,
+                       FailureHandler failureHandler);
 
     /// Starts the reads, which continue until stop().
     void start();
@@ -83,6 +86,7 @@
     HostTelemetry &m_telemetry;
     PollPeriod m_pollPeriod;
     Handler m_handler;
+    FailureHandler m_failureHandler;
     std::map<std::string, TargetEntry> m_entries;
     std::uint64_t m_nextOffset = 0;
     bool m_synchronised = false;
--- a/tests/unit/fleet/pools.cpp
+++ b/tests/unit/fleet/pools.cpp
@@ -108,6 +108,45 @@
     }
 }
 
+// Issue 35, review/3: a host that the store turned away placed tasks for 9 s by capacities that had shrunk meanwhile.
+BOOST_AUTO_TEST_CASE(A_host_that_cannot_read_the_list_of_targets_yields_its_pool_to_one_that_can)
+{
+    for (const bool otherReads : {true, false}) {
+        PoolAssignment assignment(candidate("h1", "a"));
+        assignment.self().claims[PoolName()] = {PoolName(), 1, false, {}, 3};
+        FleetView view;
+        auto other = report("h2", "a");
+        const auto yieldsAt = [&](Duration time) {
+            other.targetListAge = otherReads ? Duration(Milliseconds(300)) : time;
+            other.targetListIsStale = !otherReads && time > Seconds(2);
+            view.onReport(other, StartTime + time);
+            return !assignment.decide({PoolName()}, view, StartTime + time).yield.empty();
+        };
+        BOOST_TEST(!yieldsAt(Milliseconds(0)));
+        assignment.self().targetListFailsSince = StartTime + Milliseconds(400);
+        BOOST_TEST(!yieldsAt(Milliseconds(1800)));
+        BOOST_TEST(yieldsAt(Milliseconds(2000)) == otherReads);
+        BOOST_TEST(yieldsAt(Milliseconds(9000)) == otherReads);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(Of_two_hosts_that_claim_a_pool_the_one_that_can_read_the_list_of_targets_keeps_it)
+{
+    for (const bool selfIsStale : {true, false}) {
+        PoolAssignment assignment(candidate("h1", "a"));
+        assignment.self().claims[PoolName()] = {PoolName(), 9, false, {}, 3};
+        if (selfIsStale) {
+            assignment.self().targetListFailsSince = StartTime - Seconds(3);
+        }
+        FleetView view;
+        auto other = report("h2", "a");
+        other.claims.push_back({PoolName(), selfIsStale ? 1U : 12U, false, {}, 3});
+        other.targetListIsStale = !selfIsStale;
+        view.onReport(other, StartTime);
+        BOOST_TEST(assignment.decide({PoolName()}, view, StartTime).yield.size() == (selfIsStale ? 1 : 0));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(An_overloaded_host_that_has_just_claimed_its_pool_keeps_it_for_the_minimum_tenure)
 {
     auto self = candidate("h1", "a");
