A caller may cancel a job at any host

A host knew only the callers that waited at itself; for any other job it answered 410 and asked nobody.

HostNode::requestCancel() asks every live host (CancelInquiries). The host where the caller waits cancels the job and answers that caller. 410 is said only when every host has denied the job; when one could not be asked, or gives no answer for as long as a live host may be silent, the answer is 503 with Retry-After, since the job may go on.

--- a/emulator/emulatedfleet.cpp
+++ b/emulator/emulatedfleet.cpp
@@ -257,6 +257,10 @@
         fleet.onAnswer(index, jobId, reply);
     }
 
+    void onCancelDecided(const std::string &, CancelOutcome) override
+    {
+    }
+
     void onConfigurationRecord(const ConfigurationRecord &) override
     {
     }
--- a/src/entry/callerrequesthandler.cpp
+++ b/src/entry/callerrequesthandler.cpp
@@ -86,7 +86,7 @@
         co_return makeResponse(Gone, Platform::encodeError("no such job"));
     }
     if (request.method == "DELETE") {
-        co_return cancel(id);
+        co_return co_await cancel(id);
     }
     co_return refuse(id, MethodNotAllowed, "the method must be POST, GET or DELETE", Duration(0));
 }
@@ -163,16 +163,29 @@
     }
 }
 
-HttpResponse CallerRequestHandler::cancel(const std::string &id)
+asio::awaitable<HttpResponse> CallerRequestHandler::cancel(std::string id)
 {
-    const auto found = m_waiters.find(id);
-    if (found == m_waiters.end()) {
-        return makeResponse(Gone, Platform::encodeError("no such job"));
+    auto waiter = std::make_shared<OneShot<CancelOutcome>>(m_executor);
+    m_cancelWaiters[id].push_back(waiter);
+    m_node.requestCancel(id, Clock::now());
+    switch (co_await waiter->wait()) {
+    case CancelOutcome::Cancelled:
+        co_return makeResponse(Ok, Platform::encodeError("cancelled"));
+    case CancelOutcome::NoSuchJob:
+        co_return makeResponse(Gone, Platform::encodeError("no such job"));
+    case CancelOutcome::Undecided:
+        break;
+    }
+    co_return refuse(id, ServiceUnavailable, "a host that may have the job does not answer", Seconds(1));
+}
+
+void CallerRequestHandler::onCancelDecided(const std::string &jobId, CancelOutcome outcome)
+{
+    const auto waiters = m_cancelWaiters.extract(jobId);
+    if (waiters) {
+        for (const auto &waiter : waiters.mapped()) {
+            waiter->set(outcome);
+        }
     }
-    CallerReply reply;
-    reply.reason = "cancelled by its caller";
-    m_node.cancel(id, Clock::now());
-    onAnswer(id, reply);
-    return makeResponse(Ok, Platform::encodeError("cancelled"));
 }
 } // namespace Anvilcart::Fleet
--- a/src/entry/callerrequesthandler.h
+++ b/src/entry/callerrequesthandler.h
@@ -33,6 +33,9 @@
     /// Handles one request; peer reports when its caller disconnects.
     boost::asio::awaitable<HttpResponse> handle(HttpRequest request, HttpPeer &peer);
 
+    /// Passes the outcome of a request to cancel a job to every caller that asked for it.
+    void onCancelDecided(const std::string &jobId, CancelOutcome outcome);
+
     /// Passes the answer of a job to every caller that waits for it.
     void onAnswer(const std::string &jobId, const CallerReply &reply);
 
@@ -42,7 +45,7 @@
     boost::asio::awaitable<HttpResponse>
     submit(HttpRequest request, HttpPeer &peer, std::shared_ptr<const RouteTable> routes, const Route *route, std::string id);
     HttpResponse refuse(const std::string &jobId, int status, const std::string &reason, Duration retryAfter);
-    HttpResponse cancel(const std::string &id);
+    boost::asio::awaitable<HttpResponse> cancel(std::string id);
     void onCallerDisconnected(const std::string &id, const Waiter &waiter);
 
     boost::asio::any_io_executor m_executor;
@@ -50,5 +53,6 @@
     HostTelemetry &m_telemetry;
     std::shared_ptr<const RouteTable> m_routes;
     std::map<std::string, std::vector<Waiter>> m_waiters;
+    std::map<std::string, std::vector<std::shared_ptr<OneShot<CancelOutcome>>>> m_cancelWaiters;
 };
 } // namespace Anvilcart::Fleet
--- a/src/fleet/fleetframe.cpp
+++ b/src/fleet/fleetframe.cpp
@@ -286,6 +286,14 @@
     for (const auto &id : frame.cancellations) {
         wire.add_cancels()->set_id(id);
     }
+    for (const auto &id : frame.cancelInquiries) {
+        wire.add_cancel_inquiries()->set_id(id);
+    }
+    for (const auto &answer : frame.cancelAnswers) {
+        auto &row = *wire.add_cancel_answers();
+        row.set_id(answer.jobId);
+        row.set_cancelled(answer.cancelled);
+    }
     if (frame.requestsConfiguration) {
         wire.mutable_configuration_request();
     }
@@ -346,6 +354,12 @@
     for (const auto &row : wire.cancels()) {
         frame.cancellations.push_back(row.id());
     }
+    for (const auto &row : wire.cancel_inquiries()) {
+        frame.cancelInquiries.push_back(row.id());
+    }
+    for (const auto &row : wire.cancel_answers()) {
+        frame.cancelAnswers.push_back({row.id(), row.cancelled()});
+    }
     frame.requestsConfiguration = wire.has_configuration_request();
     if (wire.has_configuration()) {
         frame.configuration = ConfigurationRecord {wire.configuration().version(), wire.configuration().record()};
--- a/src/fleet/fleetframe.h
+++ b/src/fleet/fleetframe.h
@@ -54,6 +54,14 @@
     std::string lostDispatcher;
 };
 
+/// The answer to a host that asks all others to cancel a job.
+struct CancelAnswer
+{
+    std::string jobId;
+    /// The job's caller waited here, and the job was cancelled.
+    bool cancelled = false;
+};
+
 /// One message between two hosts.
 struct FleetFrame
 {
@@ -75,6 +83,9 @@
     std::vector<JobEndNotice> ended;
     std::vector<JobRelease> releases;
     std::vector<std::string> cancellations;
+    /// Jobs that a caller has asked the sender to cancel.
+    std::vector<std::string> cancelInquiries;
+    std::vector<CancelAnswer> cancelAnswers;
     bool requestsConfiguration = false;
     std::optional<ConfigurationRecord> configuration;
 };
--- a/src/fleet/hostnode.cpp
+++ b/src/fleet/hostnode.cpp
@@ -81,6 +81,19 @@
     processSchedulerEvents(now);
 }
 
+/// Cancels a job whose caller waits here, and answers that caller. False when there is none.
+bool HostNode::cancelForCaller(const std::string &jobId, TimePoint now)
+{
+    if (!m_jobs.contains(jobId)) {
+        return false;
+    }
+    cancel(jobId, now);
+    CallerReply reply;
+    reply.reason = "cancelled by its caller";
+    m_port.answerCaller(jobId, reply);
+    return true;
+}
+
 void HostNode::cancelAtDispatcher(const std::string &jobId, const std::string &dispatcher, TimePoint now)
 {
     if (dispatcher == m_identity.host) {
--- a/src/fleet/hostnode.h
+++ b/src/fleet/hostnode.h
@@ -50,6 +50,10 @@
     /// Cancels a job whose caller has gone.
     void cancel(const std::string &jobId, TimePoint now);
 
+    /// Cancels a job on the request of a caller, which may wait for its answer at another host: all hosts are asked.
+    /// HostPort::onCancelDecided() is called once the outcome is known, at the latest when a live host would count as lost.
+    void requestCancel(const std::string &jobId, TimePoint now);
+
     /// True while a caller waits for this job here.
     bool hasWaitingCaller(const std::string &jobId) const;
 
@@ -154,6 +158,8 @@
     void onCrashNotice(const CrashNotice &notice, const std::string &from);
     void onJobResult(const JobEndNotice &notice, const std::string &from, TimePoint now);
     void onResultOfPrevious(EntryJob &job, const JobEndNotice &notice, const std::string &from, TimePoint now);
+    bool cancelForCaller(const std::string &jobId, TimePoint now);
+    void onCancelFrame(const FleetFrame &frame, TimePoint now);
     void cancelAtDispatcher(const std::string &jobId, const std::string &dispatcher, TimePoint now);
     bool returnToDispatcher(EntryJob &job, TimePoint now);
     void takeBack(EntryJob &job, TimePoint now);
@@ -249,6 +255,7 @@
     /// By incarnationKey().
     std::map<std::string, LossRecord> m_lostDispatchers;
     IssuedGrants m_issuedGrants;
+    CancelInquiries m_cancelInquiries;
     ConfigurationRecord m_configuration;
     std::uint64_t m_highestRound = 0;
     /// TimePoint() before the first read.
--- a/src/fleet/hostnodepeers.cpp
+++ b/src/fleet/hostnodepeers.cpp
@@ -33,7 +33,7 @@
 /// A frame is stale when it took this much longer than the fastest one of its sender. Far above round-trip times, and below the time
 /// after which a dispatcher counts as lost.
 constexpr Milliseconds StaleFrameDelay {350};
-/// Endpoints from which no report arrives for this time are removed, except for seeds.
+/// Endpoints from which no report arrives for this time, which is longer than callers wait, are removed, except for seeds.
 constexpr Seconds EndpointExpiry {20};
 constexpr Seconds EndpointCheckPeriod {1};
 /// Minimum interval between requests for the configuration.
@@ -106,6 +106,7 @@
     for (const auto &id : frame.cancellations) {
         m_scheduler.cancel(id, frame.host, now);
     }
+    onCancelFrame(frame, now);
     if (frame.requestsConfiguration && m_configuration.version > 0) {
         FleetFrame reply;
         reply.configuration = m_configuration;
@@ -156,6 +157,44 @@
     }
 }
 
+void HostNode::requestCancel(const std::string &jobId, TimePoint now)
+{
+    beginEvent(now);
+    if (cancelForCaller(jobId, now)) {
+        m_port.onCancelDecided(jobId, CancelOutcome::Cancelled);
+        return;
+    }
+    std::set<std::string> asked;
+    auto longestSilence = FleetView::longestSilence(Duration(0));
+    for (const auto *member : m_view.liveMembers(now)) {
+        FleetFrame frame;
+        frame.cancelInquiries.push_back(jobId);
+        if (send(member->report.host, std::move(frame), now)) {
+            asked.insert(member->report.host);
+            longestSilence = std::max(longestSilence, FleetView::longestSilence(member->report.period));
+        }
+    }
+    const bool isComplete = std::all_of(m_peers.begin(), m_peers.end(), [&](const auto &entry) {
+        const auto &peer = entry.second;
+        return peer.host.empty() || asked.contains(peer.host) || now - peer.lastNamedAt > EndpointExpiry;
+    });
+    m_cancelInquiries.begin(jobId, std::move(asked), isComplete, now + longestSilence);
+}
+
+void HostNode::onCancelFrame(const FleetFrame &frame, TimePoint now)
+{
+    for (const auto &id : frame.cancelInquiries) {
+        FleetFrame answer;
+        answer.cancelAnswers.push_back({id, cancelForCaller(id, now)});
+        send(frame.host, std::move(answer), now);
+    }
+    for (const auto &answer : frame.cancelAnswers) {
+        if (const auto outcome = m_cancelInquiries.onAnswer(answer.jobId, frame.host, answer.cancelled)) {
+            m_port.onCancelDecided(answer.jobId, *outcome);
+        }
+    }
+}
+
 /// True for a frame with jobs that was delayed for too long: the relative times of its jobs are wrong by the delay, and the sender may
 /// have submitted the jobs to another dispatcher.
 bool HostNode::isStale(const FleetFrame &frame, TimePoint now)
@@ -373,6 +412,9 @@
     finishYields(now);
     placeWaitingJobs(now);
     processSchedulerEvents(now);
+    for (const auto &[jobId, outcome] : m_cancelInquiries.takeDecided(now)) {
+        m_port.onCancelDecided(jobId, outcome);
+    }
     removeUnresponsiveEndpoints(now);
     sendReports(now);
     if (isDispatcher() && now - m_usageReportedAt >= UsagePeriod) {
--- a/src/fleet/interfaces/hostport.h
+++ b/src/fleet/interfaces/hostport.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "fleet/cancelinquiries.h"
 #include "fleet/entryjob.h"
 #include "fleet/fleetframe.h"
 #include "workload/targetcalls.h"
@@ -39,6 +40,9 @@
     /// Answers the caller that waits for this job.
     virtual void answerCaller(const std::string &jobId, const CallerReply &reply) = 0;
 
+    /// A caller's request to cancel this job is decided.
+    virtual void onCancelDecided(const std::string &jobId, CancelOutcome outcome) = 0;
+
     /// A peer has sent the operator's configuration record.
     virtual void onConfigurationRecord(const ConfigurationRecord &record) = 0;
 
--- a/tests/support/hostnodefixture.h
+++ b/tests/support/hostnodefixture.h
@@ -50,6 +50,10 @@
     {
         answers[jobId] = reply;
     }
+    void onCancelDecided(const std::string &jobId, CancelOutcome outcome) override
+    {
+        cancels[jobId] = outcome;
+    }
     void onConfigurationRecord(const ConfigurationRecord &) override
     {
     }
@@ -63,6 +67,7 @@
     std::vector<std::pair<std::string, StopRequest>> stops;
     std::vector<std::pair<std::string, RenewalRequest>> renewals;
     std::map<std::string, CallerReply> answers;
+    std::map<std::string, CancelOutcome> cancels;
 };
 
 /// Ignores all events.
--- a/tests/unit/fleet/hostnode.cpp
+++ b/tests/unit/fleet/hostnode.cpp
@@ -213,4 +213,55 @@
     BOOST_TEST(frames <= 1 * 5 + 7 * 2);
 }
 
+// Issue 35, review/5: a DELETE at another host than that of the job's POST was acknowledged and changed nothing.
+BOOST_FIXTURE_TEST_CASE(A_cancellation_of_a_job_that_waits_at_another_host_is_acknowledged_when_that_has_cancelled_it, HostNodeFixture)
+{
+    node.onFrame(report("h2", 2, false), now);
+    node.onFrame(report("h3", 3, false), now);
+    const auto answerFrom = [this](const std::string &host, const std::string &id, bool cancelled) {
+        FleetFrame frame;
+        frame.host = host;
+        frame.cancelAnswers.push_back({id, cancelled});
+        node.onFrame(frame, now);
+    };
+    node.requestCancel("elsewhere", now);
+    answerFrom("h2", "elsewhere", false);
+    BOOST_TEST(port.cancels.empty());
+    answerFrom("h3", "elsewhere", true);
+    BOOST_TEST((port.cancels.at("elsewhere") == CancelOutcome::Cancelled));
+    node.requestCancel("nowhere", now);
+    answerFrom("h2", "nowhere", false);
+    answerFrom("h3", "nowhere", false);
+    BOOST_TEST((port.cancels.at("nowhere") == CancelOutcome::NoSuchJob));
+    node.requestCancel("unanswered", now);
+    answerFrom("h2", "unanswered", false);
+    advance(Seconds(1));
+    BOOST_TEST((port.cancels.at("unanswered") == CancelOutcome::Undecided));
+    // Both hosts are silent now, and may have the job.
+    node.requestCancel("cut off", now);
+    advance(Seconds(1));
+    BOOST_TEST((port.cancels.at("cut off") == CancelOutcome::Undecided));
+}
+
+BOOST_FIXTURE_TEST_CASE(A_host_that_is_asked_by_another_one_cancels_the_job_of_its_caller, HostNodeFixture)
+{
+    claimTarget("t1");
+    node.onFrame(report("h2", 2, false), now);
+    node.submit(job("j"), now);
+    BOOST_REQUIRE(port.starts.size() == 1);
+    FleetFrame inquiry;
+    inquiry.host = "h2";
+    inquiry.cancelInquiries = {"j", "other"};
+    node.onFrame(inquiry, now);
+    BOOST_TEST(port.stops.size() == 1);
+    BOOST_TEST(port.answers.at("j").reason == "cancelled by its caller");
+    std::map<std::string, bool> answers;
+    for (const auto &[endpoint, frame] : port.frames) {
+        for (const auto &answer : frame.cancelAnswers) {
+            answers[answer.jobId] = answer.cancelled;
+        }
+    }
+    BOOST_TEST((answers == std::map<std::string, bool> {{"j", true}, {"other", false}}));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
