An entry is outdated only by a restart that it cannot show yet

Now a listing that shows a restart outdates the entry only if that has not changed since the listing before, or names an earlier start.

RestartedTargetsSuite/A_target_whose_listings_and_entry_differ_in_their_start_times_is_used_once_it_is_claimed fails without it.

--- a/src/scheduling/schedulerqueue.cpp
+++ b/src/scheduling/schedulerqueue.cpp
@@ -36,7 +36,7 @@
 
 bool isUsable(const TargetLedger &target, TimePoint now)
 {
-    return target.ownership == Ownership::Owned && !target.leaving && !target.unresponsive && !target.isEntryOfAnotherLife()
+    return target.ownership == Ownership::Owned && !target.leaving && !target.unresponsive && !target.isEntryOfEarlierLife()
         && !target.health.isEjected(now);
 }
 
@@ -180,7 +180,7 @@
     std::uint32_t freeNow = 0;
     for (const auto *target : service.targets) {
         const bool isUsableSoon =
-            (target->ownership == Ownership::Claiming || target->isEntryOfAnotherLife()) && target->failedProbes == 0 && !target->leaving;
+            (target->ownership == Ownership::Claiming || target->isEntryOfEarlierLife()) && target->failedProbes == 0 && !target->leaving;
         if (isUsable(*target, now) || isUsableSoon) {
             cores += tasksIn(target->entry().capacity, demand) * demand / 1000.0 / target->health.slowness(now);
         }
--- a/src/scheduling/targetledger.cpp
+++ b/src/scheduling/targetledger.cpp
@@ -95,6 +95,12 @@
         m_reportedAcknowledgement = 0;
         clock.reset();
     }
+    // Clocks may be set back, so that a later life may have an earlier start time.
+    const bool isEntryUnchanged = m_entry.startedAtMs == m_entryStartAtLastListing;
+    if (isNewIncarnation && m_entry.startedAtMs != listing.startedAtMs) {
+        m_outdatedEntryStart = isEntryUnchanged || m_entry.startedAtMs < listing.startedAtMs ? m_entry.startedAtMs : 0;
+    }
+    m_entryStartAtLastListing = m_entry.startedAtMs;
     if (listing.startedAtMs != 0) {
         m_startedAtMs = listing.startedAtMs;
     }
@@ -325,9 +331,9 @@
     return m_startedAtMs;
 }
 
-bool TargetLedger::isEntryOfAnotherLife() const
+bool TargetLedger::isEntryOfEarlierLife() const
 {
-    return m_startedAtMs != 0 && m_entry.startedAtMs != 0 && m_startedAtMs != m_entry.startedAtMs;
+    return m_outdatedEntryStart != 0 && m_entry.startedAtMs == m_outdatedEntryStart;
 }
 
 std::uint64_t TargetLedger::fencingToken() const
--- a/src/scheduling/targetledger.h
+++ b/src/scheduling/targetledger.h
@@ -186,8 +186,8 @@
     /// When the target started, by its last listing or, before the first, by its entry, in milliseconds since 1970; 0 when unknown.
     std::int64_t startedAtMs() const;
 
-    /// True while the entry is known to be of another life of the target than the last listing: capacity and labels may have changed.
-    bool isEntryOfAnotherLife() const;
+    /// True while the entry is known to be of an earlier life of the target than the last listing: capacity and labels may have changed.
+    bool isEntryOfEarlierLife() const;
 
     std::uint64_t fencingToken() const;
     void setFencingToken(std::uint64_t token);
@@ -238,6 +238,9 @@
     std::uint64_t m_acknowledgedEnds = 0;
     std::uint64_t m_reportedAcknowledgement = 0;
     std::int64_t m_startedAtMs = 0;
+    /// The start time in the entry when the last listing was applied, and in the entry that a restart has outdated; 0 when there is none.
+    std::int64_t m_entryStartAtLastListing = 0;
+    std::int64_t m_outdatedEntryStart = 0;
     std::int64_t m_lastListingClockMs = 0;
     TimePoint m_lastListingReadAt;
     /// On this host's clock: by this time every lease that was granted has ended.
--- a/tests/unit/scheduling/restartedtargets.cpp
+++ b/tests/unit/scheduling/restartedtargets.cpp
@@ -193,6 +193,23 @@
     BOOST_TEST(port.starts.size() == 1);
 }
 
+// The start times of a target's entry and of its listings may come from different readings of a clock.
+BOOST_AUTO_TEST_CASE(A_target_whose_listings_and_entry_differ_in_their_start_times_is_used_once_it_is_claimed)
+{
+    for (const std::int64_t entryBornAt : {5, 9}) {
+        const auto id = "skewed " + std::to_string(entryBornAt);
+        const auto skewedEntry = entryOfLife(id, entryBornAt, 60000);
+        startedAtMs = 7;
+        scheduler.addTarget(skewedEntry, Token, now);
+        answerRenewal(id, {});
+        scheduler.addTarget(skewedEntry, NextToken, now);
+        answerRenewal(id, {});
+        submit(job(id, 1, 50000));
+        const bool isEntryEarlier = entryBornAt < startedAtMs;
+        BOOST_TEST(port.starts.size() == (isEntryEarlier ? 0U : 1U));
+    }
+}
+
 // Silence does not tell a cut target from one that has restarted behind the cut, where a start that was held up still takes effect.
 BOOST_AUTO_TEST_CASE(An_unanswered_start_on_a_silent_target_is_not_repeated_elsewhere_when_its_lease_has_ended)
 {
