A host that takes a pool over reads the list of targets before it starts tasks

A host without pools reads the list of targets every 9 ms a target, 9.9 s there, and placed tasks by it as soon as it had taken a pool over.

When a host claims a pool by a list that is older than a heartbeat of the targets (the setting heartbeat_ms, below every drain_ms), it reads the list at once and starts nothing before it has, unless the read fails; at most for that time again.

HostNodeSuite/A_host_that_takes_a_pool_over_reads_the_list_of_targets_before_it_starts_tasks.

--- a/emulator/emulatedfleet.cpp
+++ b/emulator/emulatedfleet.cpp
@@ -257,6 +257,11 @@
         fleet.onAnswer(index, jobId, reply);
     }
 
+    void refreshTargetList() override
+    {
+        targetListReadAt = TimePoint();
+    }
+
     void onCancelDecided(const std::string &, CancelOutcome) override
     {
     }
--- a/src/fleet/hostnodepools.cpp
+++ b/src/fleet/hostnodepools.cpp
@@ -40,6 +40,7 @@
     beginEvent(now);
     m_targetListReadAt = now;
     m_assignment.self().targetListFailsSince.reset();
+    m_scheduler.holdStartsUntil(now);
     if (entries == m_targets) {
         updatePools(now);
         processSchedulerEvents(now);
@@ -75,6 +76,7 @@
     auto &failsSince = m_assignment.self().targetListFailsSince;
     const bool wasStale = m_assignment.hasStaleTargets(m_lastTickAt);
     failsSince = failsSince.value_or(now);
+    m_scheduler.holdStartsUntil(now);
     if (m_assignment.hasStaleTargets(now) && !wasStale) {
         m_reportsDue = true;
     }
@@ -210,6 +212,11 @@
     m_observer.onPoolChanged(pool, "claimed", claim.round, m_targets.size());
     updatePeerLoads(now);
     m_reportsDue = true;
+    if (!m_assignment.self().targetListFailsSince && now - m_targetListReadAt > m_identity.targetListExpiry) {
+        // A host without pools reads the list rarely, so that targets may have begun to leave since.
+        m_scheduler.holdStartsUntil(now + m_identity.targetListExpiry);
+        m_port.refreshTargetList();
+    }
 }
 
 std::uint64_t HostNode::nextFencingToken(const std::string &target)
--- a/src/fleet/interfaces/hostport.h
+++ b/src/fleet/interfaces/hostport.h
@@ -37,6 +37,9 @@
     /// Closes the connections to a target, which are not needed any more.
     virtual void closeTargetConnections(const std::string &target) = 0;
 
+    /// Reads the list of targets soon, without waiting for the next periodic read.
+    virtual void refreshTargetList() = 0;
+
     /// Answers the caller that waits for this job.
     virtual void answerCaller(const std::string &jobId, const CallerReply &reply) = 0;
 
--- a/src/hostruntime/hostprocess.cpp
+++ b/src/hostruntime/hostprocess.cpp
@@ -367,6 +367,11 @@
         callerHandler.onAnswer(jobId, reply);
     }
 
+    void refreshTargetList() override
+    {
+        targetListFollower->readSoon();
+    }
+
     void onCancelDecided(const std::string &jobId, CancelOutcome outcome) override
     {
         callerHandler.onCancelDecided(jobId, outcome);
--- a/src/hostruntime/storefollower.cpp
+++ b/src/hostruntime/storefollower.cpp
@@ -136,6 +136,7 @@
     , m_pollPeriod(std::move(pollPeriod))
     , m_handler(std::move(handler))
     , m_failureHandler(std::move(failureHandler))
+    , m_waitTimer(executor)
 {
 }
 
@@ -174,14 +175,22 @@
     }
 }
 
+void TargetListFollower::readSoon()
+{
+    m_readSoon = true;
+    m_waitTimer.cancel();
+}
+
 asio::awaitable<void> TargetListFollower::waitForNextRead()
 {
     const auto readAt = Clock::now();
     auto period = m_pollPeriod(m_entries.size());
-    for (auto now = readAt; now - readAt < period && !m_stopped; now = Clock::now()) {
-        co_await sleepFor(m_executor, std::min<Duration>(MaxPeriodAge, readAt + period - now));
+    for (auto now = readAt; now - readAt < period && !m_stopped && !m_readSoon; now = Clock::now()) {
+        m_waitTimer.expires_after(std::min<Duration>(MaxPeriodAge, readAt + period - now));
+        co_await m_waitTimer.async_wait(Awaitable);
         period = m_pollPeriod(m_entries.size());
     }
+    m_readSoon = false;
     m_synchronised = m_synchronised && Clock::now() - readAt < m_targetHeartbeat;
 }
 
--- a/src/hostruntime/storefollower.h
+++ b/src/hostruntime/storefollower.h
@@ -6,6 +6,7 @@
 #include "workload/targetentry.h"
 
 #include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <functional>
 #include <map>
@@ -73,6 +74,9 @@
     void start();
     void stop();
 
+    /// Reads the list now, or right after the read that is under way.
+    void readSoon();
+
 private:
     boost::asio::awaitable<void> run();
     boost::asio::awaitable<bool> readNewest();
@@ -87,6 +91,8 @@
     PollPeriod m_pollPeriod;
     Handler m_handler;
     FailureHandler m_failureHandler;
+    boost::asio::steady_timer m_waitTimer;
+    bool m_readSoon = false;
     std::map<std::string, TargetEntry> m_entries;
     std::uint64_t m_nextOffset = 0;
     bool m_synchronised = false;
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -110,6 +110,9 @@
     /// Removes a target immediately; jobs with runs on it end as abandoned.
     void loseTarget(const std::string &target, TimePoint now);
 
+    /// Starts no task before this time, as the targets' entries are too old to place by.
+    void holdStartsUntil(TimePoint time);
+
     /// True from addTarget() on.
     bool ownsTarget(const std::string &target) const;
 
@@ -262,6 +265,7 @@
     CrashSuspects m_crashSuspects;
     HeldGrants m_grants;
     std::uint64_t m_claimCount = 0;
+    TimePoint m_startsHeldUntil;
     RepeatBudget m_repeatBudget;
     std::unordered_map<std::string, std::unique_ptr<TargetLedger>> m_targets;
     std::unordered_map<std::string, std::unique_ptr<ScheduledJob>> m_jobs;
--- a/src/scheduling/schedulerqueue.cpp
+++ b/src/scheduling/schedulerqueue.cpp
@@ -346,7 +346,7 @@
 /// Starts the waiting tasks for which there is capacity; true when at least one was started.
 bool Scheduler::startTasks(ScheduledJob &job, Service &service, TimePoint now)
 {
-    if (now < job.submission.mayStartAt() || !isGranted(job.submission, now)) {
+    if (now < m_startsHeldUntil || now < job.submission.mayStartAt() || !isGranted(job.submission, now)) {
         return false;
     }
     bool any = false;
--- a/src/scheduling/schedulertargets.cpp
+++ b/src/scheduling/schedulertargets.cpp
@@ -212,6 +212,11 @@
     return found != m_targets.end() && found->second->ownership != Ownership::Claiming && found->second->claimedAt > time;
 }
 
+void Scheduler::holdStartsUntil(TimePoint time)
+{
+    m_startsHeldUntil = time;
+}
+
 std::uint64_t Scheduler::claimCount() const
 {
     return m_claimCount;
--- a/tests/support/hostnodefixture.h
+++ b/tests/support/hostnodefixture.h
@@ -50,6 +50,10 @@
     {
         answers[jobId] = reply;
     }
+    void refreshTargetList() override
+    {
+        ++targetListRefreshes;
+    }
     void onCancelDecided(const std::string &jobId, CancelOutcome outcome) override
     {
         cancels[jobId] = outcome;
@@ -68,6 +72,7 @@
     std::vector<std::pair<std::string, RenewalRequest>> renewals;
     std::map<std::string, CallerReply> answers;
     std::map<std::string, CancelOutcome> cancels;
+    int targetListRefreshes = 0;
 };
 
 /// Ignores all events.
--- a/tests/unit/fleet/hostnode.cpp
+++ b/tests/unit/fleet/hostnode.cpp
@@ -264,4 +264,29 @@
     BOOST_TEST((answers == std::map<std::string, bool> {{"j", true}, {"other", false}}));
 }
 
+// Issue 35, commit 2a9c7af: a standby took a pool over by a list of targets that was up to 9.9 s old, and started tasks on drained ones.
+BOOST_FIXTURE_TEST_CASE(A_host_that_takes_a_pool_over_reads_the_list_of_targets_before_it_starts_tasks, HostNodeFixture)
+{
+    for (const bool storeAnswers : {true, false}) {
+        HostNodeFixture host;
+        host.listTargets({"t1", "t2"});
+        for (int second = 0; second < 5; ++second) {
+            host.node.onFrame(report("h2", 2, true), host.now);
+            host.advance(Milliseconds(600));
+        }
+        host.advance(Milliseconds(300));
+        host.answerRenewal("t1", {});
+        BOOST_TEST(host.port.targetListRefreshes == 1);
+        host.node.submit(host.job("j"), host.now);
+        BOOST_TEST(host.port.starts.empty());
+        if (storeAnswers) {
+            host.listTargets({"t1", "t2"});
+        } else {
+            host.node.onTargetListFailure(host.now);
+        }
+        host.advance(Milliseconds(25));
+        BOOST_TEST(host.port.starts.size() == 1);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
