A job with more tasks than memory allows is refused before they are recorded

The queue was bounded in jobs, not in tasks, and the refusal came after the records were made.

Scheduler::refuseIfTooLarge() bounds the tasks of all jobs together by a quarter of the memory in the settings (limits.memory_mb), before anything is allocated. A job that is too large by itself is refused as one that never fits, others as a full queue.

SchedulerSuite/A_job_with_more_tasks_than_memory_allows_is_refused_before_its_tasks_are_recorded and .../Jobs_are_refused_while_ those_before_them_have_as_many_tasks_as_memory_allows.

--- a/src/hostruntime/hostprocess.cpp
+++ b/src/hostruntime/hostprocess.cpp
@@ -81,6 +81,9 @@
     identity.limits.maxLease = settings.maxLease;
     identity.targetListExpiry = settings.targetHeartbeat;
     identity.limits.stopTime = settings.maxStopTime;
+    if (settings.memoryMb > 0) {
+        identity.limits.maxTasks = maxTasksForMemory(settings.memoryMb);
+    }
     identity.limits.policy = queuePolicyNamed(options.queuePolicy);
     identity.limits.refuseInfeasible = options.refuseInfeasible;
     return identity;
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -24,6 +24,14 @@
 constexpr Milliseconds MinTransferGain {50};
 } // namespace
 
+std::size_t maxTasksForMemory(std::int64_t memoryMb)
+{
+    constexpr std::int64_t BytesPerTask = 256;
+    constexpr std::int64_t MemoryShare = 4;
+    static_assert(sizeof(ScheduledTask) <= BytesPerTask);
+    return static_cast<std::size_t>(memoryMb * 1024 * 1024 / MemoryShare / BytesPerTask);
+}
+
 Scheduler::Scheduler(const SchedulerLimits &limits, SchedulerPort &port, SchedulerObserver &observer)
     : m_limits(limits)
     , m_port(port)
@@ -50,8 +58,12 @@
         markRunsWithoutGrant(*existing, !isGranted(known, now));
         return;
     }
+    if (refuseIfTooLarge(submission, now)) {
+        return;
+    }
     auto owned = std::make_unique<ScheduledJob>(std::move(submission));
     auto &job = *owned;
+    m_taskCount += job.tasks.size();
     const auto id = job.submission.request.id;
     m_jobs[id] = std::move(owned);
     setForecast(job);
@@ -99,6 +111,23 @@
     schedule(job.submission.service, now);
 }
 
+/// Refuses a job before anything is allocated for its tasks. One that is too large even for an idle dispatcher is not worth a retry.
+bool Scheduler::refuseIfTooLarge(const JobSubmission &submission, TimePoint now)
+{
+    std::size_t tasks = 0;
+    for (const auto &step : submission.request.steps) {
+        tasks += step.taskCount;
+    }
+    if (m_taskCount + tasks <= m_limits.maxTasks) {
+        return false;
+    }
+    const auto &service = m_services[submission.service];
+    const auto reason = tasks > m_limits.maxTasks ? JobEndReason::NeverFits : JobEndReason::QueueFull;
+    const auto end = mayHaveRunBefore(submission, now) ? JobEnd::Abandoned : JobEnd::NotRun;
+    m_port.onJobEnd(submission, {end, reason, retryAfter(service, submission.request.id, now), {}});
+    return true;
+}
+
 /// The dispatcher that is expected to start the job sooner; empty when the job should stay here.
 std::string Scheduler::betterDispatcher(const ScheduledJob &job, TimePoint now)
 {
@@ -373,11 +402,12 @@
     }
     const auto job = std::move(found->second);
     m_jobs.erase(found);
+    m_taskCount -= job->tasks.size();
     dequeue(*job);
     if (!job->resultReported) {
         auto reported = result;
         const bool refused = result.end == JobEnd::NotRun && result.reason != JobEndReason::BetterElsewhere;
-        if (refused && mayHaveRunBefore(*job, now)) {
+        if (refused && mayHaveRunBefore(job->submission, now)) {
             reported.end = JobEnd::Abandoned;
         }
         m_port.onJobEnd(job->submission, reported);
@@ -390,10 +420,10 @@
 }
 
 /// True when an earlier submission of the job had a run, or may have had one on a target that is being claimed.
-bool Scheduler::mayHaveRunBefore(const ScheduledJob &job, TimePoint now) const
+bool Scheduler::mayHaveRunBefore(const JobSubmission &submission, TimePoint now) const
 {
-    const auto &targets = m_services.at(job.submission.service).targets;
-    return mayHaveRun(job.submission.request.id, now) || std::any_of(targets.begin(), targets.end(), [](const TargetLedger *target) {
+    const auto &targets = m_services.at(submission.service).targets;
+    return mayHaveRun(submission.request.id, now) || std::any_of(targets.begin(), targets.end(), [](const TargetLedger *target) {
                return target->ownership == Ownership::Claiming && target->failedProbes == 0;
            });
 }
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -33,6 +33,8 @@
     Duration stopTime = Milliseconds(50);
     /// New jobs are refused when this many wait. A job takes about 2 KB, so this keeps the queue under 8 MB.
     std::size_t maxQueuedJobs = 4000;
+    /// New jobs are refused when all jobs together would have more tasks than this, which bounds the memory that they take.
+    std::size_t maxTasks = 200'000;
     QueuePolicy policy = FairShareFirst {};
     /// Refuses jobs that are forecast to miss their caller's deadline. Disabled only in baseline measurements.
     bool refuseInfeasible = true;
@@ -49,6 +51,9 @@
     Duration wait {0};
 };
 
+/// The number of tasks whose records may take a quarter of this much memory. Thread-safe.
+std::size_t maxTasksForMemory(std::int64_t memoryMb);
+
 /// How a dispatcher's targets are used.
 struct TargetUsage
 {
@@ -246,7 +251,8 @@
     void endIfNoRunsLeft(const std::string &jobId, TimePoint now);
     void endJob(const std::string &jobId, const JobResult &result, TimePoint now);
     bool hasRuns(const std::string &jobId) const;
-    bool mayHaveRunBefore(const ScheduledJob &job, TimePoint now) const;
+    bool mayHaveRunBefore(const JobSubmission &submission, TimePoint now) const;
+    bool refuseIfTooLarge(const JobSubmission &submission, TimePoint now);
     void eject(TargetLedger &target, EjectionCause cause, TimePoint now);
     void checkRuns(TargetLedger &target, TimePoint now);
     void checkResponsiveness(TargetLedger &target, TimePoint now);
@@ -269,6 +275,8 @@
     RepeatBudget m_repeatBudget;
     std::unordered_map<std::string, std::unique_ptr<TargetLedger>> m_targets;
     std::unordered_map<std::string, std::unique_ptr<ScheduledJob>> m_jobs;
+    /// The number of their tasks.
+    std::size_t m_taskCount = 0;
     std::map<std::string, Service> m_services;
     std::vector<PeerDispatcher> m_peers;
     /// When a renewal was last unanswered by a target that had answered shortly before.
--- a/tests/unit/scheduling/scheduler.cpp
+++ b/tests/unit/scheduling/scheduler.cpp
@@ -675,4 +675,34 @@
     BOOST_TEST(port.starts.at(1).request.name.task.step == 1);
 }
 
+// Issue 35, findings of the review: a job of 2 KB with 2,500,000 tasks made the process exceed its memory before the job was refused.
+BOOST_AUTO_TEST_CASE(A_job_with_more_tasks_than_memory_allows_is_refused_before_its_tasks_are_recorded)
+{
+    claimTarget("t1");
+    auto huge = job("huge", 100'000);
+    huge.request.steps.resize(25, huge.request.steps.front());
+    submit(huge);
+    BOOST_REQUIRE(port.ended.size() == 1);
+    BOOST_TEST((port.ended.at(0).result.end == JobEnd::NotRun));
+    BOOST_TEST((port.ended.at(0).result.reason == JobEndReason::NeverFits));
+}
+
+BOOST_AUTO_TEST_CASE(Jobs_are_refused_while_those_before_them_have_as_many_tasks_as_memory_allows)
+{
+    SchedulerLimits limits;
+    limits.maxTasks = 10;
+    Scheduler small(limits, port, observer);
+    small.addTarget(entry("t1"), Token, now);
+    small.submit(job("first", 8), now);
+    small.submit(job("second", 3), now);
+    BOOST_REQUIRE(port.ended.size() == 1);
+    BOOST_TEST((port.ended.at(0).result.reason == JobEndReason::QueueFull));
+    small.cancel("first", job("first").entryHost, now);
+    small.submit(job("third", 10), now);
+    BOOST_TEST(port.ended.size() == 1);
+    small.submit(job("fourth", 11), now);
+    BOOST_REQUIRE(port.ended.size() == 2);
+    BOOST_TEST((port.ended.at(1).result.reason == JobEndReason::NeverFits));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
