Frames that only renew a grant look at no job

Each frame of an entry host renews its grant, and each renewal looked at every job of the dispatcher. Now only a grant that had ended does (HeldGrants::Change::Resumed). A frame of an earlier incarnation of the entry host, which may arrive after one of the next, brings no grant.

--- a/src/fleet/hostnodepeers.cpp
+++ b/src/fleet/hostnodepeers.cpp
@@ -118,8 +118,8 @@
     processSchedulerEvents(now);
 }
 
-/// Takes the grant from a frame, which covers the jobs in it. False when it is outdated, has ended or was given to an earlier incarnation
-/// of this host, so that the jobs must be refused.
+/// Takes the grant from a frame, which covers the jobs in it. False when it is outdated, has ended or concerns an earlier incarnation of
+/// either host, so that the jobs must be refused.
 bool HostNode::acceptGrant(FleetFrame &frame, TimePoint now)
 {
     if (!frame.grant) {
@@ -128,7 +128,9 @@
     for (auto &submission : frame.submissions) {
         submission.grantEpoch = frame.grant->epoch;
     }
-    return frame.grant->dispatcherIncarnation == m_identity.incarnation
+    const auto *sender = m_view.find(frame.host);
+    const bool isOfEarlierSender = sender != nullptr && sender->report.incarnation != frame.incarnation;
+    return !isOfEarlierSender && frame.grant->dispatcherIncarnation == m_identity.incarnation
         && m_scheduler.onGrant(frame.host, frame.incarnation, *frame.grant, now) && frame.grant->until > now;
 }
 
--- a/src/scheduling/heldgrants.cpp
+++ b/src/scheduling/heldgrants.cpp
@@ -21,6 +21,7 @@
         return Change::Outdated;
     }
     const bool hasRestarted = held.entryIncarnation != 0 && held.entryIncarnation != entryIncarnation;
+    const bool hadEnded = held.newest.until <= now;
     const bool isRenewal = held.entryIncarnation == entryIncarnation && grant.epoch == held.newest.epoch;
     if (isRenewal) {
         confirmed.until = std::max(held.newest.until, confirmed.until);
@@ -33,7 +34,10 @@
     if (hasRestarted) {
         return Change::EntryRestarted;
     }
-    return isRenewal ? Change::Renewed : Change::EpochRaised;
+    if (!isRenewal) {
+        return Change::EpochRaised;
+    }
+    return hadEnded ? Change::Resumed : Change::Renewed;
 }
 
 void HeldGrants::setEnd(const std::string &entryHost, JobGrant &grant, TimePoint until)
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -288,16 +288,22 @@
 {
     updateGrants(now);
     const auto change = m_grants.onGrant(entryHost, entryIncarnation, grant, now);
-    if (change == HeldGrants::Change::EntryRestarted) {
-        cancelAllOf(entryHost, now);
-    }
-    if (change == HeldGrants::Change::EpochRaised) {
-        returnJobs(entryHost, "taken back", now);
-    }
-    if (change != HeldGrants::Change::Outdated) {
+    switch (change) {
+    case HeldGrants::Change::Outdated:
+        return false;
+    case HeldGrants::Change::Renewed:
+        break;
+    case HeldGrants::Change::Resumed:
         markRunsWithoutGrant(entryHost, now);
+        break;
+    case HeldGrants::Change::EpochRaised:
+        returnJobs(entryHost, "taken back", now);
+        break;
+    case HeldGrants::Change::EntryRestarted:
+        cancelAllOf(entryHost, now);
+        break;
     }
-    return change != HeldGrants::Change::Outdated;
+    return true;
 }
 
 /// Must be called before anything is started or renewed at this time.
