A lease is extended only under a claim that the job's entry host has confirmed

A dispatcher from which the job had been taken, and whose grant had not ended yet, could claim the target again, find its run there and extend its lease, while the successor, cut off from the target, waited for the end of the lease that it had granted itself.

A run counts as without grant also while its target's claim is not confirmed. A grant that confirms further claims marks the runs anew.

GrantsSuite/A_lease_is_extended_only_under_a_claim_that_the_entry_host_has_confirmed.

--- a/src/scheduling/heldgrants.cpp
+++ b/src/scheduling/heldgrants.cpp
@@ -21,7 +21,7 @@
         return Change::Outdated;
     }
     const bool hasRestarted = held.entryIncarnation != 0 && held.entryIncarnation != entryIncarnation;
-    const bool hadEnded = held.newest.until <= now;
+    const bool isExtension = held.newest.until <= now || grant.confirmedClaims > held.newest.confirmedClaims;
     const bool isRenewal = held.entryIncarnation == entryIncarnation && grant.epoch == held.newest.epoch;
     if (isRenewal) {
         confirmed.until = std::max(held.newest.until, confirmed.until);
@@ -37,7 +37,7 @@
     if (!isRenewal) {
         return Change::EpochRaised;
     }
-    return hadEnded ? Change::Resumed : Change::Renewed;
+    return isExtension ? Change::Extended : Change::Renewed;
 }
 
 void HeldGrants::setEnd(const std::string &entryHost, JobGrant &grant, TimePoint until)
--- a/src/scheduling/heldgrants.h
+++ b/src/scheduling/heldgrants.h
@@ -33,8 +33,8 @@
         /// The grant is older than the one that is held; the jobs that came with it must not be accepted.
         Outdated,
         Renewed,
-        /// The same, after it had ended.
-        Resumed,
+        /// The same, and more may be done under it than before: it had ended, or it confirms further claims.
+        Extended,
         /// The entry host has taken back all jobs of lower epochs.
         EpochRaised,
         /// The entry host has restarted; the jobs of its earlier incarnation have no caller any more.
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -3,6 +3,7 @@
 #include "scheduling/placementchoice.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 // Jobs, from submission to end. The queue is in schedulerqueue.cpp, targets in schedulertargets.cpp, runs in schedulerruns.cpp.
@@ -55,7 +56,7 @@
         known.grantEpoch = submission.grantEpoch;
         known.callerDeadline = submission.callerDeadline;
         existing->resultReported = false;
-        markRunsWithoutGrant(*existing, !isGranted(known, now));
+        markRunsWithoutGrant(*existing, now);
         return;
     }
     if (refuseIfTooLarge(submission, now)) {
@@ -69,6 +70,7 @@
     setForecast(job);
     m_crashSuspects.merge(id, job.submission.crashes, now);
     adoptRuns(job, now);
+    markRunsWithoutGrant(job, now);
     if (m_crashSuspects.verdictOnJob(id) != CrashVerdict::Startable) {
         endCrashingJob(job, now);
         return;
@@ -293,7 +295,7 @@
         return false;
     case HeldGrants::Change::Renewed:
         break;
-    case HeldGrants::Change::Resumed:
+    case HeldGrants::Change::Extended:
         markRunsWithoutGrant(entryHost, now);
         break;
     case HeldGrants::Change::EpochRaised:
@@ -318,12 +320,12 @@
 {
     for (const auto &[id, job] : m_jobs) {
         if (job->submission.entryHost == entryHost && job->hasStarted()) {
-            markRunsWithoutGrant(*job, !isGranted(job->submission, now));
+            markRunsWithoutGrant(*job, now);
         }
     }
 }
 
-void Scheduler::markRunsWithoutGrant(const ScheduledJob &job, bool withoutGrant)
+void Scheduler::markRunsWithoutGrant(const ScheduledJob &job, TimePoint now)
 {
     for (const auto &task : job.tasks) {
         const auto target = task.phase == TaskPhase::Assigned ? m_targets.find(task.target) : m_targets.end();
@@ -331,11 +333,17 @@
             ? nullptr
             : target->second->find({{job.submission.request.id, 0, task.step, task.index}, task.lastRunNumber});
         if (run != nullptr) {
-            run->withoutGrant = withoutGrant;
+            run->withoutGrant = !isGranted(job.submission, now) || target->second->claimNumber > confirmedClaims(job.submission);
         }
     }
 }
 
+/// The number of the last claim of a target under which tasks of the job may be started and their leases extended.
+std::uint64_t Scheduler::confirmedClaims(const JobSubmission &submission) const
+{
+    return submission.grantEpoch == 0 ? std::numeric_limits<std::uint64_t>::max() : m_grants.confirmedClaims(submission.entryHost);
+}
+
 /// Returns the jobs of an entry host whose grant does not cover them: their runs are stopped, and then the entry host is told.
 void Scheduler::returnJobs(const std::string &entryHost, const char *cause, TimePoint now)
 {
@@ -350,7 +358,7 @@
     }
     m_observer.onJobsReturned(entryHost, jobs.size(), cause);
     for (auto *job : jobs) {
-        markRunsWithoutGrant(*job, true);
+        markRunsWithoutGrant(*job, now);
         const auto end = job->hasStarted() ? JobEnd::Abandoned : JobEnd::NotRun;
         stopRunsAndEnd(*job, {end, JobEndReason::GrantEnded, Seconds(1), {}}, now);
     }
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -245,7 +245,8 @@
     void endCrashingJob(ScheduledJob &job, TimePoint now);
     void updateGrants(TimePoint now);
     void markRunsWithoutGrant(const std::string &entryHost, TimePoint now);
-    void markRunsWithoutGrant(const ScheduledJob &job, bool withoutGrant);
+    void markRunsWithoutGrant(const ScheduledJob &job, TimePoint now);
+    std::uint64_t confirmedClaims(const JobSubmission &submission) const;
     void returnJobs(const std::string &entryHost, const char *cause, TimePoint now);
     bool isGranted(const JobSubmission &submission, TimePoint now) const;
     void endIfNoRunsLeft(const std::string &jobId, TimePoint now);
--- a/src/scheduling/schedulerqueue.cpp
+++ b/src/scheduling/schedulerqueue.cpp
@@ -315,9 +315,7 @@
     request.maxPerTarget = step.maxPerTarget;
     request.alone = m_crashSuspects.mustRunAlone({request.jobId, 0, task.step, task.index});
     request.jobHasStarted = job.hasStarted();
-    if (job.submission.grantEpoch != 0) {
-        request.confirmedClaims = m_grants.confirmedClaims(job.submission.entryHost);
-    }
+    request.confirmedClaims = confirmedClaims(job.submission);
     request.expectedRunTime = job.expectedRunTimes[task.step];
     request.callerDeadline = job.submission.callerDeadline;
     request.objectiveAt = job.objectiveAt;
--- a/src/scheduling/schedulerruns.cpp
+++ b/src/scheduling/schedulerruns.cpp
@@ -204,7 +204,7 @@
         run->estimate = step.estimate;
         run->expectedRunTime = job->expectedRunTimes[task->step];
     }
-    markRunsWithoutGrant(*job, !isGranted(job->submission, now));
+    markRunsWithoutGrant(*job, now);
     if (m_crashSuspects.mustRunAlone(name.task)) {
         target.reserveFor(name);
     }
--- a/src/scheduling/schedulertargets.cpp
+++ b/src/scheduling/schedulertargets.cpp
@@ -61,6 +61,11 @@
             target.setFencingToken(fencingToken);
             target.claimNumber = ++m_claimCount;
             target.claimedAt = now;
+            for (const auto &[name, run] : target.runs()) {
+                if (const auto *job = findJob(name.task.jobId)) {
+                    markRunsWithoutGrant(*job, now);
+                }
+            }
             renew(target, now);
         }
         return;
--- a/src/scheduling/targetledger.h
+++ b/src/scheduling/targetledger.h
@@ -49,7 +49,7 @@
     Duration estimate {0};
     /// No other run may be started beside it.
     bool alone = false;
-    /// The grant of its job has ended: its lease must not be extended.
+    /// Its job's grant has ended, or does not cover the claim of the target: its lease must not be extended.
     bool withoutGrant = false;
     /// The run is no longer needed and is being stopped.
     bool stopRequested = false;
--- a/tests/unit/fleet/grants.cpp
+++ b/tests/unit/fleet/grants.cpp
@@ -222,6 +222,25 @@
     BOOST_TEST(port.starts.size() == 1);
 }
 
+// Issue 35, review/1, seed 1: a dispatcher that claimed a target again kept a run alive whose end its successor had waited for.
+BOOST_FIXTURE_TEST_CASE(A_lease_is_extended_only_under_a_claim_that_the_entry_host_has_confirmed, GrantedJobFixture)
+{
+    scheduler.onGrant("entry", EntryIncarnation, grantUntil(now + GrantLength, 2, scheduler.claimCount()), now);
+    auto submission = grantedJob("j", 2);
+    submission.lostDispatcherRunsEndBy = now + Seconds(5);
+    submit(submission);
+    scheduler.addTarget(entry("t2"), Token, now);
+    const RunName found {{"j", 0, 0, 0}, 1};
+    answerRenewal("t2", {{found, 40}});
+    now += Milliseconds(20);
+    answerRenewal("t2", {{found, 50}});
+    BOOST_TEST(lastRenewal("t2").leaseUntilMs == 0);
+    scheduler.onGrant("entry", EntryIncarnation, grantUntil(now + GrantLength, 2, scheduler.claimCount()), now);
+    now += Milliseconds(20);
+    answerRenewal("t2", {{found, 60}});
+    BOOST_TEST(lastRenewal("t2").leaseUntilMs > 0);
+}
+
 BOOST_FIXTURE_TEST_CASE(A_returned_job_whose_target_was_taken_over_is_not_said_to_have_no_runs, GrantedJobFixture)
 {
     submit(grantedJob("j"));
