The worker stand-in says the same birth in its entry and in its listings, and registers itself after a restart

By the users' page both say the same, and a worker that starts again registers itself; the stand-in does so now, with its first answer in the new life. No check changed.

ServiceSuite and CrashingTasksProcessSuite pass.

--- a/standins/service/servicesite.cpp
+++ b/standins/service/servicesite.cpp
@@ -51,7 +51,11 @@
             const auto id = "worker-" + Zones[zone] + std::to_string(index);
             m_workers.push_back(
                 std::make_unique<WorkerStandin>(m_loops, Endpoint {prefix + "2." + std::to_string(number++), WorkerPort}, id));
-            registerWorker(m_workers.size() - 1, false);
+            const auto worker = m_workers.size() - 1;
+            registerWorker(worker, false);
+            m_workers[worker]->setRestartHandler([this, worker](bool draining) {
+                registerWorker(worker, draining);
+            });
         }
     }
     m_hosts.resize(m_options.hostZones.size());
--- a/standins/service/workerstandin.cpp
+++ b/standins/service/workerstandin.cpp
@@ -100,6 +100,7 @@
         if (isDown()) {
             co_return co_await leaveUnanswered();
         }
+        registerAfterRestart();
         {
             const std::lock_guard lock(mutex);
             endFinishedRuns();
@@ -121,6 +122,22 @@
         co_return co_await renew(*body);
     }
 
+    void registerAfterRestart()
+    {
+        bool isDraining = false;
+        {
+            const std::lock_guard lock(mutex);
+            if (incarnation == registeredIncarnation) {
+                return;
+            }
+            registeredIncarnation = incarnation;
+            isDraining = draining;
+        }
+        if (restartHandler) {
+            restartHandler(isDraining);
+        }
+    }
+
     bool isDown() const
     {
         const std::lock_guard lock(mutex);
@@ -251,6 +268,10 @@
     /// No request is answered before this time.
     TimePoint downUntil;
     std::int64_t incarnation = 1;
+    /// The life that has registered itself, and whether its entry is draining.
+    std::int64_t registeredIncarnation = 1;
+    bool draining = false;
+    std::function<void(bool draining)> restartHandler;
     std::int64_t fencingToken = 0;
     std::int64_t leaseUntilMs = 0;
     std::int64_t lastPosition = 0;
@@ -287,16 +308,23 @@
 
 std::string WorkerStandin::record(const std::string &service, const std::string &zone, std::int64_t milliCores, bool draining) const
 {
+    const std::lock_guard lock(d->mutex);
+    d->draining = draining;
     return json::serialize(json::object {{"service", service},
                                          {"address", toString(d->endpoint)},
                                          {"zone", zone},
                                          {"state", draining ? "draining" : "ready"},
-                                         {"born", 1},
+                                         {"born", d->incarnation},
                                          {"capacity", {{"cpu", milliCores}, {"mem_mb", 131072}, {"gpu", 0}}},
                                          {"labels", json::array {"a", "r1"}},
                                          {"sequence", 1}});
 }
 
+void WorkerStandin::setRestartHandler(std::function<void(bool draining)> handler)
+{
+    d->restartHandler = std::move(handler);
+}
+
 void WorkerStandin::setFailing(bool failing)
 {
     const std::lock_guard lock(d->mutex);
--- a/standins/service/workerstandin.h
+++ b/standins/service/workerstandin.h
@@ -6,6 +6,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -35,6 +36,9 @@
     /// The record of this target in the store.
     std::string record(const std::string &service, const std::string &zone, std::int64_t milliCores, bool draining = false) const;
 
+    /// Sets what registers the target again once it has restarted; called on one of the loops. Precondition: not set yet, no request came.
+    void setRestartHandler(std::function<void(bool draining)> handler);
+
     /// While set, every run fails at its end.
     void setFailing(bool failing);
 
