--- a/src/scheduling/schedulerruns.cpp
+++ b/src/scheduling/schedulerruns.cpp
@@ -219,6 +219,7 @@
     loss.target = target.entry().id;
     loss.evidence = evidence;
     loss.lastAnswerAt = lastAnswerAt;
+    loss.listedAt = target.listedAt;
     for (const auto &run : ended) {
         if (!run.listed) {
             loss.runs.push_back(run.run);
--- a/src/scheduling/targetledger.h
+++ b/src/scheduling/targetledger.h
@@ -203,6 +203,8 @@
     /// The number of the claim under whose token the target is held: claims are counted by their host.
     std::uint64_t claimNumber = 0;
     TimePoint claimedAt;
+    /// When the target was listed under the claim; TimePoint() before.
+    TimePoint listedAt;
     /// The target gets no new work: its entry is gone or marks it as draining, or another incarnation answers at its address.
     bool leaving = false;
     /// The entry is gone: the target is removed as soon as it holds no run.
--- a/src/scheduling/targetloss.h
+++ b/src/scheduling/targetloss.h
@@ -31,6 +31,8 @@
     LossEvidence evidence = LossEvidence::Unresponsive;
     /// The target's last answer before the loss.
     TimePoint lastAnswerAt;
+    /// When the target was listed under the claim by which it was held.
+    TimePoint listedAt;
     /// Never empty.
     std::vector<LedgerRun> runs;
 };
