Leases that the earlier owner of a target has granted count after a claim

A target was claimed idle, was given a task within a second and fell silent; the task was started elsewhere while it still ran.

Cause: a target has one deadline for all that runs there, and it is never shortened. The ledger counted only the leases that its host had sent since the claim, 0.45 s with a start, while the owner before had extended the deadline to 1 s ahead just before the claim.

LeaseBound holds the time by which every lease has ended, whoever granted it: nothing before the first claim, the longest lease, drift and margin from the listing of a claim on, and later by the requests of this host. The earlier owner's requests are fenced from the claim on, so that nothing it sent can last longer.

--- /dev/null
+++ b/src/scheduling/leasebound.cpp
@@ -0,0 +1,45 @@
+#include "scheduling/leasebound.h"
+
+#include "scheduling/targetclock.h"
+
+#include <algorithm>
+
+namespace Anvilcart::Fleet
+{
+namespace
+{
+/// Added to the computed end of leases for timer delays on both hosts.
+constexpr Milliseconds LeaseMargin {60};
+} // namespace
+
+LeaseBound::LeaseBound(Duration maxLease)
+    : m_maxLease(maxLease)
+{
+}
+
+void LeaseBound::onClaimed(TimePoint readAt)
+{
+    m_isClaimed = true;
+    onLongestLeasePossible(readAt);
+}
+
+void LeaseBound::onLongestLeasePossible(TimePoint readAt)
+{
+    m_time = std::max(m_time, readAt + m_maxLease + TargetClock::driftDuring(m_maxLease) + LeaseMargin);
+}
+
+void LeaseBound::onRequest(Duration length, Duration clockAge, TimePoint sentAt)
+{
+    m_time = std::max(m_time, sentAt + length + TargetClock::driftDuring(length + clockAge) + LeaseMargin);
+}
+
+bool LeaseBound::hasPassed(TimePoint now) const
+{
+    return m_isClaimed && now >= m_time;
+}
+
+TimePoint LeaseBound::time() const
+{
+    return m_time;
+}
+} // namespace Anvilcart::Fleet
--- a/src/scheduling/schedulertargets.cpp
+++ b/src/scheduling/schedulertargets.cpp
@@ -417,8 +417,7 @@
         m_crashSuspects.onTargetRestarted(targetId);
         m_port.onTargetRestarted(targetId);
     } else if (isClaimed) {
-        target.ownership = Ownership::Owned;
-        target.listedAt = now;
+        target.recordClaim(now);
         m_observer.onTargetClaimed(targetId, target.fencingToken(), changes.adopted.size());
     }
     const auto service = target.entry().service;
--- a/src/scheduling/targetclock.h
+++ b/src/scheduling/targetclock.h
@@ -10,6 +10,13 @@
 class TargetClock
 {
 public:
+    /// How far a target's clock may lag after this time on this host's clock.
+    static Duration driftDuring(Duration time)
+    {
+        constexpr double MaxDrift = 0.02;
+        return std::chrono::duration_cast<Duration>(time * MaxDrift);
+    }
+
     /// Records a reading; clockMs is ignored unless it is above 0.
     void onReading(std::int64_t clockMs, TimePoint receivedAt)
     {
--- a/src/scheduling/targetledger.cpp
+++ b/src/scheduling/targetledger.cpp
@@ -7,10 +7,6 @@
 {
 namespace
 {
-/// A target's clock may run 2% slow, so that its leases last this much longer on this host's clock.
-constexpr double ClockDrift = 0.02;
-/// Added to the computed end of leases for timer delays on both hosts.
-constexpr Milliseconds LeaseMargin {60};
 /// A run past its expected end is expected to take another 1/OverrunDivisor of its expected run time.
 constexpr int OverrunDivisor = 4;
 } // namespace
@@ -20,6 +16,7 @@
     , m_fencingToken(fencingToken)
     , m_maxLease(maxLease)
     , m_startedAtMs(m_entry.startedAtMs)
+    , m_leaseBound(maxLease)
 {
     leaving = m_entry.draining;
 }
@@ -187,14 +184,21 @@
     return run.phase == RunPhase::Unconfirmed && (stopped || (listing.clockMs > run.startDeadlineMs && sentAt > run.sentAt));
 }
 
+void TargetLedger::recordClaim(TimePoint now)
+{
+    ownership = Ownership::Owned;
+    listedAt = now;
+    m_leaseBound.onClaimed(now);
+}
+
 bool TargetLedger::haveLeasesEnded(TimePoint now) const
 {
-    return now >= m_leasesEndBy;
+    return m_leaseBound.hasPassed(now);
 }
 
 TimePoint TargetLedger::leasesEndBy() const
 {
-    return m_leasesEndBy;
+    return m_leaseBound.time();
 }
 
 std::vector<EndedLedgerRun> TargetLedger::expireRuns(TimePoint now)
@@ -217,19 +221,17 @@
 
 void TargetLedger::recordLease(std::int64_t leaseUntilMs, TimePoint now)
 {
-    const Duration length = Milliseconds(leaseUntilMs - clock.estimateMs(now));
-    const auto drift = std::chrono::duration_cast<Duration>((length + clock.age(now)) * ClockDrift);
-    m_leasesEndBy = std::max(m_leasesEndBy, now + length + drift + LeaseMargin);
+    m_leaseBound.onRequest(Milliseconds(leaseUntilMs - clock.estimateMs(now)), clock.age(now), now);
 }
 
 void TargetLedger::recordLongestLease(TimePoint now)
 {
-    m_leasesEndBy = std::max(m_leasesEndBy, now + m_maxLease + std::chrono::duration_cast<Duration>(m_maxLease * ClockDrift) + LeaseMargin);
+    m_leaseBound.onLongestLeasePossible(now);
 }
 
 void TargetLedger::confirmStart(LedgerRun &run, std::int64_t clockMs, TimePoint now)
 {
-    const auto drift = std::chrono::duration_cast<Milliseconds>(clock.age(run.sentAt) * ClockDrift);
+    const auto drift = std::chrono::duration_cast<Milliseconds>(TargetClock::driftDuring(clock.age(run.sentAt)));
     if (clock.isKnown() && clockMs < clock.estimateMs(run.sentAt) - drift.count()) {
         // The reading is too low for the life to whose clock the deadline belongs.
         recordLongestLease(now);
--- a/src/scheduling/targetledger.h
+++ b/src/scheduling/targetledger.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "scheduling/leasebound.h"
 #include "scheduling/targetclock.h"
 #include "scheduling/targethealthrecord.h"
 #include "workload/targetcalls.h"
@@ -134,7 +135,10 @@
     /// Applies a listing that was requested at sentAt.
     ListingChanges applyListing(const TargetListing &listing, TimePoint sentAt, TimePoint now);
 
-    /// True once every lease that was granted to runs has certainly ended.
+    /// Records that the target was listed under this host's claim, in a reply that was read now: the target is owned.
+    void recordClaim(TimePoint now);
+
+    /// True once every lease on the target has certainly ended, whoever granted it.
     bool haveLeasesEnded(TimePoint now) const;
 
     /// When that is.
@@ -250,7 +254,6 @@
     std::int64_t m_outdatedEntryStart = 0;
     std::int64_t m_lastListingClockMs = 0;
     TimePoint m_lastListingReadAt;
-    /// On this host's clock: by this time every lease that was granted has ended.
-    TimePoint m_leasesEndBy;
+    LeaseBound m_leaseBound;
 };
 } // namespace Anvilcart::Fleet
