A renewal that keeps failing at once is repeated by the next tick

Cause: an unanswered renewal is repeated immediately for 0.7 s, which is meant for replies that are lost.

A renewal that fails within 20 ms is repeated immediately once; further ones wait for the next tick. The first test failed before, with 502 renewals in 0.5 s; the second one shows that a target without runs is still asked again.

--- a/src/scheduling/schedulertargets.cpp
+++ b/src/scheduling/schedulertargets.cpp
@@ -18,6 +18,8 @@
 constexpr Seconds LostReplyPeriod {1};
 /// Run times exceed their forecast by about a third.
 constexpr double ExpectedEndFactor = 1.4;
+/// A renewal that failed sooner than this after it was sent is not repeated immediately.
+constexpr Milliseconds MinRepeatInterval {20};
 /// The interval of renewals while a run exceeds its forecast.
 constexpr Milliseconds MinRenewalWait {60};
 /// A target is unresponsive when its last reply is older than this; until then an unanswered renewal is repeated immediately.
@@ -371,10 +373,12 @@
     }
     if (reply.result != RequestResult::Accepted && now - target.lastAnswerAt < UnresponsiveAfter
         && target.ownership != Ownership::Claiming) {
-        // A single lost reply is not a failure; the renewal is repeated immediately.
+        // A single lost reply is not a failure; the renewal is repeated immediately. One that keeps failing at once, as when the target
+        // refuses connections, is repeated by the next tick.
         m_lastLostAnswerAt = now;
-        ++target.failedProbes;
-        renew(target, now);
+        if (target.failedProbes++ == 0 || now - reply.sentAt >= MinRepeatInterval) {
+            renew(target, now);
+        }
         return;
     }
     if (reply.result != RequestResult::Accepted) {
@@ -507,7 +511,8 @@
         renew(target, now);
     }
     const bool acknowledgementDue = target.hasPendingAcknowledgement() && now - target.lastAnswerAt > MaxAcknowledgementDelay;
-    if (!target.unresponsive && !target.renewalInFlight && (!target.runs().empty() || acknowledgementDue)) {
+    const bool repetitionDue = target.failedProbes > 0;
+    if (!target.unresponsive && !target.renewalInFlight && (!target.runs().empty() || acknowledgementDue || repetitionDue)) {
         renew(target, now);
     }
     if (!target.unresponsive) {
--- a/tests/unit/scheduling/renewals.cpp
+++ b/tests/unit/scheduling/renewals.cpp
@@ -37,4 +37,44 @@
     BOOST_TEST(scheduler.runCount() == 2);
 }
 
+// Issue 39: hosts made 244,000 connections to targets on a day on which targets flap, most of them to targets that refused them at once.
+BOOST_AUTO_TEST_CASE(A_renewal_that_fails_at_once_is_repeated_once_without_a_pause)
+{
+    claimTarget("t1");
+    submit(job("j", 1, 14000, Seconds(1)));
+    answerStart(0);
+    const auto begin = now;
+    std::size_t answered = port.renewals.size() - 1;
+    while (now < begin + Milliseconds(500)) {
+        now += Milliseconds(1);
+        if (port.renewals.size() > answered) {
+            answered = port.renewals.size();
+            answerRenewal("t1", {}, {}, RequestResult::Unknown);
+        }
+        if ((now - begin) % Milliseconds(25) == Duration(0)) {
+            scheduler.tick(now);
+        }
+    }
+    BOOST_TEST(port.renewals.size() <= 24);
+    BOOST_TEST(port.renewals.size() >= 18);
+}
+
+BOOST_AUTO_TEST_CASE(An_idle_target_is_used_again_once_it_answers_after_renewals_that_failed_at_once)
+{
+    claimTarget("t1");
+    auto submission = job("j");
+    submission.callerDeadline = now + Seconds(9);
+    submit(submission);
+    advance(Milliseconds(25));
+    for (int failure = 0; failure < 3; ++failure) {
+        now += Milliseconds(1);
+        answerRenewal("t1", {}, {}, RequestResult::Unknown);
+    }
+    answerStart(0, RequestResult::TooLate);
+    BOOST_REQUIRE(port.starts.size() == 1);
+    advance(Milliseconds(25));
+    answerRenewal("t1", {});
+    BOOST_TEST(port.starts.size() == 2);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
