The result of a completed job reaches an entry host that was out of sight

A dispatcher that did not see the entry host when a job ended dropped the result.

OwedResults keeps the results of completed jobs until their callers' deadlines, and sends them with the next report of the entry host. A completed job is delivered whoever completed it, so that a late result does no harm. Jobs that end otherwise are still dropped.

--- a/src/fleet/hostnode.cpp
+++ b/src/fleet/hostnode.cpp
@@ -532,9 +532,12 @@
         m_locallyEndedJobs.push_back({job.request.id, result, job.grantEpoch, job.number});
         return;
     }
+    JobEndNotice notice {job.request.id, result, job.grantEpoch, job.number};
     FleetFrame frame;
-    frame.ended.push_back({job.request.id, result, job.grantEpoch, job.number});
-    send(job.entryHost, std::move(frame), m_now);
+    frame.ended.push_back(notice);
+    if (!send(job.entryHost, std::move(frame), m_now) && result.end == JobEnd::Completed) {
+        m_owedResults.add(job.entryHost, std::move(notice), job.callerDeadline);
+    }
 }
 
 void HostNode::onCrashRecords(const JobSubmission &job, const std::vector<TaskCrashes> &crashes)
--- a/src/fleet/hostnode.h
+++ b/src/fleet/hostnode.h
@@ -7,6 +7,7 @@
 #include "fleet/issuedgrants.h"
 #include "fleet/overloaddetector.h"
 #include "fleet/owedcancellations.h"
+#include "fleet/owedresults.h"
 #include "fleet/peerprocesses.h"
 #include "fleet/poolassignment.h"
 #include "scheduling/scheduler.h"
@@ -201,6 +202,7 @@
     void onProcessReplaced(const FleetFrame &frame, TimePoint now);
     void onUnprovenFrame(const FleetFrame &frame, TimePoint now);
     void onReport(const FleetFrame &frame, TimePoint now);
+    void sendOwedResults(const std::string &entryHost, TimePoint now);
     void onHostLost(const FleetMember &member, TimePoint now);
     void updatePeerLoads(TimePoint now);
     void updatePools(TimePoint now);
@@ -291,6 +293,7 @@
     IssuedGrants m_issuedGrants;
     CancelInquiries m_cancelInquiries;
     OwedCancellations m_owedCancellations;
+    OwedResults m_owedResults;
     EarlierRuns m_earlierRuns;
     ConfigurationRecord m_configuration;
     std::uint64_t m_highestRound = 0;
--- a/src/fleet/hostnodepeers.cpp
+++ b/src/fleet/hostnodepeers.cpp
@@ -102,6 +102,7 @@
     }
     if (frame.report) {
         onReport(frame, now);
+        sendOwedResults(frame.host, now);
     }
     for (const auto &lost : frame.lostDispatchers) {
         recordLostDispatcher(lost, now);
@@ -374,6 +375,16 @@
     }
 }
 
+/// Sends the results of jobs that ended while this host did not see their entry host, which has just reported.
+void HostNode::sendOwedResults(const std::string &entryHost, TimePoint now)
+{
+    FleetFrame frame;
+    frame.ended = m_owedResults.take(entryHost);
+    if (!frame.ended.empty()) {
+        send(entryHost, std::move(frame), now);
+    }
+}
+
 void HostNode::onLinkClosed(const std::string &host, std::uint64_t incarnation, TimePoint now)
 {
     beginEvent(now);
@@ -549,6 +560,7 @@
     }
     removeUnresponsiveEndpoints(now);
     m_owedCancellations.removeOld(now);
+    m_owedResults.removeOld(now);
     m_earlierRuns.removeOld(now);
     sendReports(now);
     if (isDispatcher() && now - m_usageReportedAt >= UsagePeriod) {
