--- /dev/null
+++ b/tests/unit/scheduling/leasesofrestartedtargets.cpp
@@ -0,0 +1,183 @@
+#include "scheduling/scheduler.h"
+
+#include "schedulerfixture.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace Anvilcart;
+using namespace Anvilcart::Fleet;
+
+namespace
+{
+/// The longest lease by a clock that is 2% slow.
+const Duration LongestLease = std::chrono::duration_cast<Duration>(SchedulerLimits().maxLease / 0.98);
+
+/// A target that has been held for long and then restarts, which the scheduler does not know; its clock begins anew.
+struct RestartUnderStartsFixture : SchedulerFixture
+{
+    RestartUnderStartsFixture()
+    {
+        claimTarget("restarted", 32000);
+        now += Seconds(5);
+    }
+
+    /// Starts both tasks of a job on the restarted target. It accepts the first start at once, and the start of another job can't be sent,
+    /// so that it counts as silent. The second start is answered like this 240 ms after it was sent, and nothing after that.
+    void startTwoTasks(RequestResult secondResult)
+    {
+        auto submission = job("j", 2, 14000);
+        submission.callerDeadline = now + Seconds(9);
+        submit(submission);
+        auto other = job("k", 1, 500);
+        other.maxAttempts = 1;
+        submit(other);
+        BOOST_REQUIRE(port.starts.size() == 3);
+        BOOST_REQUIRE(port.starts[0].target == "restarted");
+        BOOST_REQUIRE(port.starts[1].target == "restarted");
+        advance(Milliseconds(3));
+        answer(0, RequestResult::Accepted);
+        answer(2, RequestResult::NotSent);
+        scheduler.cancel("k", "entry", now);
+        now += Milliseconds(237);
+        answer(1, secondResult);
+        secondAnsweredAt = now;
+    }
+
+    /// The reply to a start, with a reading of the clock of the target's new life.
+    void answer(std::size_t index, RequestResult result)
+    {
+        TargetReply reply;
+        reply.result = result;
+        reply.clockMs = clockMs() - 5500;
+        const auto start = port.starts.at(index);
+        reply.fencingToken = start.request.fencingToken;
+        scheduler.onStartReply(start.target, start.request.name, reply, now);
+    }
+
+    /// The time from the second answer until the scheduler takes the first run for ended, so that its task may be started elsewhere;
+    /// renewals time out.
+    Duration timeToLoss()
+    {
+        while (observer.losses.empty() && now < secondAnsweredAt + Seconds(5)) {
+            now += Milliseconds(20);
+            answerRenewal("restarted", {}, {}, RequestResult::Unknown);
+            scheduler.tick(now);
+        }
+        return now - secondAnsweredAt;
+    }
+
+    TimePoint secondAnsweredAt;
+};
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(LeasesOfRestartedTargetsSuite, RestartUnderStartsFixture, *boost::unit_test::label("scheduling"))
+
+// Both starts carry deadlines on the clock of the earlier life, which the target cuts to the longest lease when it receives each of them.
+BOOST_AUTO_TEST_CASE(A_run_is_not_taken_for_ended_while_the_start_that_a_restarted_target_accepted_last_may_extend_its_lease)
+{
+    startTwoTasks(RequestResult::Accepted);
+    const auto time = timeToLoss();
+    BOOST_TEST((time > LongestLease));
+    BOOST_TEST((time < LongestLease + Milliseconds(150)));
+}
+
+// A deadline is also taken from a start that is refused for want of room.
+BOOST_AUTO_TEST_CASE(A_run_is_not_taken_for_ended_while_a_start_that_a_restarted_target_refused_may_extend_its_lease)
+{
+    startTwoTasks(RequestResult::InsufficientCapacity);
+    const auto time = timeToLoss();
+    BOOST_TEST((time > LongestLease));
+    BOOST_TEST((time < LongestLease + Milliseconds(150)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+namespace
+{
+/// A target whose entry is of its earlier life, so that the listing of the first claim shows a restart. It lists a run, and answers nothing
+/// after that, so that the second claim is not accepted.
+struct UnclaimedTargetFixture : SchedulerFixture
+{
+    UnclaimedTargetFixture()
+    {
+        startedAtMs = 2;
+        scheduler.addTarget(entry("t1"), Token, now);
+    }
+
+    void listRunAndFallSilent(const std::string &jobId)
+    {
+        answerRenewal("t1", {{RunName {{jobId, 0, 0, 0}, 1}, 10}});
+        BOOST_REQUIRE(port.restarted.size() == 1);
+        scheduler.addTarget(entry("t1"), Token + 1, now);
+        const auto silentUntil = now + Seconds(20);
+        while (now < silentUntil) {
+            now += Milliseconds(60);
+            if (scheduler.ownsTarget("t1")) {
+                answerRenewal("t1", {}, {}, RequestResult::Unknown);
+            }
+            scheduler.tick(now);
+        }
+    }
+};
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(UnclaimedTargetsSuite, UnclaimedTargetFixture, *boost::unit_test::label("scheduling"))
+
+BOOST_AUTO_TEST_CASE(A_target_that_restarted_before_its_first_claim_and_is_gone_does_not_keep_its_runs_for_ever)
+{
+    scheduler.onEntryGone("t1");
+    listRunAndFallSilent("unknown job");
+    BOOST_TEST(scheduler.runCount() == 0);
+    BOOST_TEST(!scheduler.ownsTarget("t1"));
+}
+
+BOOST_AUTO_TEST_CASE(A_job_whose_run_was_found_on_a_target_that_fell_silent_before_its_claim_ends)
+{
+    auto submission = job("j");
+    submission.callerDeadline = now + Seconds(9);
+    submit(submission);
+    listRunAndFallSilent("j");
+    BOOST_TEST(scheduler.runCount() == 0);
+    BOOST_TEST(scheduler.jobCount() == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(LeasesOfIdleTargetsSuite, SchedulerFixture, *boost::unit_test::label("scheduling"))
+
+// Entry hosts hand on a job of a lost dispatcher once its runs have ended: the longest lease and a margin after the grant
+// (HostNode::runsEndBy). A start that is carried out late must have no effect after that, also on a target whose clock is 2% slow.
+BOOST_AUTO_TEST_CASE(A_start_on_a_target_that_was_idle_for_long_has_no_effect_after_the_longest_lease)
+{
+    claimTarget("t1");
+    const auto clockAtClaim = clockMs();
+    constexpr Seconds IdleTime {60};
+    now += IdleTime;
+    submit(job("j"));
+    BOOST_REQUIRE(port.starts.size() == 1);
+    const auto slowClockMs = clockAtClaim + std::chrono::duration_cast<Milliseconds>(IdleTime).count() * 98 / 100;
+    BOOST_TEST(port.starts[0].request.leaseUntilMs - slowClockMs
+               <= std::chrono::duration_cast<Milliseconds>(SchedulerLimits().maxLease).count());
+}
+
+// Issue 45: the log must tell a loss just after a claim from a later one.
+BOOST_AUTO_TEST_CASE(Runs_that_a_restart_has_ended_are_reported_with_the_claim_by_which_they_were_started)
+{
+    claimTarget("t1");
+    const auto listedAt = now;
+    now += Seconds(2);
+    submit(job("j"));
+    answerStart(0);
+    answerRenewal("t1", {{port.starts[0].request.name, 10}});
+    now += Milliseconds(100);
+    startedAtMs = 2;
+    answerRenewal("t1", {});
+    scheduler.addTarget(entry("t1"), Token + 1, now);
+    now += Milliseconds(3);
+    answerRenewal("t1", {});
+    BOOST_REQUIRE(observer.losses.size() == 1);
+    BOOST_TEST((observer.losses[0].evidence == LossEvidence::Restarted));
+    BOOST_TEST((observer.losses[0].listedAt == listedAt));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
