A target that is probed without an answer counts as silent

A target whose entry showed a restart just after a renewal had failed was probed by each tick, 400 times in 10 s, and kept its lost runs and their jobs for ever: only renewals under a token made it unresponsive, and after a failed one a target that is being claimed gets probes without a token.

RenewalsSuite/A_target_that_restarts_after_a_failed_renewal_and_stays_silent_is_probed_with_pauses_and_loses_its_runs failed before.

--- a/src/scheduling/schedulertargets.cpp
+++ b/src/scheduling/schedulertargets.cpp
@@ -465,6 +465,10 @@
     target.nextProbeAt = now + FirstProbePause;
     if (reply.result == RequestResult::Unknown || reply.result == RequestResult::NotSent) {
         target.probesAnsweredSince = TimePoint();
+        if (!target.unresponsive) {
+            m_observer.onTargetResponsivenessChanged(target.entry().id, true, 0);
+        }
+        target.unresponsive = true;
     } else if (target.probesAnsweredSince == TimePoint()) {
         target.probesAnsweredSince = now;
     }
