A loss by a restart is logged with the claim by which the runs were started

LeasesOfIdleTargetsSuite/Runs_that_a_restart_has_ended_are_reported_with_the_claim_by_which_they_were_started failed before.

--- a/src/scheduling/schedulertargets.cpp
+++ b/src/scheduling/schedulertargets.cpp
@@ -435,6 +435,7 @@
         // Only a target that has restarted is claimed while it has runs in the ledger.
         const auto lastAnswerAt = std::exchange(target.lastAnswerBeforeRestartAt, TimePoint());
         onRunsLost(target, LossEvidence::Restarted, lastAnswerAt == TimePoint() ? previousAnswerAt : lastAnswerAt, changes.ended, now);
+        target.listedAt = now;
     }
     for (const auto &ended : changes.ended) {
         onRunEnded(target, ended, now);
--- a/src/scheduling/targetledger.cpp
+++ b/src/scheduling/targetledger.cpp
@@ -187,7 +187,6 @@
 void TargetLedger::recordClaim(TimePoint now)
 {
     ownership = Ownership::Owned;
-    listedAt = now;
     m_leaseBound.onClaimed(now);
 }
 
