A run that is found on a restarted target before its first claim expires

A run that the listing of a first claim showed together with a restart never expired when the target fell silent then; the target was never released and its job never ended.

A listing that shows a restart bounds leases as well: the target has accepted the token with which it was asked, in its new life, so that it refuses earlier owners from then on. Names: endsBy(), onLongestLease(), ImmediateFailureLimit.

--- a/src/scheduling/leasebound.cpp
+++ b/src/scheduling/leasebound.cpp
@@ -19,12 +19,12 @@
 
 void LeaseBound::onClaimed(TimePoint readAt)
 {
-    m_isClaimed = true;
-    onLongestLeasePossible(readAt);
+    onLongestLease(readAt);
 }
 
-void LeaseBound::onLongestLeasePossible(TimePoint readAt)
+void LeaseBound::onLongestLease(TimePoint readAt)
 {
+    m_isKnown = true;
     m_time = std::max(m_time, readAt + m_maxLease + TargetClock::driftDuring(m_maxLease) + LeaseMargin);
 }
 
@@ -35,10 +35,10 @@
 
 bool LeaseBound::hasPassed(TimePoint now) const
 {
-    return m_isClaimed && now >= m_time;
+    return m_isKnown && now >= m_time;
 }
 
-TimePoint LeaseBound::time() const
+TimePoint LeaseBound::endsBy() const
 {
     return m_time;
 }
--- a/src/scheduling/leasebound.h
+++ b/src/scheduling/leasebound.h
@@ -16,21 +16,22 @@
     /// no effect from then on, but what they granted before lasts for up to the longest lease.
     void onClaimed(TimePoint readAt);
 
-    /// Records an answer, read at that time, which shows that runs may hold the longest lease though this host has not granted it.
-    void onLongestLeasePossible(TimePoint readAt);
+    /// Records a listing, read at that time, which shows that runs may hold the longest lease though this host has not granted it: of a
+    /// target that has restarted, which refuses earlier owners too from then on, or with runs that other hosts have started.
+    void onLongestLease(TimePoint readAt);
 
     /// Records a request of this host that extends leases by this length. The target's clock was last read clockAge before.
     void onRequest(Duration length, Duration clockAge, TimePoint sentAt);
 
-    /// False before the first claim was accepted: until then other hosts may extend leases.
+    /// False before the first of these answers: until then earlier owners may extend leases.
     bool hasPassed(TimePoint now) const;
 
-    /// The time, as far as it is known: before the first claim was accepted, leases may end later.
-    TimePoint time() const;
+    /// The time, as far as it is known; before the first of these answers leases may end later.
+    TimePoint endsBy() const;
 
 private:
     Duration m_maxLease;
-    bool m_isClaimed = false;
+    bool m_isKnown = false;
     TimePoint m_time;
 };
 } // namespace Anvilcart::Fleet
--- a/src/scheduling/schedulertargets.cpp
+++ b/src/scheduling/schedulertargets.cpp
@@ -19,7 +19,7 @@
 /// Run times exceed their forecast by about a third.
 constexpr double ExpectedEndFactor = 1.4;
 /// A renewal that failed sooner than this after it was sent is not repeated immediately.
-constexpr Milliseconds MinRepeatInterval {20};
+constexpr Milliseconds ImmediateFailureLimit {20};
 /// The interval of renewals while a run exceeds its forecast.
 constexpr Milliseconds MinRenewalWait {60};
 /// A target is unresponsive when its last reply is older than this; until then an unanswered renewal is repeated immediately.
@@ -376,7 +376,7 @@
         // A single lost reply is not a failure; the renewal is repeated immediately. One that keeps failing at once, as when the target
         // refuses connections, is repeated by the next tick.
         m_lastLostAnswerAt = now;
-        if (target.failedProbes++ == 0 || now - reply.sentAt >= MinRepeatInterval) {
+        if (target.failedProbes++ == 0 || now - reply.sentAt >= ImmediateFailureLimit) {
             renew(target, now);
         }
         return;
--- a/src/scheduling/targetledger.cpp
+++ b/src/scheduling/targetledger.cpp
@@ -197,7 +197,7 @@
 
 TimePoint TargetLedger::leasesEndBy() const
 {
-    return m_leaseBound.time();
+    return m_leaseBound.endsBy();
 }
 
 std::vector<EndedLedgerRun> TargetLedger::expireRuns(TimePoint now)
@@ -225,7 +225,7 @@
 
 void TargetLedger::recordLongestLease(TimePoint now)
 {
-    m_leaseBound.onLongestLeasePossible(now);
+    m_leaseBound.onLongestLease(now);
 }
 
 void TargetLedger::confirmStart(LedgerRun &run, std::int64_t clockMs, TimePoint now)
--- a/tests/unit/scheduling/leases.cpp
+++ b/tests/unit/scheduling/leases.cpp
@@ -107,9 +107,9 @@
     const TimePoint begin {std::chrono::hours(1)};
     bound.onClaimed(begin);
     bound.onRequest(Seconds(1), Duration(0), begin + Seconds(5));
-    const auto end = bound.time();
+    const auto end = bound.endsBy();
     bound.onRequest(Milliseconds(450), Duration(0), begin + Seconds(5));
-    BOOST_TEST((bound.time() == end));
+    BOOST_TEST((bound.endsBy() == end));
 }
 
 // A target whose clock has not been read for long may lag, so that the same reading comes later.
