The deadline of a start on a restarted target counts by the clock of its answer

A target restarted unnoticed, and two starts were sent with deadlines on its earlier clock, which it cut to the longest lease as it received each. The answer to the first one set the clock, so that the second one was not recognized; a refusal for want of room, which extends the leases too, was not looked at.

Each answer to a start that takes the deadline now counts what is left of that by the answer's own reading, at most the longest lease.

LeasesOfRestartedTargetsSuite (two tests) failed before.

--- a/src/scheduling/schedulerruns.cpp
+++ b/src/scheduling/schedulerruns.cpp
@@ -22,6 +22,12 @@
 constexpr Milliseconds NoProgressLimit {400};
 /// Shorter tasks are not compared because round trips distort the result.
 constexpr double MinComparedMs = 20;
+
+/// True if a start with this result extends the leases of the target to its deadline.
+bool takesDeadline(RequestResult result)
+{
+    return result == RequestResult::Accepted || result == RequestResult::RunOutdated || result == RequestResult::InsufficientCapacity;
+}
 } // namespace
 
 void Scheduler::stop(TargetLedger &target, LedgerRun &run, const char *cause, TimePoint now)
@@ -90,7 +96,10 @@
     auto &target = *found;
     auto *run = target.find(name);
     if (run != nullptr && reply.result == RequestResult::Accepted) {
-        target.confirmStart(*run, reply.clockMs, now);
+        target.confirmStart(*run, now);
+    }
+    if (run != nullptr && takesDeadline(reply.result)) {
+        target.recordDeadlineTaken(*run, reply.clockMs, now);
     }
     if (reply.result != RequestResult::Unknown && reply.result != RequestResult::NotSent) {
         target.lastAnswerAt = now;
--- a/src/scheduling/targetledger.cpp
+++ b/src/scheduling/targetledger.cpp
@@ -228,13 +228,8 @@
     m_leaseBound.onLongestLease(now);
 }
 
-void TargetLedger::confirmStart(LedgerRun &run, std::int64_t clockMs, TimePoint now)
+void TargetLedger::confirmStart(LedgerRun &run, TimePoint now)
 {
-    const auto drift = std::chrono::duration_cast<Milliseconds>(TargetClock::driftDuring(clock.age(run.sentAt)));
-    if (clock.isKnown() && clockMs < clock.estimateMs(run.sentAt) - drift.count()) {
-        // The reading is too low for the life to whose clock the deadline belongs.
-        recordLongestLease(now);
-    }
     if (run.phase != RunPhase::Running) {
         run.phase = RunPhase::Running;
         run.confirmedAt = now;
@@ -242,6 +237,12 @@
     }
 }
 
+void TargetLedger::recordDeadlineTaken(const LedgerRun &run, std::int64_t clockMs, TimePoint now)
+{
+    const Duration remaining = Milliseconds(run.startDeadlineMs - clockMs);
+    m_leaseBound.onRequest(std::min(remaining, m_maxLease), Duration(0), now);
+}
+
 std::int64_t TargetLedger::leaseEndMs(Duration length, TimePoint now) const
 {
     return clock.estimateMs(now) + std::chrono::duration_cast<Milliseconds>(std::min(length, m_maxLease)).count();
--- a/src/scheduling/targetledger.h
+++ b/src/scheduling/targetledger.h
@@ -156,8 +156,12 @@
     /// and another host may just have granted it.
     void recordLongestLease(TimePoint now);
 
-    /// Records that the target accepted the run's start, in a reply with this reading of its clock.
-    void confirmStart(LedgerRun &run, std::int64_t clockMs, TimePoint now);
+    /// Records that the target accepted the run's start.
+    void confirmStart(LedgerRun &run, TimePoint now);
+
+    /// Records that the target has taken the deadline of the run's start, in a reply with this reading of its clock. After a restart the
+    /// deadline is far ahead of that, and was cut to the longest lease.
+    void recordDeadlineTaken(const LedgerRun &run, std::int64_t clockMs, TimePoint now);
 
     /// The reading of the target's clock at which a lease granted now should end.
     std::int64_t leaseEndMs(Duration length, TimePoint now) const;
@@ -207,7 +211,7 @@
     /// The number of the claim under whose token the target is held: claims are counted by their host.
     std::uint64_t claimNumber = 0;
     TimePoint claimedAt;
-    /// When the target was listed under the claim; TimePoint() before.
+    /// When the target was listed under the claim; after a restart that of the last claim, until the next one. TimePoint() before.
     TimePoint listedAt;
     /// The target gets no new work: its entry is gone or marks it as draining, or another incarnation answers at its address.
     bool leaving = false;
