The emulator compares what hosts believe of leases with what targets hold

Change: at each tick of a host and after each reply, no lease on a target that the host holds, under its token and in the life that it knows, may count as ended while it lasts (invariant "lease"). Scheduler::findListedTarget is public and HostNode::scheduler() is new for it; no logic in src/ changes.

--- a/emulator/emulatedfleet.cpp
+++ b/emulator/emulatedfleet.cpp
@@ -49,7 +49,7 @@
         }
     };
     const EmulatedHost::Environment environment {
-        m_clock, m_network, m_options.hasConnections ? &m_connections : nullptr, m_hosts, m_targets, onAnswer, onClaim};
+        m_clock, m_network, m_invariants, m_options.hasConnections ? &m_connections : nullptr, m_hosts, m_targets, onAnswer, onClaim};
     for (std::size_t index = 0; index < m_options.hostZones.size(); ++index) {
         m_hosts.push_back(std::make_unique<EmulatedHost>(index, m_options.hostZones[index], m_options.limits, environment));
         m_clock.callAfter(Milliseconds(m_random() % 300), [this, index] {
--- a/emulator/emulatedhost.cpp
+++ b/emulator/emulatedhost.cpp
@@ -203,6 +203,9 @@
             readTargetList();
         }
         node.tick(now);
+        for (const auto &target : m_environment.targets) {
+            checkLeases(*target);
+        }
     });
     if (m_generation == generation && m_node) {
         const auto now = m_environment.clock.now();
@@ -213,6 +216,18 @@
     }
 }
 
+void EmulatedHost::checkLeases(const SimulatedTarget &target) const
+{
+    const auto &entry = target.entry();
+    const auto *ledger = m_node ? m_node->scheduler().findListedTarget(entry.id) : nullptr;
+    const bool isHeld = ledger != nullptr && !target.isDown() && ledger->fencingToken() == target.fencingToken()
+        && ledger->startedAtMs() == entry.startedAtMs;
+    if (isHeld && target.hasLease() && ledger->haveLeasesEnded(m_environment.clock.now())) {
+        m_environment.invariants.onLeaseTakenForEnded(
+            m_address.name, entry.id, target.fencingToken(), target.leaseUntilMs() - target.clockMs(), m_environment.clock.elapsed());
+    }
+}
+
 void EmulatedHost::readTargetList()
 {
     const auto now = m_environment.clock.now();
@@ -325,18 +340,21 @@
                               std::function<void(HostNode &, Reply)> handler)
 {
     auto answered = std::make_shared<bool>(false);
-    const auto finish = [this, generation = m_generation, answered, handler = std::move(handler)](const Reply &reply) {
+    auto *target = findTarget(id);
+    const auto finish = [this, generation = m_generation, target, answered, handler = std::move(handler)](const Reply &reply) {
         if (!*answered) {
             *answered = true;
-            callWhenRunning(generation, [handler, reply](HostNode &node) {
+            callWhenRunning(generation, [this, target, handler, reply](HostNode &node) {
                 handler(node, reply);
+                if (target != nullptr) {
+                    checkLeases(*target);
+                }
             });
         }
     };
     m_environment.clock.callAfter(limit, [finish] {
         finish(Reply());
     });
-    auto *target = findTarget(id);
     if (target == nullptr) {
         return;
     }
--- a/emulator/emulatedhost.h
+++ b/emulator/emulatedhost.h
@@ -26,6 +26,7 @@
     {
         SimulatedClock &clock;
         EmulatedNetwork &network;
+        InvariantChecker &invariants;
         /// Null where frames are sent without connections.
         EmulatedConnections *connections;
         /// All hosts, by their indexes.
@@ -103,6 +104,10 @@
 
     void tick(std::uint64_t generation);
     void readTargetList();
+
+    /// Compares what the node believes of the leases on a target that it holds with those that the target has granted. A restarted target
+    /// is not compared before the node knows of the restart.
+    void checkLeases(const SimulatedTarget &target) const;
     EmulatedHost *findRunningPeer(const Endpoint &endpoint) const;
     SimulatedTarget *findTarget(const std::string &id) const;
 
--- a/emulator/invariantchecker.cpp
+++ b/emulator/invariantchecker.cpp
@@ -61,6 +61,17 @@
     m_jobsReportedNotRun.erase(jobId);
 }
 
+void InvariantChecker::onLeaseTakenForEnded(
+    const std::string &host, const std::string &target, std::uint64_t fencingToken, std::int64_t leftMs, Duration at)
+{
+    if (m_leasesTakenForEnded.emplace(target, fencingToken).second) {
+        recordViolation("lease",
+                        host + " takes the leases on " + target + " for ended under token " + std::to_string(fencingToken) + ", "
+                            + std::to_string(leftMs) + " ms before they end",
+                        at);
+    }
+}
+
 const std::vector<std::string> &InvariantChecker::violations() const
 {
     return m_violations;
--- a/emulator/invariantchecker.h
+++ b/emulator/invariantchecker.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace Anvilcart::Emulation
@@ -28,6 +29,11 @@
     /// The job was submitted, for the first time or after its connection broke. A rejection applies to all submissions so far.
     void onJobSubmitted(const std::string &jobId);
 
+    /// A host takes all leases on a target that it holds under this fencing token for ended, while one lasts for another leftMs on the
+    /// target's clock. Each target is reported once for each token.
+    void
+    onLeaseTakenForEnded(const std::string &host, const std::string &target, std::uint64_t fencingToken, std::int64_t leftMs, Duration at);
+
     /// Violated invariants, one line each.
     const std::vector<std::string> &violations() const;
 
@@ -43,6 +49,7 @@
     std::map<Fleet::TaskName, int> m_crashesOfTask;
     std::set<std::string> m_startedJobs;
     std::set<std::string> m_jobsReportedNotRun;
+    std::set<std::pair<std::string, std::uint64_t>> m_leasesTakenForEnded;
     std::vector<std::string> m_violations;
     std::uint64_t m_startedRunCount = 0;
 };
--- a/emulator/simulatedtarget.cpp
+++ b/emulator/simulatedtarget.cpp
@@ -61,6 +61,21 @@
     return m_runs.size();
 }
 
+std::uint64_t SimulatedTarget::fencingToken() const
+{
+    return m_fencingToken;
+}
+
+std::int64_t SimulatedTarget::leaseUntilMs() const
+{
+    return m_leaseUntilMs;
+}
+
+bool SimulatedTarget::hasLease() const
+{
+    return !m_down && clockMs() <= m_leaseUntilMs;
+}
+
 TargetReply SimulatedTarget::start(const Fleet::StartRequest &request)
 {
     if (request.fencingToken < m_fencingToken) {
--- a/emulator/simulatedtarget.h
+++ b/emulator/simulatedtarget.h
@@ -69,6 +69,15 @@
     std::int64_t clockMs() const;
     std::size_t runningCount() const;
 
+    /// The highest fencing token that was seen in this life; 0 before the first.
+    std::uint64_t fencingToken() const;
+
+    /// On this target's clock: until then runs may live, also those that are started meanwhile. 0 when no lease was granted in this life.
+    std::int64_t leaseUntilMs() const;
+
+    /// True while a run could live under the leases that were granted so far.
+    bool hasLease() const;
+
 private:
     struct Run
     {
--- a/src/fleet/hostnode.h
+++ b/src/fleet/hostnode.h
@@ -119,6 +119,9 @@
 
     std::size_t hostCount(TimePoint now) const;
 
+    /// What this host holds as a dispatcher, for checks and tests.
+    const Scheduler &scheduler() const;
+
 private:
     struct Dispatcher
     {
--- a/src/fleet/hostnodepeers.cpp
+++ b/src/fleet/hostnodepeers.cpp
@@ -585,6 +585,11 @@
     });
 }
 
+const Scheduler &HostNode::scheduler() const
+{
+    return m_scheduler;
+}
+
 std::size_t HostNode::hostCount(TimePoint now) const
 {
     return m_view.liveMembers(now).size() + 1;
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -135,6 +135,10 @@
     /// True from addTarget() on.
     bool ownsTarget(const std::string &target) const;
 
+    /// The record of a target that was listed under this host's fencing token, or null. It is valid until the next call that changes the
+    /// scheduler.
+    const TargetLedger *findListedTarget(const std::string &id) const;
+
     /// True once the target was listed under this host's fencing token.
     bool isListed(const std::string &target) const;
 
@@ -213,7 +217,6 @@
 
     ScheduledJob *findJob(const std::string &jobId);
     TargetLedger *findTarget(const std::string &id, std::uint64_t fencingToken) const;
-    const TargetLedger *findListedTarget(const std::string &id) const;
     std::string betterDispatcher(const ScheduledJob &job, TimePoint now);
     std::vector<std::string> unstartedJobs() const;
     bool fitsAnywhere(const JobSubmission &submission) const;
