Staggered losses: an entry host ends, then a dispatcher of its jobs

Cause: the gap that PROMISES names needs an entry host that ends and its dispatcher that ends, stands still or is cut off within the next 0.9 s. No generator of the emulator drew that.

Callers send again after an unknown outcome too (504 in the protocol).

--- a/emulator/emulatedcallers.cpp
+++ b/emulator/emulatedcallers.cpp
@@ -118,6 +118,7 @@
     job->request.steps.push_back(step);
     job->request.answeredOnCompletion = true;
     job->submittedAt = m_clock.now();
+    job->isPersistent = m_sendsAgainAfterUnknownOutcomes;
     const auto crashingShare = m_crashingShare.find(kind.route);
     if (crashingShare != m_crashingShare.end() && std::bernoulli_distribution(crashingShare->second)(m_random)) {
         job->crashingTask = static_cast<std::uint32_t>(m_random() % kind.tasks);
@@ -270,6 +271,11 @@
     m_brokenConnectionShare = share;
 }
 
+void EmulatedCallers::sendAgainAfterUnknownOutcomes()
+{
+    m_sendsAgainAfterUnknownOutcomes = true;
+}
+
 void EmulatedCallers::setCrashingShare(const std::string &route, double share)
 {
     if (share > 0) {
--- a/emulator/emulatedcallers.h
+++ b/emulator/emulatedcallers.h
@@ -62,6 +62,9 @@
     void setCancelledShare(double share);
     void setBrokenConnectionShare(double share);
 
+    /// Callers of the jobs that are submitted from now on send them again after an unknown outcome, as the protocol says.
+    void sendAgainAfterUnknownOutcomes();
+
     /// The share of a route's jobs, submitted from now on, that have a task which crashes each target that starts it.
     void setCrashingShare(const std::string &route, double share);
 
@@ -89,6 +92,7 @@
     std::map<std::string, JobKindResult> m_results;
     double m_cancelledShare = 0;
     double m_brokenConnectionShare = 0;
+    bool m_sendsAgainAfterUnknownOutcomes = false;
     std::map<std::string, double> m_crashingShare;
     double m_loadFactor = 1;
     std::map<std::string, double> m_loadFactorOfKind;
--- a/emulator/emulatedfleet.cpp
+++ b/emulator/emulatedfleet.cpp
@@ -255,6 +255,11 @@
     });
 }
 
+void EmulatedFleet::sendJobsAgainAfterUnknownOutcomes()
+{
+    m_callers.sendAgainAfterUnknownOutcomes();
+}
+
 void EmulatedFleet::submitCrashingJobs(const std::string &route, double share, Duration at, Duration length)
 {
     scheduleFault(at, length, [this, route, share](bool isActive) {
@@ -281,6 +286,19 @@
     m_claimHandler = std::move(handler);
 }
 
+void EmulatedFleet::callWithDispatchers(Duration at, std::function<void(const std::vector<std::size_t> &dispatchers)> action)
+{
+    scheduleAt(at, [this, action = std::move(action)] {
+        std::vector<std::size_t> dispatchers;
+        for (const auto &host : m_hosts) {
+            if (host->isDispatcher()) {
+                dispatchers.push_back(host->index());
+            }
+        }
+        action(dispatchers);
+    });
+}
+
 void EmulatedFleet::run(Duration firstCallers, Duration lastCallers, Duration end)
 {
     scheduleAt(firstCallers, [this, lastCallers] {
--- a/emulator/emulatedfleet.h
+++ b/emulator/emulatedfleet.h
@@ -75,6 +75,8 @@
     /// The connection to the entry host breaks for a share of the jobs that callers submit in this time, early in their run time. Their
     /// callers send them again, also after an unknown outcome.
     void breakCallerConnections(double share, Duration at, Duration length);
+    /// The callers of all jobs send them again after an unknown outcome, as the protocol says.
+    void sendJobsAgainAfterUnknownOutcomes();
     /// A share of the jobs of a route has a task that crashes each target that starts it.
     void submitCrashingJobs(const std::string &route, double share, Duration at, Duration length);
     /// Multiplies the capacity of targets.
@@ -87,6 +89,9 @@
     /// hand-over or a takeover. It may add faults from that time on.
     void setClaimHandler(std::function<void(std::size_t host, Duration at)> handler);
 
+    /// Calls action at that time with the hosts that dispatch to a pool then. It may add faults from that time on.
+    void callWithDispatchers(Duration at, std::function<void(const std::vector<std::size_t> &dispatchers)> action);
+
     const InvariantChecker &invariants() const;
     const std::map<std::string, JobKindResult> &results() const;
 
--- a/emulator/faultseries.cpp
+++ b/emulator/faultseries.cpp
@@ -14,6 +14,8 @@
 /// Faults begin within this time, so that the fleet recovers before callers stop.
 constexpr Milliseconds SeriesBegin {4000};
 constexpr Milliseconds SeriesEnd {20000};
+/// Staggered losses: the longest time from the end of a host to the loss of its dispatcher.
+constexpr Milliseconds LongestGap {900};
 
 /// A kind of short fault. Those that do not concern a host ignore it.
 struct SeriesKind
@@ -106,6 +108,45 @@
     };
 }
 
+/// Ends a host and, within the next 0.9 s, strikes the dispatcher of another pool, which has some of its jobs: less than a grant later, so
+/// that its runs may go on when callers send their jobs again over other hosts.
+SeriesKind staggeredLosses(EmulatedFleet &fleet, const FleetOptions &options)
+{
+    return {"staggered losses", false, [&fleet, options](std::mt19937_64 &random, std::size_t host, Milliseconds at, Milliseconds length) {
+                const auto gap = drawBetween(random, Milliseconds(0), LongestGap);
+                const auto strikeFor = drawBetween(random, Milliseconds(300), Milliseconds(3000));
+                const auto strike = random() % 4;
+                const auto choice = random();
+                fleet.callWithDispatchers(at, [=, &fleet](std::vector<std::size_t> dispatchers) {
+                    std::erase(dispatchers, host);
+                    if (dispatchers.empty()) {
+                        return;
+                    }
+                    const auto struck = dispatchers[choice % dispatchers.size()];
+                    switch (strike) {
+                    case 0:
+                        fleet.killHost(struck, at + gap, strikeFor);
+                        break;
+                    case 1:
+                        fleet.pauseHost(struck, at + gap, strikeFor);
+                        break;
+                    case 2:
+                        fleet.partitionHost(struck, at + gap, strikeFor);
+                        break;
+                    default:
+                        fleet.partitionZone(options.hostZones[struck], at + gap, strikeFor);
+                        break;
+                    }
+                });
+                const bool isStopped = random() % 3 == 0;
+                if (isStopped) {
+                    fleet.stopHost(host, at - EmulatedFleet::ShutdownTime, length);
+                } else {
+                    fleet.killHost(host, at, length);
+                }
+            }};
+}
+
 /// Adds faults to hosts that have just claimed a pool; their number is limited, as each may cause the next claim.
 void addFaultsAfterClaims(EmulatedFleet &fleet, const FleetOptions &options, std::uint64_t seed)
 {
@@ -121,20 +162,61 @@
         kinds[random() % kinds.size()].inject(random, host, at, length);
     });
 }
-} // namespace
+/// The end of a fault after which a host comes back.
+struct Return
+{
+    std::size_t host;
+    Milliseconds at;
+};
 
-std::string addFaultSeries(EmulatedFleet &fleet, const FleetOptions &options, std::uint64_t seed)
+/// Adds a series of faults of this kind, some of them just after one of the returns, and its own returns to them. Returns a description
+/// with the times.
+std::string addSeriesOf(const SeriesKind &kind, std::size_t hostCount, std::mt19937_64 &random, std::vector<Return> &returns)
+{
+    std::string description = kind.name;
+    const auto faultCount = 4 + random() % 17;
+    const auto longest = drawBetween(random, Milliseconds(100), Milliseconds(2000));
+    const auto longestPause = drawBetween(random, Milliseconds(50), Milliseconds(2000));
+    const bool strikesOneHost = random() % 2 == 0;
+    auto host = random() % hostCount;
+    auto nextAt = drawBetween(random, SeriesBegin, SeriesBegin + Milliseconds(5000));
+    for (std::uint64_t fault = 0; fault < faultCount && nextAt < SeriesEnd; ++fault) {
+        if (!strikesOneHost) {
+            host = random() % hostCount;
+        }
+        const auto length = drawBetween(random, std::max(Milliseconds(100), longest / 2), longest);
+        auto struckHost = host;
+        auto at = nextAt;
+        if (!returns.empty() && random() % 4 == 0) {
+            const auto &aim = returns[random() % returns.size()];
+            struckHost = aim.host;
+            at = aim.at + drawBetween(random, Milliseconds(1), Milliseconds(100));
+        } else {
+            nextAt += length + drawBetween(random, std::max(Milliseconds(50), longestPause / 2), longestPause);
+        }
+        kind.inject(random, struckHost, at, length);
+        if (kind.endsWithReturn) {
+            returns.push_back({struckHost, at + length});
+        }
+        description += " " + std::to_string(struckHost) + " " + describeSpan(at, length) + ",";
+    }
+    return description;
+}
+
+std::vector<SeriesKind> allFaultKinds(EmulatedFleet &fleet, const FleetOptions &options)
 {
-    struct Return
-    {
-        std::size_t host;
-        Milliseconds at;
-    };
-    std::mt19937_64 random(seed * 6151 + 17);
     auto kinds = hostFaultKinds(fleet, options);
     for (auto &kind : otherFaultKinds(fleet)) {
         kinds.push_back(std::move(kind));
     }
+    return kinds;
+}
+} // namespace
+
+std::string addFaultSeries(EmulatedFleet &fleet, const FleetOptions &options, std::uint64_t seed)
+{
+    std::mt19937_64 random(seed * 6151 + 17);
+    auto kinds = allFaultKinds(fleet, options);
     std::vector<Return> returns;
     std::string description;
     const auto seriesCount = 2 + random() % 2;
@@ -142,33 +224,7 @@
         const auto drawn = kinds.begin() + static_cast<std::ptrdiff_t>(random() % kinds.size());
         const auto kind = *drawn;
         kinds.erase(drawn);
-        description += std::string(description.empty() ? "" : "; ") + kind.name;
-        const auto faultCount = 4 + random() % 17;
-        const auto longest = drawBetween(random, Milliseconds(100), Milliseconds(2000));
-        const auto longestPause = drawBetween(random, Milliseconds(50), Milliseconds(2000));
-        const bool strikesOneHost = random() % 2 == 0;
-        auto host = random() % options.hostZones.size();
-        auto nextAt = drawBetween(random, SeriesBegin, SeriesBegin + Milliseconds(5000));
-        for (std::uint64_t fault = 0; fault < faultCount && nextAt < SeriesEnd; ++fault) {
-            if (!strikesOneHost) {
-                host = random() % options.hostZones.size();
-            }
-            const auto length = drawBetween(random, std::max(Milliseconds(100), longest / 2), longest);
-            auto struckHost = host;
-            auto at = nextAt;
-            if (!returns.empty() && random() % 4 == 0) {
-                const auto &aim = returns[random() % returns.size()];
-                struckHost = aim.host;
-                at = aim.at + drawBetween(random, Milliseconds(1), Milliseconds(100));
-            } else {
-                nextAt += length + drawBetween(random, std::max(Milliseconds(50), longestPause / 2), longestPause);
-            }
-            kind.inject(random, struckHost, at, length);
-            if (kind.endsWithReturn) {
-                returns.push_back({struckHost, at + length});
-            }
-            description += " " + std::to_string(struckHost) + " " + describeSpan(at, length) + ",";
-        }
+        description += (description.empty() ? "" : "; ") + addSeriesOf(kind, options.hostZones.size(), random, returns);
     }
     if (random() % 2 == 0) {
         addFaultsAfterClaims(fleet, options, seed);
@@ -176,4 +232,17 @@
     }
     return description;
 }
+
+std::string addStaggeredLosses(EmulatedFleet &fleet, const FleetOptions &options, std::uint64_t seed)
+{
+    std::mt19937_64 random(seed * 5801 + 29);
+    fleet.sendJobsAgainAfterUnknownOutcomes();
+    std::vector<Return> returns;
+    std::string description;
+    if (random() % 2 == 0) {
+        const auto kinds = allFaultKinds(fleet, options);
+        description = addSeriesOf(kinds[random() % kinds.size()], options.hostZones.size(), random, returns) + "; ";
+    }
+    return description + addSeriesOf(staggeredLosses(fleet, options), options.hostZones.size(), random, returns);
+}
 } // namespace Anvilcart::Emulation
--- a/emulator/faultseries.h
+++ b/emulator/faultseries.h
@@ -11,4 +11,9 @@
 /// has ended or, for half of the seeds, hosts that have just claimed a pool. Returns a description with the times that are known before the
 /// run.
 std::string addFaultSeries(EmulatedFleet &fleet, const FleetOptions &options, std::uint64_t seed);
+
+/// Adds a series of staggered losses: a host ends, and within 0.9 s a dispatcher of its jobs ends, stands still or is cut off. Callers send
+/// their jobs again also after an unknown outcome. For half of the seeds, a series of another kind is added. Returns a description with the
+/// times that are known before the run.
+std::string addStaggeredLosses(EmulatedFleet &fleet, const FleetOptions &options, std::uint64_t seed);
 } // namespace Anvilcart::Emulation
--- a/emulator/main.cpp
+++ b/emulator/main.cpp
@@ -64,6 +64,7 @@
     {"handed-on", optionsOfLongRuns, addResubmissionsOfHandedOnJobs},
     {"fault-series", optionsOfFaultSeries, addFaultSeries},
     {"late-frames", optionsOfLateFrames, addLateFrames},
+    {"staggered-losses", optionsOfLateFrames, addStaggeredLosses},
     {"unanswered-orders", optionsOfOrdinaryFleet, addFixed<addUnansweredOrders>},
     {"none",
      optionsOfOrdinaryFleet,
