--- a/models/ownership.pml
+++ b/models/ownership.pml
@@ -229,6 +229,58 @@
     jobEpoch[d] = 0
 }
 
+inline loseFrame(d)
+{
+    frameInFlight[d] = false;
+    frameHasJob[d] = false;
+    frameIncarnation[d] = 0;
+    frameEpoch[d] = 0;
+    frameUntil[d] = 0;
+    frameConfirmed[d] = 0
+}
+
+/* After the last hand-over no report of the lost dispatcher matters any more, and once it is without the job, which it cannot get again,
+ * neither do its grants and listings. They become 0 then, so that states which differ in them alone are one. */
+#if defined(RESTARTS) || defined(LATE_REPORTS)
+#define isOutOfUse(d) false
+#else
+#define isOutOfUse(d) (handedOver == HAND_OVERS && owner != (d))
+#endif
+
+inline forgetLostDispatcher(d)
+{
+    if
+    :: isOutOfUse(d) ->
+        reportInFlight[d] = false;
+        sentAt[d] = 0;
+        sentClaims[d] = 0;
+        sentTargets[d] = 0;
+        reportSentAt[d] = 0;
+        reportArrivedAt[d] = 0;
+        reportedClaims[d] = 0;
+        reportedTargets[d] = 0;
+        reportedUntil[CLAIM(d, 0)] = 0;
+        reportedUntil[CLAIM(d, 1)] = 0;
+        endsBy[d] = 0;
+        earlierEndBy[d] = 0;
+        if
+        :: !hasJob[d] && !frameHasJob[d] ->
+            loseFrame(d);
+            heldEpoch[d] = epoch[d];
+            heldUntil[d] = 0;
+            heldConfirmed[d] = 0;
+            isListed[CLAIM(d, 0)] = false;
+            isListed[CLAIM(d, 1)] = false;
+            isClaimedAfterReport[CLAIM(d, 0)] = false;
+            isClaimedAfterReport[CLAIM(d, 1)] = false;
+            claimNumber[CLAIM(d, 0)] = 0;
+            claimNumber[CLAIM(d, 1)] = 0
+        :: else
+        fi
+    :: else
+    fi
+}
+
 /* HostNode::takeBack. */
 inline handOver(d, endOfRuns)
 {
@@ -397,23 +449,13 @@
 #endif
     :: d_step { canSendFrame(A) -> sendFrame(A) }
     :: d_step { canSendFrame(B) -> sendFrame(B) }
-    :: d_step { owner == A && handedOver < HAND_OVERS && knownIncarnation[A] != NO_PROCESS -> takeBack(A) }
-    :: d_step { owner == B && handedOver < HAND_OVERS -> takeBack(B) }
-    :: d_step { releaseInFlight[A] -> receiveRelease(A) }
-    :: d_step { releaseInFlight[B] -> receiveRelease(B) }
+    :: d_step { owner == A && handedOver < HAND_OVERS && knownIncarnation[A] != NO_PROCESS -> takeBack(A); forgetLostDispatcher(A) }
+    :: d_step { owner == B && handedOver < HAND_OVERS -> takeBack(B); forgetLostDispatcher(B) }
+    :: d_step { releaseInFlight[A] -> receiveRelease(A); forgetLostDispatcher(A) }
+    :: d_step { releaseInFlight[B] -> receiveRelease(B); forgetLostDispatcher(B) }
     od
 }
 
-inline loseFrame(d)
-{
-    frameInFlight[d] = false;
-    frameHasJob[d] = false;
-    frameIncarnation[d] = 0;
-    frameEpoch[d] = 0;
-    frameUntil[d] = 0;
-    frameConfirmed[d] = 0
-}
-
 /* A report or frame takes the place of one that is still on its way and is then lost. */
 #define isReported(d, t) (claim[CLAIM(d, t)] != none || reportedUntil[CLAIM(d, t)] > now)
 #define ownTargets(d) ((isReported(d, 0) -> 1 : 0) + (isReported(d, 1) -> 2 : 0))
@@ -608,18 +650,18 @@
 end:
     do
     :: d_step { canSendReport(d) -> sendReport(d) }
-    :: d_step { frameInFlight[d] -> receiveFrame(d) }
-    :: d_step { canClaim(d, 0) -> sendClaim(d, 0) }
-    :: d_step { canClaim(d, 1) -> sendClaim(d, 1) }
+    :: d_step { frameInFlight[d] -> receiveFrame(d); forgetLostDispatcher(d) }
+    :: d_step { canClaim(d, 0) -> sendClaim(d, 0); forgetLostDispatcher(d) }
+    :: d_step { canClaim(d, 1) -> sendClaim(d, 1); forgetLostDispatcher(d) }
     :: d_step { canStart(d, 0) -> sendStart(d, 0) }
     :: d_step { canStart(d, 1) -> sendStart(d, 1) }
     :: d_step { canExtend(d, 0) -> extend(d, 0) }
     :: d_step { canExtend(d, 1) -> extend(d, 1) }
     :: d_step { canSeeEnd(d, 0) -> seeEnd(d, 0) }
     :: d_step { canSeeEnd(d, 1) -> seeEnd(d, 1) }
-    :: d_step { canLoseTarget(d, 0) -> loseTarget(d, 0) }
-    :: d_step { canLoseTarget(d, 1) -> loseTarget(d, 1) }
-    :: d_step { canReturnJob(d) -> returnJob(d) }
+    :: d_step { canLoseTarget(d, 0) -> loseTarget(d, 0); forgetLostDispatcher(d) }
+    :: d_step { canLoseTarget(d, 1) -> loseTarget(d, 1); forgetLostDispatcher(d) }
+    :: d_step { canReturnJob(d) -> returnJob(d); forgetLostDispatcher(d) }
 #ifdef RESTARTS
     :: d_step { d == A && incarnation[d] == 0 && (hasJob[d] || frameInFlight[d]) -> restartDispatcher(d) }
 #endif
@@ -640,7 +682,8 @@
         highestToken[t] = token[CLAIM(d, t)];
         isListed[CLAIM(d, t)] = runs[t];
         claim[CLAIM(d, t)] = owned
-    fi
+    fi;
+    forgetLostDispatcher(d)
 }
 
 inline receiveStart(d)
