A late crash notice does not replace a newer one of the same process

Cause: crash notices carried no number, so that of two notices of a dispatcher, read out of order over two connections, the older one stayed. The next dispatcher could then let the task crash one target more.

An entry host keeps, with the job, which process sent the last notice and its number, and drops an older one of that process. A lower count in a newer notice still counts.

Not covered: after the job has gone to another dispatcher that sent a notice, and back to the same process, a late notice of the first stay counts.

Two new ones guard the newer, lower count and notices of earlier versions.

--- a/src/fleet/entryjob.h
+++ b/src/fleet/entryjob.h
@@ -52,6 +52,10 @@
     std::uint64_t previousDispatcherIncarnation = 0;
     std::uint64_t previousGrantEpoch = 0;
     std::uint64_t previousSubmissionNumber = 0;
+    /// The process that sent the last crash notice, and the number of that notice.
+    std::string crashNoticeSender;
+    std::uint64_t crashNoticeIncarnation = 0;
+    std::uint64_t crashNoticeNumber = 0;
     /// How often the job was submitted to a dispatcher.
     int submissionCount = 0;
     /// A dispatcher may have started a task of the job.
--- a/src/fleet/fleetframe.cpp
+++ b/src/fleet/fleetframe.cpp
@@ -280,6 +280,7 @@
         auto &row = *wire.add_crash_notices();
         row.set_id(notice.jobId);
         encodeCrashes(notice.crashes, row);
+        row.set_number(notice.number);
     }
     for (const auto &notice : frame.ended) {
         auto &row = *wire.add_ended();
@@ -358,7 +359,7 @@
         }
     }
     for (const auto &row : wire.crash_notices()) {
-        frame.crashNotices.push_back({row.id(), decodeCrashes(row)});
+        frame.crashNotices.push_back({row.id(), decodeCrashes(row), row.number()});
     }
     for (const auto &row : wire.ended()) {
         if (row.end() > static_cast<std::uint32_t>(JobEnd::Abandoned) || row.reason() >= JobEndReasonCount) {
--- a/src/fleet/fleetframe.h
+++ b/src/fleet/fleetframe.h
@@ -26,6 +26,8 @@
 {
     std::string jobId;
     std::vector<TaskCrashes> crashes;
+    /// Rises with each notice of the sender's process; 0 from hosts of earlier versions.
+    std::uint64_t number = 0;
 };
 
 /// The operator's configuration record as it is stored.
--- a/src/fleet/hostnode.cpp
+++ b/src/fleet/hostnode.cpp
@@ -539,9 +539,9 @@
 
 void HostNode::onCrashRecords(const JobSubmission &job, const std::vector<TaskCrashes> &crashes)
 {
-    CrashNotice notice {job.request.id, crashes};
+    CrashNotice notice {job.request.id, crashes, ++m_lastCrashNoticeNumber};
     if (job.entryHost == m_identity.host) {
-        onCrashNotice(notice, m_identity.host);
+        onCrashNotice(notice, m_identity.host, m_identity.incarnation);
         return;
     }
     FleetFrame frame;
@@ -549,13 +549,23 @@
     send(job.entryHost, std::move(frame), m_now);
 }
 
-/// Keeps the records for the next submission of the job, which may go to another dispatcher.
-void HostNode::onCrashNotice(const CrashNotice &notice, const std::string &from)
+/// Keeps the records for the next submission of the job, which may go to another dispatcher. A notice that is older than the last one
+/// of the same process is dropped; one without a number always counts.
+void HostNode::onCrashNotice(const CrashNotice &notice, const std::string &from, std::uint64_t incarnation)
 {
     const auto found = m_jobs.find(notice.jobId);
-    if (found != m_jobs.end() && found->second.dispatcher == from) {
-        found->second.submission.crashes = notice.crashes;
+    if (found == m_jobs.end() || found->second.dispatcher != from) {
+        return;
+    }
+    auto &job = found->second;
+    const bool isSameProcess = job.crashNoticeSender == from && job.crashNoticeIncarnation == incarnation;
+    if (isSameProcess && notice.number != 0 && notice.number < job.crashNoticeNumber) {
+        return;
     }
+    job.submission.crashes = notice.crashes;
+    job.crashNoticeSender = from;
+    job.crashNoticeIncarnation = incarnation;
+    job.crashNoticeNumber = notice.number;
 }
 
 void HostNode::processSchedulerEvents(TimePoint now)
--- a/src/fleet/hostnode.h
+++ b/src/fleet/hostnode.h
@@ -170,7 +170,7 @@
     bool placeWithSuccessor(EntryJob &job, TimePoint now);
     bool submitTo(EntryJob &job, const Dispatcher &dispatcher, TimePoint now);
     std::vector<Dispatcher> dispatchersFor(const std::string &service, TimePoint now) const;
-    void onCrashNotice(const CrashNotice &notice, const std::string &from);
+    void onCrashNotice(const CrashNotice &notice, const std::string &from, std::uint64_t incarnation);
     void onJobResult(const JobEndNotice &notice, const std::string &from, std::uint64_t incarnation, TimePoint now);
     void onResultOfPrevious(EntryJob &job, const JobEndNotice &notice, const std::string &from, std::uint64_t incarnation, TimePoint now);
     bool cancelForCaller(const std::string &jobId, TimePoint now);
@@ -241,6 +241,7 @@
 
     std::unordered_map<std::string, EntryJob> m_jobs;
     std::uint64_t m_lastSubmissionNumber;
+    std::uint64_t m_lastCrashNoticeNumber = 0;
     std::map<std::string, TargetEntry> m_targets;
     /// Targets that were removed from the list but still hold runs of this host.
     std::map<std::string, TargetEntry> m_removedTargets;
--- a/src/fleet/hostnodepeers.cpp
+++ b/src/fleet/hostnodepeers.cpp
@@ -123,7 +123,7 @@
         schedule(std::move(submission), now);
     }
     for (const auto &notice : frame.crashNotices) {
-        onCrashNotice(notice, frame.host);
+        onCrashNotice(notice, frame.host, frame.incarnation);
     }
     for (const auto &notice : frame.ended) {
         onJobResult(notice, frame.host, frame.incarnation, now);
--- a/tests/unit/fleet/latewords.cpp
+++ b/tests/unit/fleet/latewords.cpp
@@ -58,6 +58,38 @@
         node.onFrame(frame, now);
     }
 };
+
+/// An entry host whose job "j" the dispatcher h2 has.
+struct CrashNoticesFixture : HostNodeFixture
+{
+    void submitJob()
+    {
+        node.onFrame(report("h2", 2, true), now);
+        node.submit(job("j"), now);
+    }
+
+    void notify(std::uint64_t number, std::uint32_t lostTargets)
+    {
+        FleetFrame frame;
+        frame.host = "h2";
+        frame.incarnation = 2;
+        frame.crashNotices.push_back({"j", {{0, 0, lostTargets, 0, 0, true}}, number});
+        node.onFrame(frame, now);
+    }
+
+    /// Ends h2 and returns the count in the submission to h3.
+    std::uint32_t lostTargetsThatTheNextDispatcherLearns()
+    {
+        node.onLinkClosed("h2", 2, now);
+        node.onFrame(report("h3", 3, true), now);
+        advance(Seconds(1));
+        const auto submission = std::find_if(port.frames.begin(), port.frames.end(), [](const auto &sent) {
+            return sent.first.address == "10.0.0.3" && !sent.second.submissions.empty();
+        });
+        BOOST_REQUIRE((submission != port.frames.end()));
+        return submission->second.submissions.front().crashes.front().lostTargets;
+    }
+};
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(LateWordsSuite, *boost::unit_test::label("fleet"))
@@ -163,27 +195,29 @@
 }
 
 // Two connections of one dispatcher may deliver its notices out of order.
-BOOST_FIXTURE_TEST_CASE(A_late_crash_notice_does_not_take_back_what_a_newer_one_has_said, HostNodeFixture)
+BOOST_FIXTURE_TEST_CASE(A_late_crash_notice_does_not_take_back_what_a_newer_one_has_said, CrashNoticesFixture)
 {
-    node.onFrame(report("h2", 2, true), now);
-    node.submit(job("j"), now);
-    const auto notify = [this](std::uint32_t lostTargets) {
-        FleetFrame frame;
-        frame.host = "h2";
-        frame.incarnation = 2;
-        frame.crashNotices.push_back({"j", {{0, 0, lostTargets, 0, 0, true}}});
-        node.onFrame(frame, now);
-    };
-    notify(2);
-    notify(1);
-    node.onLinkClosed("h2", 2, now);
-    node.onFrame(report("h3", 3, true), now);
-    advance(Seconds(1));
-    const auto submission = std::find_if(port.frames.begin(), port.frames.end(), [](const auto &sent) {
-        return sent.first.address == "10.0.0.3" && !sent.second.submissions.empty();
-    });
-    BOOST_REQUIRE((submission != port.frames.end()));
-    BOOST_TEST(submission->second.submissions.front().crashes.front().lostTargets == 2U);
+    submitJob();
+    notify(2, 2);
+    notify(1, 1);
+    BOOST_TEST(lostTargetsThatTheNextDispatcherLearns() == 2U);
+}
+
+// A dispatcher may lower a count.
+BOOST_FIXTURE_TEST_CASE(A_newer_crash_notice_replaces_one_that_says_more, CrashNoticesFixture)
+{
+    submitJob();
+    notify(1, 2);
+    notify(2, 1);
+    BOOST_TEST(lostTargetsThatTheNextDispatcherLearns() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(Crash_notices_of_earlier_versions_count_in_the_order_in_which_they_are_read, CrashNoticesFixture)
+{
+    submitJob();
+    notify(0, 1);
+    notify(0, 2);
+    BOOST_TEST(lostTargetsThatTheNextDispatcherLearns() == 2U);
 }
 
 // The first frame of a sender has nothing to compare its delay with. The grant beside its jobs tells that they are late.
