--- a/src/scheduling/schedulertargets.cpp
+++ b/src/scheduling/schedulertargets.cpp
@@ -22,7 +22,7 @@
 constexpr Milliseconds ImmediateFailureLimit {20};
 /// The interval of renewals while a run exceeds its forecast.
 constexpr Milliseconds MinRenewalWait {60};
-/// A target is unresponsive when its last reply is older than this; until then an unanswered renewal is repeated immediately.
+/// A target is unresponsive when its last reply is older than this; until then an unanswered renewal is repeated.
 constexpr Milliseconds UnresponsiveAfter {700};
 /// Renewals extend leases only this long after the last reply. One that repeats an unanswered renewal does not: once it is answered, the
 /// next one does, and if the target is gone, its runs can be started elsewhere sooner.
