Emulated targets grant leases as the protocol says

Cause: an emulated target did not take the deadline of a start whose run was already there, refused no start for want of capacity, and had an exact clock, so that the margins of leases were not tried.

Change: each start that is neither fenced nor late extends the deadline, also one that is refused as old or for want of capacity (setCapacityEnforced, off in the emulated fleets). A third of the targets, by seed, has a clock that is 2% slow.

--- a/emulator/emulatedfleet.cpp
+++ b/emulator/emulatedfleet.cpp
@@ -23,6 +23,9 @@
     constexpr std::int64_t SmallTarget = 32000;
     constexpr std::int64_t LargeTarget = 48000;
     constexpr std::int64_t MemoryMb = 131072;
+    constexpr double SlowestClock = 0.98;
+    // Drawn apart, so that the jobs and faults of a seed do not depend on it.
+    std::mt19937_64 random(m_options.seed);
     for (const auto &zone : m_options.targetZones) {
         for (std::size_t number = 0; number < m_options.targetsPerZone; ++number) {
             Fleet::TargetEntry entry;
@@ -34,6 +37,8 @@
             m_targets.push_back(std::make_unique<SimulatedTarget>(entry, m_clock, m_invariants, [this](const Fleet::TaskName &task) {
                 return m_callers.profileOf(task);
             }));
+            const bool isSlow = random() % 3 == 0;
+            m_targets.back()->setClockRate(isSlow ? SlowestClock : 1);
         }
     }
 }
--- a/emulator/simulatedtarget.cpp
+++ b/emulator/simulatedtarget.cpp
@@ -53,7 +53,7 @@
 
 std::int64_t SimulatedTarget::clockMs() const
 {
-    return 1 + std::chrono::duration_cast<Milliseconds>(m_clock.now() - m_startedAt).count();
+    return 1 + std::chrono::duration_cast<Milliseconds>((m_clock.now() - m_startedAt) * m_clockRate).count();
 }
 
 std::size_t SimulatedTarget::runningCount() const
@@ -82,18 +82,19 @@
         return makeReply(RequestResult::Fenced, clockMs());
     }
     m_fencingToken = request.fencingToken;
-    if (m_runs.contains(request.name)) {
-        return makeReply(RequestResult::Accepted, clockMs());
-    }
-    if (request.leaseUntilMs <= clockMs()) {
+    const bool isRunning = m_runs.contains(request.name);
+    if (!isRunning && request.leaseUntilMs <= clockMs()) {
         return makeReply(RequestResult::TooLate, clockMs());
     }
+    // Also for a run that is already there, and for one that is refused below.
+    extendLease(request.leaseUntilMs);
+    if (isRunning) {
+        return makeReply(RequestResult::Accepted, clockMs());
+    }
     const auto ended = m_lastEndedRun.find(request.name.task);
     if (ended != m_lastEndedRun.end() && request.name.run <= ended->second) {
-        extendLease(request.leaseUntilMs);
         return makeReply(RequestResult::RunOutdated, clockMs());
     }
-    extendLease(request.leaseUntilMs);
     const auto profile = m_lookUpProfile(request.name.task);
     Fleet::Resources used;
     for (const auto &[name, run] : m_runs) {
@@ -101,6 +102,9 @@
     }
     const bool mayUseCapacityBefore = m_clock.now() < m_capacityBeforeUntil && m_capacityBefore.hasCapacityFor(profile.demand, used);
     const bool exceedsCapacity = !mayUseCapacityBefore && !m_entry.capacity.hasCapacityFor(profile.demand, used);
+    if (exceedsCapacity && m_isCapacityEnforced) {
+        return makeReply(RequestResult::InsufficientCapacity, clockMs());
+    }
     const auto runTime = std::chrono::duration_cast<Duration>(profile.runTime * m_runTimeFactor);
     const auto incarnation = m_incarnation;
     m_runs[request.name] = {profile.demand, m_clock.now(), m_clock.now() + runTime, incarnation};
@@ -207,7 +211,8 @@
 
 void SimulatedTarget::scheduleLeaseExpiry()
 {
-    m_clock.callAfter(Milliseconds(m_leaseUntilMs - clockMs() + 1), [this, incarnation = m_incarnation] {
+    const auto left = std::chrono::duration_cast<Duration>(Milliseconds(m_leaseUntilMs - clockMs() + 1) / m_clockRate);
+    m_clock.callAfter(left + std::chrono::microseconds(1), [this, incarnation = m_incarnation] {
         if (incarnation != m_incarnation || clockMs() <= m_leaseUntilMs) {
             return;
         }
@@ -278,6 +283,16 @@
     m_entry.capacity = capacity;
 }
 
+void SimulatedTarget::setCapacityEnforced(bool enforced)
+{
+    m_isCapacityEnforced = enforced;
+}
+
+void SimulatedTarget::setClockRate(double rate)
+{
+    m_clockRate = rate;
+}
+
 void SimulatedTarget::setRunTimeFactor(double factor)
 {
     m_runTimeFactor = factor;
--- a/emulator/simulatedtarget.h
+++ b/emulator/simulatedtarget.h
@@ -25,8 +25,9 @@
     Duration crashesAfter {0};
 };
 
-/// Simulates a target with fencing, leases, run numbers and lists of runs, as the platform documents them. Accepts runs beyond its
-/// capacity and reports them to the invariant checker.
+/// Simulates a target with fencing, leases, run numbers and lists of runs, as the platform documents them. It has one deadline for all that
+/// runs there, which is never shortened: it lasts beyond the end of runs and a change of the owner, until the target restarts. Unless
+/// setCapacityEnforced() was called, it accepts runs beyond its capacity and reports them to the invariant checker.
 class SimulatedTarget
 {
 public:
@@ -57,6 +58,13 @@
     /// Changes the capacity that the target's entry shows. Runs are not stopped.
     void setCapacity(const Fleet::Resources &capacity);
 
+    /// Whether starts beyond the capacity are refused.
+    void setCapacityEnforced(bool enforced);
+
+    /// Sets how much the target's clock advances in the time of the simulation: 1 for an exact clock, 0.98 for the slowest one.
+    /// Precondition: the target has not received a request.
+    void setClockRate(double rate);
+
     /// Multiplies the run time of runs that start from now on.
     void setRunTimeFactor(double factor);
 
@@ -108,6 +116,8 @@
     std::uint64_t m_incarnation = 1;
     std::uint64_t m_fencingToken = 0;
     std::int64_t m_leaseUntilMs = 0;
+    double m_clockRate = 1;
+    bool m_isCapacityEnforced = false;
     std::map<Fleet::RunName, Run> m_runs;
     std::map<Fleet::TaskName, std::uint32_t> m_lastEndedRun;
     std::vector<Fleet::EndedRun> m_endedRuns;
