The model of ownership has the shared deadline of a target

Change: with SHARED_DEADLINE a deadline lasts beyond runs and owners, a start carries a shorter lease than the longest, and a dispatcher starts a run of a silent target anew when the leases that it counts have ended. The variant OWN_LEASES_ONLY, which does not count the longest lease at a claim, must fail.

--- a/models/ownership.pml
+++ b/models/ownership.pml
@@ -27,9 +27,17 @@
  *   LATE_REPORT_ENDS_SUCCESSOR with LATE_REPORTS: a report of any other process than the known one counts as that of its successor
  *   RECORDS_ONLY               the same, unless the entry host has a record that the process has ended
  *   UNREPORTED_LOST_TARGETS    with TAKEN_BEFORE_REPORT: a report names no target that was taken away
+ *   OWN_LEASES_ONLY            with SHARED_DEADLINE: a dispatcher counts the leases that it has sent since its claim, not those of the
+ *                              owner before
  *
  * TAKEN_BEFORE_REPORT begins with both targets owned by A, so that one that runs the job can be taken from it before its last report.
  *
+ * With SHARED_DEADLINE a target has one deadline, as the protocol says: it lasts beyond the end of a run and a change of the owner, is
+ * never shortened, and holds for a new run too. A start carries a lease of one step, shorter than the longest; the owner of a target also
+ * extends its deadline for runs of other jobs. A dispatcher takes a run on a silent target for ended, and may start the job again, when
+ * the leases that it counts under its claim have ended (LeaseBound). Otherwise a deadline ends with its run, and a start carries the
+ * longest lease.
+ *
  * RESTARTS lets A restart once while it may have the job. With LATE_REPORTS it restarts before it has the job, as time begins; the last
  * report of its first process may arrive at any time, before or after those of its second one, and the entry host knows neither process
  * at the beginning. models/processes.pml has more restarts, and those of the entry host.
@@ -55,6 +63,13 @@
 #define LEASE 1
 #endif
 
+/* The lease that a start carries. */
+#ifdef SHARED_DEADLINE
+#define START_LEASE 1
+#else
+#define START_LEASE LEASE
+#endif
+
 #define A 0
 #define B 1
 #define NOBODY 2
@@ -151,6 +166,11 @@
 bool runs[2];
 byte leaseEnd[2];
 
+#ifdef SHARED_DEADLINE
+/* For each claim: when all leases on the target have ended, as far as the dispatcher counts them. */
+byte leasesEndBy[4];
+#endif
+
 #define maximum(a, b) ((a) > (b) -> (a) : (b))
 
 #ifdef NO_GRANTS
@@ -199,8 +219,21 @@
 
 #define earlierRunsHaveEnded(d) (now >= earlierRunsEndBy && (now >= lostRunsEndBy || isTakenOver(d)))
 
+#ifdef SHARED_DEADLINE
+#define countLease(d, t, end) leasesEndBy[CLAIM(d, t)] = maximum(leasesEndBy[CLAIM(d, t)], end)
+#define forgetLeases(d, t) leasesEndBy[CLAIM(d, t)] = 0
+#define leasesOf(d, t) leasesEndBy[CLAIM(d, t)]
+#define endDeadline(t) skip
+#else
+#define countLease(d, t, end) skip
+#define forgetLeases(d, t) skip
+#define leasesOf(d, t) 0
+#define endDeadline(t) leaseEnd[t] = 0
+#endif
+
 inline clearClaim(d, t)
 {
+    forgetLeases(d, t);
     claim[CLAIM(d, t)] = none;
     token[CLAIM(d, t)] = 0;
     claimNumber[CLAIM(d, t)] = 0;
@@ -479,20 +512,27 @@
     startInFlight[d] = true;
     startTarget[d] = t;
     startToken[d] = token[CLAIM(d, t)];
-    startDeadline[d] = now + LEASE;
+    startDeadline[d] = now + START_LEASE;
+    countLease(d, t, now + START_LEASE);
     hasRun[d] = true;
     runAt[d] = t;
-    runEndsBy[d] = now + LEASE
+    runEndsBy[d] = maximum(now + START_LEASE, leasesOf(d, t))
 }
 
 #define answersTo(d, t) (claim[CLAIM(d, t)] == owned && highestToken[t] <= token[CLAIM(d, t)])
-#define canExtend(d, t) (answersTo(d, t) && hasJob[d] && mayExtend(d) && isConfirmed(d, t) && runs[t] && leaseEnd[t] < now + LEASE \
-    && ((hasRun[d] && runAt[d] == t) || isListed[CLAIM(d, t)]))
+#define knowsRun(d, t) ((hasRun[d] && runAt[d] == t) || isListed[CLAIM(d, t)])
+#define mayExtendRun(d, t) (hasJob[d] && mayExtend(d) && isConfirmed(d, t))
+#ifdef SHARED_DEADLINE
+#define canExtend(d, t) (answersTo(d, t) && leaseEnd[t] < now + LEASE && (!knowsRun(d, t) || mayExtendRun(d, t)))
+#else
+#define canExtend(d, t) (answersTo(d, t) && mayExtendRun(d, t) && runs[t] && leaseEnd[t] < now + LEASE && knowsRun(d, t))
+#endif
 
 inline extend(d, t)
 {
     highestToken[t] = token[CLAIM(d, t)];
     leaseEnd[t] = now + LEASE;
+    countLease(d, t, now + LEASE);
     if
     :: hasRun[d] && runAt[d] == t -> runEndsBy[d] = now + LEASE
     :: else
@@ -549,7 +589,7 @@
     :: hasRun[d] ->
         highestToken[runAt[d]] = token[CLAIM(d, runAt[d])];
         runs[runAt[d]] = false;
-        leaseEnd[runAt[d]] = 0;
+        endDeadline(runAt[d]);
         clearRun(d);
         clearStart(d)
     :: else
@@ -639,6 +679,9 @@
     :: else ->
         highestToken[t] = token[CLAIM(d, t)];
         isListed[CLAIM(d, t)] = runs[t];
+#ifndef OWN_LEASES_ONLY
+        countLease(d, t, now + LEASE);
+#endif
         claim[CLAIM(d, t)] = owned
     fi
 }
@@ -654,7 +697,7 @@
         assert(!runs[0] && !runs[1]);
         highestToken[startTarget[d]] = startToken[d];
         runs[startTarget[d]] = true;
-        leaseEnd[startTarget[d]] = maximum(startDeadline[d], now + 1)
+        leaseEnd[startTarget[d]] = maximum(leaseEnd[startTarget[d]], maximum(startDeadline[d], now + 1))
     fi;
     clearStart(d)
 }
@@ -670,8 +713,8 @@
     :: d_step { startInFlight[A] -> receiveStart(A) }
     :: d_step { startInFlight[B] -> receiveStart(B) }
     /* The run fails, or the target restarts. */
-    :: d_step { runs[0] -> runs[0] = false; leaseEnd[0] = 0 }
-    :: d_step { runs[1] -> runs[1] = false; leaseEnd[1] = 0 }
+    :: d_step { runs[0] -> runs[0] = false; endDeadline(0) }
+    :: d_step { runs[1] -> runs[1] = false; endDeadline(1) }
 #ifdef FORGETFUL_TARGETS
     :: d_step { highestToken[0] > 0 -> highestToken[0] = 0; runs[0] = false; leaseEnd[0] = 0 }
 #endif
@@ -681,7 +724,7 @@
 inline endLease(t)
 {
     if
-    :: runs[t] && leaseEnd[t] <= now -> runs[t] = false; leaseEnd[t] = 0
+    :: leaseEnd[t] > 0 && leaseEnd[t] <= now -> runs[t] = false; leaseEnd[t] = 0
     :: else
     fi
 }
@@ -713,6 +756,10 @@
     forgetTime(earlierEndBy[d], earlierEndBy[d] + LEASE);
     forgetTime(earlierRunsEndBy, earlierRunsEndBy);
     forgetTime(lostRunsEndBy, lostRunsEndBy);
+#ifdef SHARED_DEADLINE
+    forgetTime(leasesOf(d, 0), leasesOf(d, 0));
+    forgetTime(leasesOf(d, 1), leasesOf(d, 1));
+#endif
     forgetTime(reportedUntil[CLAIM(d, 0)], reportedUntil[CLAIM(d, 0)]);
     forgetTime(reportedUntil[CLAIM(d, 1)], reportedUntil[CLAIM(d, 1)])
 }
