The reduction of the ownership model is off with the shared deadline

The two changes were merged and not checked together: with SHARED_DEADLINE there is no hand-over, so that the second dispatcher counted as out of use at once, and its listings and claims were reset.

Other configurations are not affected.

--- a/models/ownership.pml
+++ b/models/ownership.pml
@@ -273,8 +273,9 @@
 }
 
 /* After the last hand-over no report of the lost dispatcher matters any more, and once it is without the job, which it cannot get again,
- * neither do its grants and listings. They become 0 then, so that states which differ in them alone are one. */
-#if defined(RESTARTS) || defined(LATE_REPORTS)
+ * neither do its grants and listings. They become 0 then, so that states which differ in them alone are one. A restart reads them, and so
+ * does a dispatcher without a hand-over. */
+#if defined(RESTARTS) || defined(LATE_REPORTS) || defined(SHARED_DEADLINE)
 #define isOutOfUse(d) false
 #else
 #define isOutOfUse(d) (handedOver == HAND_OVERS && owner != (d))
