Owed results are kept until they were sent

A report of the entry host may arrive before this host is connected to it again, or may have been overtaken, so that the entry host is still out of sight.

LateFramesSuite/A_result_that_could_not_be_sent_after_a_report_either_is_sent_after_the_next_one and A_result_that_could_not_be_sent_is_kept_when_an_overtaken_report_arrives failed before.

--- a/src/fleet/hostnodepeers.cpp
+++ b/src/fleet/hostnodepeers.cpp
@@ -379,9 +379,9 @@
 void HostNode::sendOwedResults(const std::string &entryHost, TimePoint now)
 {
     FleetFrame frame;
-    frame.ended = m_owedResults.take(entryHost);
-    if (!frame.ended.empty()) {
-        send(entryHost, std::move(frame), now);
+    frame.ended = m_owedResults.resultsFor(entryHost);
+    if (!frame.ended.empty() && send(entryHost, std::move(frame), now)) {
+        m_owedResults.onSent(entryHost);
     }
 }
 
--- a/src/fleet/owedresults.cpp
+++ b/src/fleet/owedresults.cpp
@@ -9,20 +9,23 @@
     m_results[entryHost].push_back({std::move(notice), callerDeadline});
 }
 
-std::vector<JobEndNotice> OwedResults::take(const std::string &entryHost)
+std::vector<JobEndNotice> OwedResults::resultsFor(const std::string &entryHost) const
 {
     std::vector<JobEndNotice> notices;
     const auto found = m_results.find(entryHost);
-    if (found == m_results.end()) {
-        return notices;
+    if (found != m_results.end()) {
+        for (const auto &result : found->second) {
+            notices.push_back(result.notice);
+        }
     }
-    for (auto &result : found->second) {
-        notices.push_back(std::move(result.notice));
-    }
-    m_results.erase(found);
     return notices;
 }
 
+void OwedResults::onSent(const std::string &entryHost)
+{
+    m_results.erase(entryHost);
+}
+
 void OwedResults::removeOld(TimePoint now)
 {
     for (auto &[host, results] : m_results) {
--- a/src/fleet/owedresults.h
+++ b/src/fleet/owedresults.h
@@ -16,9 +16,12 @@
     /// Keeps a result, which is of no use after the caller's deadline.
     void add(const std::string &entryHost, JobEndNotice notice, TimePoint callerDeadline);
 
-    /// Removes and returns the results for this host. Call when it has reported. They name their submissions, so that its next process can
-    /// tell them from its own.
-    std::vector<JobEndNotice> take(const std::string &entryHost);
+    /// The results for this host, to be sent when it has reported. They name their submissions, so that its next process can tell them from
+    /// its own.
+    std::vector<JobEndNotice> resultsFor(const std::string &entryHost) const;
+
+    /// The results for this host were sent.
+    void onSent(const std::string &entryHost);
 
     /// Removes the results whose callers no longer wait.
     void removeOld(TimePoint now);
--- a/tests/support/hostnodefixture.h
+++ b/tests/support/hostnodefixture.h
@@ -9,7 +9,7 @@
 
 namespace Anvilcart::Fleet
 {
-/// Records what a host node sends. Every endpoint counts as connected.
+/// Records what a host node sends. Every endpoint counts as connected; frames are refused while acceptsFrames is false.
 class FakeHostPort : public HostPort
 {
 public:
@@ -29,6 +29,9 @@
     }
     bool sendFrame(const Endpoint &endpoint, const FleetFrame &frame) override
     {
+        if (!acceptsFrames) {
+            return false;
+        }
         frames.emplace_back(endpoint, frame);
         return true;
     }
@@ -75,6 +78,7 @@
     std::map<std::string, CallerReply> answers;
     std::map<std::string, CancelOutcome> cancels;
     int targetListRefreshes = 0;
+    bool acceptsFrames = true;
 };
 
 /// Ignores all events.
--- a/tests/unit/fleet/lateframes.cpp
+++ b/tests/unit/fleet/lateframes.cpp
@@ -248,6 +248,40 @@
     BOOST_TEST(resultsTo("10.0.0.2").size() == 1);
 }
 
+// The entry host's report may arrive before this host is connected to it again.
+BOOST_FIXTURE_TEST_CASE(A_result_that_could_not_be_sent_after_a_report_either_is_sent_after_the_next_one, TwoEntryHostsFixture)
+{
+    submitFrom("h2", 2, 7);
+    advance(Milliseconds(900));
+    endRun(RunEnd::Done);
+    BOOST_REQUIRE(resultsTo("10.0.0.2").empty());
+    port.acceptsFrames = false;
+    reportFrom("h2", 2);
+    port.acceptsFrames = true;
+    BOOST_REQUIRE(resultsTo("10.0.0.2").empty());
+    reportFrom("h2", 2);
+    advance(Milliseconds(250));
+    BOOST_TEST(resultsTo("10.0.0.2").size() == 1);
+}
+
+// A report that was overtaken does not show that the entry host is there.
+BOOST_FIXTURE_TEST_CASE(A_result_that_could_not_be_sent_is_kept_when_an_overtaken_report_arrives, TwoEntryHostsFixture)
+{
+    auto overtaken = report("h2", 2, false);
+    overtaken.sentAt = now - Begin;
+    advance(Milliseconds(25));
+    reportFrom("h2", 2);
+    submitFrom("h2", 2, 7);
+    advance(Milliseconds(900));
+    endRun(RunEnd::Done);
+    BOOST_REQUIRE(resultsTo("10.0.0.2").empty());
+    node.onFrame(overtaken, now);
+    BOOST_REQUIRE(resultsTo("10.0.0.2").empty());
+    reportFrom("h2", 2);
+    advance(Milliseconds(250));
+    BOOST_TEST(resultsTo("10.0.0.2").size() == 1);
+}
+
 // It knows no recipient for the returned job while it does not see the entry host.
 BOOST_FIXTURE_TEST_CASE(A_job_whose_grant_has_ended_is_returned_when_the_entry_host_reports_again, TwoEntryHostsFixture)
 {
