--- a/src/hostruntime/hosttelemetry.cpp
+++ b/src/hostruntime/hosttelemetry.cpp
@@ -191,16 +191,18 @@
     const auto newest = std::max_element(loss.runs.begin(), loss.runs.end(), [](const LedgerRun &left, const LedgerRun &right) {
         return left.sentAt < right.sentAt;
     });
-    write(LogLine("runs_lost")
-              .add("target", loss.target)
-              .add("evidence", toName(loss.evidence))
-              .add("silent_ms", now - loss.lastAnswerAt)
-              .add("listed_ms_before", now - loss.listedAt)
-              .add("runs", std::uint64_t(loss.runs.size()))
-              .add("newest", formatRun(newest->name))
-              .add("newest_phase", toName(newest->phase))
-              .add("newest_sent_ms_before", loss.lastAnswerAt - newest->sentAt),
-          LogPriority::Important);
+    LogLine line("runs_lost");
+    line.add("target", loss.target)
+        .add("evidence", toName(loss.evidence))
+        .add("silent_ms", now - loss.lastAnswerAt)
+        .add("runs", std::uint64_t(loss.runs.size()))
+        .add("newest", formatRun(newest->name))
+        .add("newest_phase", toName(newest->phase))
+        .add("newest_sent_ms_before", loss.lastAnswerAt - newest->sentAt);
+    if (loss.listedAt != TimePoint()) {
+        line.add("listed_ms_before", now - loss.listedAt);
+    }
+    write(line, LogPriority::Important);
 }
 
 void HostTelemetry::onJobSent(const EntryJob &job, const std::string &dispatcher, Duration reportAge)
--- a/src/scheduling/targetloss.h
+++ b/src/scheduling/targetloss.h
@@ -31,7 +31,7 @@
     LossEvidence evidence = LossEvidence::Unresponsive;
     /// The target's last answer before the loss.
     TimePoint lastAnswerAt;
-    /// When the target was listed under the claim by which it was held.
+    /// When the target was listed under the claim by which it was held; TimePoint() if no claim of it was accepted.
     TimePoint listedAt;
     /// Never empty.
     std::vector<LedgerRun> runs;
