--- a/tests/unit/emulator/fleet.cpp
+++ b/tests/unit/emulator/fleet.cpp
@@ -94,12 +94,14 @@
     }
 }
 
-void runFaultSeries(std::uint64_t first, std::uint64_t end)
+using OptionsOfSeed = FleetOptions (*)(std::uint64_t seed);
+
+void runScenario(OptionsOfSeed optionsOf, const FaultScenario &addFaults, std::uint64_t first, std::uint64_t end)
 {
     for (auto seed = first; seed < end; ++seed) {
-        const auto options = optionsOfFaultSeries(seed);
+        const auto options = optionsOf(seed);
         EmulatedFleet fleet(options);
-        const auto faults = addFaultSeries(fleet, options, seed);
+        const auto faults = addFaults(fleet, options, seed);
         BOOST_TEST_CONTEXT("seed " << seed << ": " << faults)
         {
             fleet.run(Seconds(3), Seconds(23), Seconds(28));
@@ -109,19 +111,9 @@
     }
 }
 
-void runStaggeredLosses(std::uint64_t first, std::uint64_t end)
+void runFaultSeries(std::uint64_t first, std::uint64_t end)
 {
-    for (auto seed = first; seed < end; ++seed) {
-        const auto options = optionsOfLateFrames(seed);
-        EmulatedFleet fleet(options);
-        const auto faults = addStaggeredLosses(fleet, options, seed);
-        BOOST_TEST_CONTEXT("seed " << seed << ": " << faults)
-        {
-            fleet.run(Seconds(3), Seconds(23), Seconds(28));
-            requireNoViolations(fleet);
-            BOOST_TEST(fleet.invariants().startedRunCount() > 0);
-        }
-    }
+    runScenario(optionsOfFaultSeries, addFaultSeries, first, end);
 }
 } // namespace
 
@@ -481,7 +473,7 @@
 // Issue 45: an entry host ends, and within 0.9 s a dispatcher of its jobs is lost too, while callers send jobs again over other hosts.
 BOOST_AUTO_TEST_CASE(No_invariant_is_violated_when_an_entry_host_ends_and_then_its_dispatcher_is_lost)
 {
-    runStaggeredLosses(1, 4);
+    runScenario(optionsOfLateFrames, addStaggeredLosses, 1, 4);
 }
 
 BOOST_AUTO_TEST_CASE(The_same_seed_gives_the_same_fault_series)
--- a/tests/unit/fleet/lateframes.cpp
+++ b/tests/unit/fleet/lateframes.cpp
@@ -262,6 +262,9 @@
     reportFrom("h2", 2);
     advance(Milliseconds(250));
     BOOST_TEST(resultsTo("10.0.0.2").size() == 1);
+    reportFrom("h2", 2);
+    advance(Milliseconds(250));
+    BOOST_TEST(resultsTo("10.0.0.2").size() == 1);
 }
 
 // A report that was overtaken does not show that the entry host is there.
--- a/tests/unit/scheduling/renewals.cpp
+++ b/tests/unit/scheduling/renewals.cpp
@@ -7,7 +7,45 @@
 using namespace Anvilcart;
 using namespace Anvilcart::Fleet;
 
-BOOST_FIXTURE_TEST_SUITE(RenewalsSuite, SchedulerFixture, *boost::unit_test::label("scheduling"))
+namespace
+{
+/// A target that fails renewals as soon as they arrive, as when it refuses connections.
+struct RenewalsFixture : SchedulerFixture
+{
+    /// Submits a job and leaves its start on t1 unanswered, while renewals fail this often.
+    void startAndFailRenewals(int count)
+    {
+        claimTarget("t1");
+        auto submission = job("j");
+        submission.callerDeadline = now + Seconds(9);
+        submit(submission);
+        advance(Milliseconds(25));
+        for (int failure = 0; failure < count; ++failure) {
+            now += Milliseconds(1);
+            answerRenewal("t1", {}, {}, RequestResult::Unknown);
+        }
+    }
+
+    /// Fails each renewal 1 ms after it was sent for this time, with a tick every 25 ms; one is in flight at the beginning.
+    void failRenewalsFor(Duration time)
+    {
+        const auto begin = now;
+        std::size_t answered = port.renewals.size() - 1;
+        while (now < begin + time) {
+            now += Milliseconds(1);
+            if (port.renewals.size() > answered) {
+                answered = port.renewals.size();
+                answerRenewal("t1", {}, {}, RequestResult::Unknown);
+            }
+            if ((now - begin) % Milliseconds(25) == Duration(0)) {
+                scheduler.tick(now);
+            }
+        }
+    }
+};
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(RenewalsSuite, RenewalsFixture, *boost::unit_test::label("scheduling"))
 
 // A target that was given up while its claim was on its way, and claimed again under the same token, had two renewals in flight. After a
 // pause, the host read their replies as if both answered the later one, and started a confirmed run a second time.
@@ -43,33 +81,14 @@
     claimTarget("t1");
     submit(job("j", 1, 14000, Seconds(1)));
     answerStart(0);
-    const auto begin = now;
-    std::size_t answered = port.renewals.size() - 1;
-    while (now < begin + Milliseconds(500)) {
-        now += Milliseconds(1);
-        if (port.renewals.size() > answered) {
-            answered = port.renewals.size();
-            answerRenewal("t1", {}, {}, RequestResult::Unknown);
-        }
-        if ((now - begin) % Milliseconds(25) == Duration(0)) {
-            scheduler.tick(now);
-        }
-    }
+    failRenewalsFor(Milliseconds(500));
     BOOST_TEST(port.renewals.size() <= 24);
     BOOST_TEST(port.renewals.size() >= 18);
 }
 
 BOOST_AUTO_TEST_CASE(An_idle_target_is_used_again_once_it_answers_after_renewals_that_failed_at_once)
 {
-    claimTarget("t1");
-    auto submission = job("j");
-    submission.callerDeadline = now + Seconds(9);
-    submit(submission);
-    advance(Milliseconds(25));
-    for (int failure = 0; failure < 3; ++failure) {
-        now += Milliseconds(1);
-        answerRenewal("t1", {}, {}, RequestResult::Unknown);
-    }
+    startAndFailRenewals(3);
     answerStart(0, RequestResult::TooLate);
     BOOST_REQUIRE(port.starts.size() == 1);
     advance(Milliseconds(25));
@@ -79,15 +98,7 @@
 
 BOOST_AUTO_TEST_CASE(A_renewal_of_an_idle_target_that_failed_at_once_is_repeated_by_the_next_tick)
 {
-    claimTarget("t1");
-    auto submission = job("j");
-    submission.callerDeadline = now + Seconds(9);
-    submit(submission);
-    advance(Milliseconds(25));
-    for (int failure = 0; failure < 2; ++failure) {
-        now += Milliseconds(1);
-        answerRenewal("t1", {}, {}, RequestResult::Unknown);
-    }
+    startAndFailRenewals(2);
     answerStart(0, RequestResult::TooLate);
     const auto sent = port.renewals.size();
     advance(Milliseconds(25));
@@ -107,19 +118,8 @@
     const auto entryOfNewLife = entryOfLife("t1", 5);
     scheduler.updateTarget(entryOfNewLife);
     scheduler.addTarget(entryOfNewLife, Token + 1, now);
-    const auto begin = now;
     const auto sentBefore = port.renewals.size();
-    std::size_t answered = sentBefore - 1;
-    while (now < begin + Seconds(10)) {
-        now += Milliseconds(1);
-        if (port.renewals.size() > answered) {
-            answered = port.renewals.size();
-            answerRenewal("t1", {}, {}, RequestResult::Unknown);
-        }
-        if ((now - begin) % Milliseconds(25) == Duration(0)) {
-            scheduler.tick(now);
-        }
-    }
+    failRenewalsFor(Seconds(10));
     BOOST_TEST(port.renewals.size() - sentBefore <= 130);
     BOOST_TEST(observer.losses.size() == 1);
     BOOST_TEST(scheduler.jobCount() == 0);
