Leases end with the grants of their runs

A task ran twice when an entry host ended and its dispatcher was lost within the grant: nobody stopped the runs, and they kept the longest lease after the last renewal, up to 1.9 s after the caller's connection had broken, where callers come again after 1.3 s.

Cause: a grant bounded when a dispatcher may start tasks and extend leases, but not how long the leases last that it extends until then.

Change: a renewal extends leases to the end of the first grant of the target's runs and 0.25 s more, when the dispatcher stops the runs anyway. A target's deadline never shortens and holds for new runs, so a run is started only where the bound of all leases is at most 0.35 s after its own grant, and where its first lease keeps to the grants of the runs beside it. Renewals follow each other sooner while a late grant limits the leases. Reports announce the 0.35 s; entry hosts wait for that instead of the longest lease before they hand a job on, and still for the longest lease if the dispatcher announces nothing (an earlier version) or its process has ended with a longer one under way.

The fixture of DecisionSuite set targets as owned without a claim or a reading of their clocks; it now records both, with the same checks.

--- a/src/fleet/fleetframe.cpp
+++ b/src/fleet/fleetframe.cpp
@@ -155,6 +155,10 @@
     wire.set_target_list_stale(report.targetListIsStale);
     wire.set_target_list_age_ms(static_cast<std::uint32_t>(std::chrono::duration_cast<Milliseconds>(report.targetListAge).count()) + 1);
     wire.set_period_ms(static_cast<std::uint32_t>(std::chrono::duration_cast<Milliseconds>(report.period).count()));
+    if (report.longestRunAfterGrant) {
+        wire.set_longest_run_after_grant_ms(
+            static_cast<std::uint32_t>(std::chrono::duration_cast<Milliseconds>(*report.longestRunAfterGrant).count()));
+    }
     wire.set_unheard_ms(static_cast<std::uint32_t>(std::chrono::duration_cast<Milliseconds>(frame.timeSinceLastReport).count()));
     for (const auto &claim : report.claims) {
         auto &row = *wire.add_claims();
@@ -196,6 +200,9 @@
         report.targetListAge = Milliseconds(wire.target_list_age_ms() - 1);
     }
     report.period = Milliseconds(wire.period_ms());
+    if (wire.longest_run_after_grant_ms() > 0) {
+        report.longestRunAfterGrant = Milliseconds(wire.longest_run_after_grant_ms());
+    }
     for (const auto &row : wire.claims()) {
         PoolClaim claim;
         claim.pool = {row.zone(), row.shard()};
--- a/src/fleet/fleetview.h
+++ b/src/fleet/fleetview.h
@@ -67,6 +67,8 @@
     Duration targetListAge = std::chrono::hours(1);
     /// The next report follows within this time.
     Duration period {0};
+    /// Runs that the host starts under a grant end this long after it. Nothing from versions whose runs end with the longest lease only.
+    std::optional<Duration> longestRunAfterGrant;
 };
 
 /// Another host, as seen from this one.
--- a/src/fleet/hostnode.cpp
+++ b/src/fleet/hostnode.cpp
@@ -278,8 +278,10 @@
 /// When the runs that the job's dispatcher started, or may yet start, have ended if that hears nothing more.
 TimePoint HostNode::runsEndBy(const EntryJob &job, TimePoint now) const
 {
-    const auto grantEnd = job.grantEpoch == 0 ? now : m_issuedGrants.endOf(job.dispatcher, job.dispatcherIncarnation, job.grantEpoch);
-    return grantEnd + m_identity.limits.maxLease + LeaseExpiryMargin;
+    if (job.grantEpoch == 0) {
+        return now + m_identity.limits.maxLease + LeaseExpiryMargin;
+    }
+    return m_issuedGrants.runsEndBy(job.dispatcher, job.dispatcherIncarnation, job.grantEpoch, m_identity.limits.maxLease);
 }
 
 /// Takes a job from its lost dispatcher, so that another one can have it.
--- a/src/fleet/hostnodepeers.cpp
+++ b/src/fleet/hostnodepeers.cpp
@@ -324,6 +324,7 @@
     if (!m_issuedGrants.onReport(report.host, report.incarnation, report.claimCount, frame.sentAt, now)) {
         return;
     }
+    m_issuedGrants.setLongestRunAfterGrant(report.host, report.incarnation, report.longestRunAfterGrant);
     const auto *known = m_view.find(report.host);
     const bool assignmentChanged = known == nullptr || affectsAssignment(known->report, report);
     const bool loadsChanged = !report.loads.empty() || (known != nullptr && !known->report.loads.empty());
@@ -621,6 +622,7 @@
     report.targetListAge = m_targetListReadAt == TimePoint() ? Duration(std::chrono::hours(1)) : now - m_targetListReadAt;
     report.claimCount = m_scheduler.claimCount();
     report.targetsDigest = m_scheduler.ownedTargetsDigest();
+    report.longestRunAfterGrant = LongestRunAfterGrant;
     for (auto &[pool, claim] : m_assignment.self().claims) {
         auto row = claim;
         if (claim.yielding) {
--- a/src/fleet/issuedgrants.cpp
+++ b/src/fleet/issuedgrants.cpp
@@ -10,6 +10,8 @@
 constexpr double ClockDrift = 0.02;
 /// Records are kept this long after the last grant: longer than callers wait.
 constexpr Seconds RecordRetention {30};
+/// Leases end this much later than by the dispatcher's clock, for drift and for the time until it has noticed the end of its grant.
+constexpr Milliseconds LeaseExpiryMargin {120};
 } // namespace
 
 bool IssuedGrants::onReport(const std::string &host, std::uint64_t incarnation, std::uint64_t claims, Duration sentAt, TimePoint now)
@@ -67,19 +69,32 @@
 {
     const auto found = m_records.find({host, incarnation});
     if (found != m_records.end()) {
-        auto &record = found->second;
-        record.endsBy = std::min(record.endsBy, now);
-        record.earlierEndBy = std::min(record.earlierEndBy, now);
+        found->second.endedAt = std::min(found->second.endedAt, now);
     }
 }
 
 TimePoint IssuedGrants::endOf(const std::string &host, std::uint64_t incarnation, std::uint64_t epoch) const
 {
     const auto *record = find(host, incarnation);
-    if (record == nullptr) {
-        return {};
+    return record == nullptr ? TimePoint() : std::min(record->endOf(epoch), record->endedAt);
+}
+
+void IssuedGrants::setLongestRunAfterGrant(const std::string &host, std::uint64_t incarnation, std::optional<Duration> length)
+{
+    m_records.at({host, incarnation}).longestRunAfterGrant = length;
+}
+
+TimePoint IssuedGrants::runsEndBy(const std::string &host, std::uint64_t incarnation, std::uint64_t epoch, Duration maxLease) const
+{
+    const auto leasesEndBy = endOf(host, incarnation, epoch) + maxLease + LeaseExpiryMargin;
+    const auto *record = find(host, incarnation);
+    if (record == nullptr || !record->longestRunAfterGrant) {
+        return leasesEndBy;
     }
-    return epoch == record->epoch ? record->endsBy : record->earlierEndBy;
+    // The end of the process ends its grants, but not the leases that it has sent under them.
+    const auto afterGrant = *record->longestRunAfterGrant;
+    const auto drift = std::chrono::duration_cast<Duration>(afterGrant * ClockDrift);
+    return std::min(leasesEndBy, record->endOf(epoch) + afterGrant + drift);
 }
 
 void IssuedGrants::removeOld(TimePoint now)
--- a/src/fleet/issuedgrants.h
+++ b/src/fleet/issuedgrants.h
@@ -21,6 +21,10 @@
     /// report of the same incarnation has arrived before.
     bool onReport(const std::string &host, std::uint64_t incarnation, std::uint64_t claims, Duration sentAt, TimePoint now);
 
+    /// Records how long the dispatcher's runs outlast their grants, as it has announced; nothing for one of an earlier version, whose runs
+    /// end with the longest lease only. Precondition: a report of this incarnation was recorded.
+    void setLongestRunAfterGrant(const std::string &host, std::uint64_t incarnation, std::optional<Duration> length);
+
     /// The grant for the next frame to the dispatcher, which ends this long after its last report; nothing without a report.
     std::optional<JobGrant> renew(const std::string &host, std::uint64_t incarnation, Duration length);
 
@@ -36,6 +40,10 @@
     /// When every grant under this epoch has ended, if it is not renewed.
     TimePoint endOf(const std::string &host, std::uint64_t incarnation, std::uint64_t epoch) const;
 
+    /// When all runs that the dispatcher started, or may yet start, under this epoch have ended, if it is not renewed. Leases last for
+    /// maxLease at most.
+    TimePoint runsEndBy(const std::string &host, std::uint64_t incarnation, std::uint64_t epoch, Duration maxLease) const;
+
     /// Removes the records of dispatchers whose grants ended long ago.
     void removeOld(TimePoint now);
 
@@ -51,6 +59,15 @@
         /// When the grants of the present epoch end, and those of all earlier ones.
         TimePoint endsBy;
         TimePoint earlierEndBy;
+        /// When the process had ended.
+        TimePoint endedAt = TimePoint::max();
+        std::optional<Duration> longestRunAfterGrant;
+
+        /// When the grants of this epoch end if the process lives.
+        TimePoint endOf(std::uint64_t ofEpoch) const
+        {
+            return ofEpoch == epoch ? endsBy : earlierEndBy;
+        }
     };
 
     const Record *find(const std::string &host, std::uint64_t incarnation) const;
--- a/src/scheduling/heldgrants.cpp
+++ b/src/scheduling/heldgrants.cpp
@@ -1,17 +1,9 @@
 #include "scheduling/heldgrants.h"
 
 #include <algorithm>
-#include <limits>
 
 namespace Anvilcart::Fleet
 {
-namespace
-{
-/// Runs whose grant has ended are stopped after this time, so that a report that is a little late does not cost their work. Shorter than
-/// any lease, which is not extended meanwhile.
-constexpr Milliseconds ExpiryDelay {250};
-} // namespace
-
 HeldGrants::Change HeldGrants::onGrant(const std::string &entryHost, std::uint64_t entryIncarnation, const JobGrant &grant, TimePoint now)
 {
     auto &held = m_grants[entryHost];
@@ -43,10 +35,10 @@
 void HeldGrants::setEnd(const std::string &entryHost, JobGrant &grant, TimePoint until)
 {
     m_ends.erase({grant.until, entryHost});
-    m_expiries.erase({grant.until + ExpiryDelay, entryHost});
+    m_expiries.erase({grant.until + GrantGracePeriod, entryHost});
     grant.until = until;
     m_ends.emplace(until, entryHost);
-    m_expiries.emplace(until + ExpiryDelay, entryHost);
+    m_expiries.emplace(until + GrantGracePeriod, entryHost);
 }
 
 void HeldGrants::endAll(std::uint64_t claims, TimePoint now)
@@ -60,12 +52,17 @@
 }
 
 bool HeldGrants::isValid(const std::string &entryHost, std::uint64_t epoch, TimePoint now) const
+{
+    return now < endOf(entryHost, epoch);
+}
+
+TimePoint HeldGrants::endOf(const std::string &entryHost, std::uint64_t epoch) const
 {
     if (epoch == 0) {
-        return true;
+        return TimePoint::max();
     }
     const auto held = m_grants.find(entryHost);
-    return held != m_grants.end() && held->second.newest.epoch == epoch && now < held->second.newest.until;
+    return held != m_grants.end() && held->second.newest.epoch == epoch ? held->second.newest.until : TimePoint();
 }
 
 std::uint64_t HeldGrants::confirmedClaims(const std::string &entryHost) const
--- a/src/scheduling/heldgrants.h
+++ b/src/scheduling/heldgrants.h
@@ -24,6 +24,13 @@
     std::uint64_t dispatcherIncarnation = 0;
 };
 
+/// A lease ends this long after the first grant of the target's runs, unless that is renewed: a renewal that is a little late does not cost
+/// the work. The dispatcher stops the runs then, too.
+constexpr Milliseconds GrantGracePeriod {250};
+/// A run ends this long after its grant at the latest, whatever becomes of its dispatcher. Longer than the grace period by drift and
+/// delays.
+constexpr Milliseconds LongestRunAfterGrant {350};
+
 /// The grants that a dispatcher holds, one for each entry host. An entry host that hears nothing from the dispatcher lets its grant end
 /// before it hands its jobs to another one, so that a dispatcher whose grant has ended must start nothing. Not thread-safe.
 class HeldGrants
@@ -50,6 +57,10 @@
     /// True while jobs of this epoch may be started and their leases extended. Always true for epoch 0.
     bool isValid(const std::string &entryHost, std::uint64_t epoch, TimePoint now) const;
 
+    /// When the grant for jobs of this epoch ends unless it is renewed: TimePoint::max() for epoch 0, TimePoint() for an epoch that is not
+    /// granted.
+    TimePoint endOf(const std::string &entryHost, std::uint64_t epoch) const;
+
     /// The number of the last claim under which the entry host's jobs may be started.
     std::uint64_t confirmedClaims(const std::string &entryHost) const;
 
--- a/src/scheduling/leasebound.cpp
+++ b/src/scheduling/leasebound.cpp
@@ -28,9 +28,14 @@
     m_time = std::max(m_time, readAt + m_maxLease + TargetClock::driftDuring(m_maxLease) + LeaseMargin);
 }
 
+TimePoint LeaseBound::endOfRequest(Duration length, Duration clockAge, TimePoint now)
+{
+    return now + length + TargetClock::driftDuring(length + clockAge) + LeaseMargin;
+}
+
 void LeaseBound::onRequest(Duration length, Duration clockAge, TimePoint sentAt)
 {
-    m_time = std::max(m_time, sentAt + length + TargetClock::driftDuring(length + clockAge) + LeaseMargin);
+    m_time = std::max(m_time, endOfRequest(length, clockAge, sentAt));
 }
 
 bool LeaseBound::hasPassed(TimePoint now) const
--- a/src/scheduling/leasebound.h
+++ b/src/scheduling/leasebound.h
@@ -20,6 +20,9 @@
     /// target that has restarted, which refuses earlier owners too from then on, or with runs that other hosts have started.
     void onLongestLease(TimePoint readAt);
 
+    /// The time by which a lease of this length has ended, if it is requested now. The target's clock was last read clockAge before.
+    static TimePoint endOfRequest(Duration length, Duration clockAge, TimePoint now);
+
     /// Records a request of this host that extends leases by this length. The target's clock was last read clockAge before.
     void onRequest(Duration length, Duration clockAge, TimePoint sentAt);
 
--- a/src/scheduling/placementchoice.cpp
+++ b/src/scheduling/placementchoice.cpp
@@ -50,6 +50,9 @@
     if (target.claimNumber > request.confirmedClaims || !target.mayExtendLeases(now) || target.isEntryOfEarlierLife()) {
         return false;
     }
+    if (!target.mayStartUnder(request.grantEndsBy, request.startLease, now)) {
+        return false;
+    }
     if (target.ownership == Ownership::Retiring && !request.jobHasStarted) {
         return false;
     }
--- a/src/scheduling/placementchoice.h
+++ b/src/scheduling/placementchoice.h
@@ -24,6 +24,10 @@
     bool alone = false;
     /// The job's entry host has confirmed this many claims of targets; the task may start only under those.
     std::uint64_t confirmedClaims = std::numeric_limits<std::uint64_t>::max();
+    /// When the grant of the job ends; TimePoint::max() when it needs none.
+    TimePoint grantEndsBy = TimePoint::max();
+    /// The lease that the start carries.
+    Duration startLease {0};
     /// Tasks of a started job may also run on retiring targets, which accept no new jobs.
     bool jobHasStarted = false;
     /// The expected run time on a target of ordinary speed.
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -365,6 +365,21 @@
     return m_grants.isValid(submission.entryHost, submission.grantEpoch, now);
 }
 
+TimePoint Scheduler::grantEndOf(const JobSubmission &submission) const
+{
+    return m_grants.endOf(submission.entryHost, submission.grantEpoch);
+}
+
+/// Looks up the grants of the target's runs. A run whose job is gone keeps the end that was known last.
+void Scheduler::updateGrantEnds(TargetLedger &target)
+{
+    for (auto &[name, run] : target.runs()) {
+        if (const auto *job = findJob(name.task.jobId)) {
+            run.grantEndsBy = grantEndOf(job->submission);
+        }
+    }
+}
+
 bool Scheduler::onGrant(const std::string &entryHost, std::uint64_t entryIncarnation, const JobGrant &grant, TimePoint now)
 {
     updateGrants(now);
@@ -414,6 +429,7 @@
         if (run != nullptr) {
             run->withoutGrant = !isGranted(job.submission, now) || target->second->claimNumber > confirmedClaims(job.submission);
             run->mayRunElsewhereUntil = job.submission.mayStartAt();
+            run->grantEndsBy = grantEndOf(job.submission);
         }
     }
 }
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -271,6 +271,8 @@
     std::uint64_t confirmedClaims(const JobSubmission &submission) const;
     void returnJobs(const std::string &entryHost, const char *cause, TimePoint now);
     bool isGranted(const JobSubmission &submission, TimePoint now) const;
+    TimePoint grantEndOf(const JobSubmission &submission) const;
+    void updateGrantEnds(TargetLedger &target);
     void endIfNoRunsLeft(const std::string &jobId, TimePoint now);
     void endJob(const std::string &jobId, const JobResult &result, TimePoint now);
     void reportReplacement(const JobSubmission &replaced, const JobSubmission &next, TimePoint now);
--- a/src/scheduling/schedulerqueue.cpp
+++ b/src/scheduling/schedulerqueue.cpp
@@ -316,6 +316,8 @@
     request.alone = m_crashSuspects.mustRunAlone({request.jobId, 0, task.step, task.index});
     request.jobHasStarted = job.hasStarted();
     request.confirmedClaims = confirmedClaims(job.submission);
+    request.grantEndsBy = grantEndOf(job.submission);
+    request.startLease = StartLease;
     request.expectedRunTime = job.expectedRunTimes[task.step];
     request.callerDeadline = job.submission.callerDeadline;
     request.objectiveAt = job.objectiveAt;
@@ -393,7 +395,8 @@
     auto &run = target.addRun(name, step.demand, now);
     run.expectedRunTime = placement.expectedRunTime;
     run.estimate = step.estimate;
-    run.startDeadlineMs = target.leaseEndMs(StartLease, now);
+    run.grantEndsBy = placement.grantEndsBy;
+    run.startDeadlineMs = target.leaseEndMs(placement.startLease, now);
     target.recordLease(run.startDeadlineMs, now);
     if (placement.alone) {
         target.reserveFor(name);
--- a/src/scheduling/schedulertargets.cpp
+++ b/src/scheduling/schedulertargets.cpp
@@ -22,6 +22,8 @@
 constexpr Milliseconds ImmediateFailureLimit {20};
 /// The interval of renewals while a run exceeds its forecast.
 constexpr Milliseconds MinRenewalWait {60};
+/// A renewal is sent this long before the leases end at the latest, as long as the grants of the target's runs limit them.
+constexpr Milliseconds RenewalLead {150};
 /// A target is unresponsive when its last reply is older than this; until then an unanswered renewal is repeated.
 constexpr Milliseconds UnresponsiveAfter {700};
 /// Renewals extend leases only this long after the last reply. One that repeats an unanswered renewal does not: once it is answered, the
@@ -42,6 +44,8 @@
 constexpr Seconds UnconfirmedStartRetention {15};
 /// The runs of a target that another host has taken have ended after the longest lease plus this margin, which covers clock drift.
 constexpr Milliseconds LeaseExpiryMargin {120};
+/// The clock of an idle target is read at this interval: a start needs a reading from which a slow clock has not drifted far.
+constexpr Seconds IdleClockInterval {5};
 /// Leaving targets are removed when they have not replied for this long.
 constexpr Seconds RemoveUnresponsiveAfter {5};
 
@@ -296,6 +300,8 @@
         return SuspectRenewalWait;
     }
     Duration next = now - m_lastLostAnswerAt < LostReplyPeriod ? RenewalWaitAfterLostReply : RenewalWait;
+    // Once a late grant comes back, a renewal must follow before the leases end.
+    next = std::min(next, std::max(target.leaseLimit() - now - RenewalLead, Duration(MinRenewalWait)));
     for (const auto &[name, run] : target.runs()) {
         const auto expected = std::chrono::duration_cast<Duration>(run.expectedRunTime * target.health.slowness(now) * ExpectedEndFactor);
         next = std::min(next, std::max(run.sentAt + expected - now, Duration(MinRenewalWait)));
@@ -313,6 +319,7 @@
 
 void Scheduler::renew(TargetLedger &target, TimePoint now)
 {
+    updateGrantEnds(target);
     RenewalRequest request;
     // After an unanswered claim, the target is only probed, which does not take it over. When a network partition ends, messages from the
     // hosts beyond it thus arrive before this host claims their targets.
@@ -327,8 +334,10 @@
     // that another host has started, which waits for the end of its leases if it is only cut off.
     const bool answeredRecently = !target.unresponsive && now - target.lastAnswerAt < LeaseExtensionLimit;
     const bool mayExtend = !target.hasUnidentifiedRuns() && target.mayExtendLeases(now);
-    if (target.clock.isKnown() && !target.runs().empty() && answeredRecently && mayExtend) {
-        request.leaseUntilMs = target.leaseEndMs(target.hasRunAlone() ? Duration(SuspectLease) : m_limits.maxLease, now);
+    const auto longest = target.hasRunAlone() ? Duration(SuspectLease) : m_limits.maxLease;
+    const auto lease = std::min(longest, target.leaseLimit() - now);
+    if (target.clock.isKnown() && !target.runs().empty() && answeredRecently && mayExtend && lease > Duration(0)) {
+        request.leaseUntilMs = target.leaseEndMs(lease, now);
         target.recordLease(request.leaseUntilMs, now);
     }
     request.isRepeated = !isProbe && target.ownership != Ownership::Claiming && !target.unresponsive;
@@ -517,7 +526,9 @@
     }
     const bool acknowledgementDue = target.hasPendingAcknowledgement() && now - target.lastAnswerAt > MaxAcknowledgementDelay;
     const bool repetitionDue = target.failedProbes > 0;
-    if (!target.unresponsive && !target.renewalInFlight && (!target.runs().empty() || acknowledgementDue || repetitionDue)) {
+    const bool readingDue = target.ownership == Ownership::Owned && target.clock.age(now) > IdleClockInterval;
+    const bool renewalDue = !target.runs().empty() || acknowledgementDue || repetitionDue || readingDue;
+    if (!target.unresponsive && !target.renewalInFlight && renewalDue) {
         renew(target, now);
     }
     if (!target.unresponsive) {
--- a/src/scheduling/targetledger.cpp
+++ b/src/scheduling/targetledger.cpp
@@ -1,5 +1,7 @@
 #include "scheduling/targetledger.h"
 
+#include "scheduling/heldgrants.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -9,6 +11,11 @@
 {
 /// A run past its expected end is expected to take another 1/OverrunDivisor of its expected run time.
 constexpr int OverrunDivisor = 4;
+
+TimePoint timeAfter(TimePoint grantEnd, Duration delay)
+{
+    return grantEnd == TimePoint::max() ? grantEnd : grantEnd + delay;
+}
 } // namespace
 
 TargetLedger::TargetLedger(TargetEntry entry, std::uint64_t fencingToken, Duration maxLease)
@@ -301,6 +308,28 @@
     });
 }
 
+TimePoint TargetLedger::firstEndOfGrants() const
+{
+    auto first = TimePoint::max();
+    for (const auto &[name, run] : m_runs) {
+        first = std::min(first, run.grantEndsBy);
+    }
+    return first;
+}
+
+TimePoint TargetLedger::leaseLimit() const
+{
+    return timeAfter(firstEndOfGrants(), GrantGracePeriod);
+}
+
+bool TargetLedger::mayStartUnder(TimePoint grantEndsBy, Duration lease, TimePoint now) const
+{
+    const auto leaseEndsBy = LeaseBound::endOfRequest(lease, clock.age(now), now);
+    const auto firstGrantEnd = std::min(grantEndsBy, firstEndOfGrants());
+    return leaseEndsBy - now <= m_maxLease && leaseEndsBy <= timeAfter(firstGrantEnd, LongestRunAfterGrant)
+        && leasesEndBy() <= timeAfter(grantEndsBy, LongestRunAfterGrant);
+}
+
 std::size_t TargetLedger::runsOfStep(const std::string &jobId, std::uint32_t step) const
 {
     return static_cast<std::size_t>(std::count_if(m_runs.begin(), m_runs.end(), [&](const auto &entry) {
--- a/src/scheduling/targetledger.h
+++ b/src/scheduling/targetledger.h
@@ -52,6 +52,8 @@
     bool alone = false;
     /// Its job's grant has ended, or does not cover the claim of the target: its lease must not be extended.
     bool withoutGrant = false;
+    /// When the grant of its job ended or will end, as it was last looked up; TimePoint::max() for a job that needs none.
+    TimePoint grantEndsBy = TimePoint::max();
     /// Until then another dispatcher may start the task elsewhere when the lease that it granted has ended: the lease must not be extended.
     TimePoint mayRunElsewhereUntil;
     /// The run is no longer needed and is being stopped.
@@ -181,6 +183,13 @@
     /// False while a run's lease must not be extended. A start would extend it too, since leases are those of the whole target.
     bool mayExtendLeases(TimePoint now) const;
 
+    /// The time beyond which no lease may be extended, since each run must end with its grant; TimePoint::max() when there is none.
+    TimePoint leaseLimit() const;
+
+    /// True if a run that is started now with this lease, under a grant that ends then, and the runs beside it all end by
+    /// LongestRunAfterGrant after their grants if no order follows. False too if the target's clock was not read for long.
+    bool mayStartUnder(TimePoint grantEndsBy, Duration lease, TimePoint now) const;
+
     /// The number of runs of this step of a job.
     std::size_t runsOfStep(const std::string &jobId, std::uint32_t step) const;
 
@@ -240,6 +249,7 @@
 
 private:
     bool isOutdated(const TargetListing &listing, TimePoint sentAt) const;
+    TimePoint firstEndOfGrants() const;
     bool hasEndedUnlisted(const LedgerRun &run, const TargetListing &listing, TimePoint sentAt) const;
     void recomputeUsage();
 
--- a/tests/support/schedulerfixture.h
+++ b/tests/support/schedulerfixture.h
@@ -230,6 +230,20 @@
         answerRenewal(target, lastRenewal(target), running, ended, result);
     }
 
+    /// Answers the last renewal that was sent to the target, which runs nothing, with this reading of its clock.
+    void answerRenewalWithClock(const std::string &target, std::int64_t clockMs)
+    {
+        const auto &request = lastRenewal(target);
+        RenewalReply reply;
+        reply.result = RequestResult::Accepted;
+        reply.fencingToken = request.fencingToken;
+        reply.sequence = request.sequence;
+        reply.sentAt = request.sentAt;
+        reply.listing.clockMs = clockMs;
+        reply.listing.startedAtMs = startedAtMs;
+        scheduler.onRenewalReply(target, reply, now);
+    }
+
     /// Answers this renewal of the target with this listing.
     void answerRenewal(const std::string &target,
                        const RenewalRequest &request,
--- a/tests/unit/emulator/fleet.cpp
+++ b/tests/unit/emulator/fleet.cpp
@@ -476,6 +476,14 @@
     runScenario(optionsOfLateFrames, addStaggeredLosses, 1, 4);
 }
 
+// Issue 48: the runs of both outlived the caller's wait, and the job was started again over a third host.
+BOOST_AUTO_TEST_CASE(No_task_runs_twice_when_a_job_comes_again_after_its_entry_host_and_its_dispatcher_were_lost)
+{
+    for (const std::uint64_t seed : {45005, 45046, 45213}) {
+        runScenario(optionsOfLateFrames, addStaggeredLosses, seed, seed + 1);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(The_same_seed_gives_the_same_fault_series)
 {
     const auto runOnce = [](std::uint64_t seed) {
--- a/tests/unit/scheduling/decisions.cpp
+++ b/tests/unit/scheduling/decisions.cpp
@@ -27,7 +27,8 @@
         entry.zone = "a";
         entry.capacity = {milliCores, 100000, 0};
         auto target = std::make_unique<TargetLedger>(entry, 1, Seconds(1));
-        target->ownership = Ownership::Owned;
+        target->clock.onReading(1, Now);
+        target->recordClaim(Now);
         for (int i = 0; i < 60; ++i) {
             target->health.onJobComparison(slowness, Now);
         }
--- a/tests/unit/scheduling/leasesofrestartedtargets.cpp
+++ b/tests/unit/scheduling/leasesofrestartedtargets.cpp
@@ -176,21 +176,40 @@
 
 BOOST_FIXTURE_TEST_SUITE(LeasesOfIdleTargetsSuite, SchedulerFixture, *boost::unit_test::label("scheduling"))
 
-// Entry hosts hand on a job of a lost dispatcher once its runs have ended: the longest lease and a margin after the grant
-// (HostNode::runsEndBy). A start that is carried out late must have no effect after that, also on a target whose clock is 2% slow.
+// A start that is carried out late must have no effect after the longest lease, also on a target whose clock is 2% slow. The clock of an
+// idle target is read from time to time for that.
 BOOST_AUTO_TEST_CASE(A_start_on_a_target_that_was_idle_for_long_has_no_effect_after_the_longest_lease)
 {
     claimTarget("t1");
+    const auto claimedAt = now;
     const auto clockAtClaim = clockMs();
-    constexpr Seconds IdleTime {60};
-    now += IdleTime;
+    const auto slowClockMs = [&] {
+        return clockAtClaim + std::chrono::duration_cast<Milliseconds>(now - claimedAt).count() * 98 / 100;
+    };
+    while (now < claimedAt + Seconds(60)) {
+        const auto sent = port.renewals.size();
+        advance(Milliseconds(25));
+        if (port.renewals.size() > sent) {
+            answerRenewalWithClock("t1", slowClockMs());
+        }
+    }
     submit(job("j"));
     BOOST_REQUIRE(port.starts.size() == 1);
-    const auto slowClockMs = clockAtClaim + std::chrono::duration_cast<Milliseconds>(IdleTime).count() * 98 / 100;
-    BOOST_TEST(port.starts[0].request.leaseUntilMs - slowClockMs
+    BOOST_TEST(port.starts[0].request.leaseUntilMs - slowClockMs()
                <= std::chrono::duration_cast<Milliseconds>(SchedulerLimits().maxLease).count());
 }
 
+BOOST_AUTO_TEST_CASE(No_run_is_started_by_a_clock_that_was_read_so_long_ago_that_the_start_may_take_effect_after_the_longest_lease)
+{
+    claimTarget("t1");
+    now += Seconds(60);
+    submit(job("j"));
+    BOOST_TEST(port.starts.empty());
+    scheduler.tick(now);
+    answerRenewal("t1", {});
+    BOOST_TEST(port.starts.size() == 1);
+}
+
 // Issue 45: the log must tell a loss just after a claim from a later one.
 BOOST_AUTO_TEST_CASE(Runs_that_a_restart_has_ended_are_reported_with_the_claim_by_which_they_were_started)
 {
--- /dev/null
+++ b/tests/unit/scheduling/runsaftergrants.cpp
@@ -0,0 +1,247 @@
+#include "fleet/fleetframe.h"
+#include "fleet/issuedgrants.h"
+#include "hostnodefixture.h"
+#include "schedulerfixture.h"
+#include "scheduling/heldgrants.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+
+using namespace Anvilcart;
+using namespace Anvilcart::Fleet;
+
+namespace
+{
+/// A scheduler with two targets and jobs of entry hosts whose grants the test sets.
+struct GrantsOfTwoHostsFixture : SchedulerFixture
+{
+    static constexpr std::uint64_t ClaimCount = 100;
+
+    GrantsOfTwoHostsFixture()
+    {
+        claimTarget("t1");
+        // The longest lease of the claims has passed.
+        now += Seconds(2);
+        answerRenewal("t1", {});
+    }
+
+    void grant(const std::string &entryHost, Duration length)
+    {
+        scheduler.onGrant(entryHost, 5, {1, now + length, ClaimCount, 1}, now);
+    }
+
+    JobSubmission jobOf(const std::string &entryHost, const std::string &id, std::int64_t milliCores = 14000) const
+    {
+        auto submission = job(id, 1, milliCores);
+        submission.entryHost = entryHost;
+        submission.grantEpoch = 1;
+        submission.callerDeadline = now + Seconds(9);
+        return submission;
+    }
+
+    /// The longest lease that was requested for the target, from now on.
+    Duration longestLease(const std::string &target) const
+    {
+        std::int64_t longest = 0;
+        for (const auto &[id, request] : port.renewals) {
+            longest = std::max(longest, id == target ? request.leaseUntilMs : 0);
+        }
+        for (const auto &start : port.starts) {
+            longest = std::max(longest, start.target == target ? start.request.leaseUntilMs : 0);
+        }
+        return Milliseconds(longest - clockMs());
+    }
+};
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(RunsAfterGrantsSuite, GrantsOfTwoHostsFixture, *boost::unit_test::label("scheduling"))
+
+// Issue 48: an entry host and its dispatcher ended one after the other, and runs went on for a lease after the grant.
+BOOST_AUTO_TEST_CASE(A_lease_ends_with_the_grant_of_its_run_though_targets_grant_longer_ones)
+{
+    grant("e1", Milliseconds(400));
+    submit(jobOf("e1", "j"));
+    answerStart(0);
+    BOOST_TEST((longestLease("t1") == Milliseconds(400) + GrantGracePeriod));
+    grant("e1", Milliseconds(900));
+    now += Milliseconds(50);
+    answerRenewal("t1", {{port.starts[0].request.name, 10}});
+    BOOST_TEST((longestLease("t1") == SchedulerLimits().maxLease));
+}
+
+BOOST_AUTO_TEST_CASE(A_lease_ends_with_the_first_of_the_grants_of_its_runs)
+{
+    grant("e1", Milliseconds(400));
+    grant("e2", Milliseconds(900));
+    submit(jobOf("e1", "j"));
+    submit(jobOf("e2", "k"));
+    BOOST_REQUIRE(port.starts.size() == 2);
+    answerStart(0);
+    answerStart(1);
+    BOOST_TEST((longestLease("t1") <= Milliseconds(400) + GrantGracePeriod));
+}
+
+BOOST_AUTO_TEST_CASE(A_run_of_the_dispatchers_own_caller_has_the_longest_lease)
+{
+    submit(job("j"));
+    answerStart(0);
+    BOOST_TEST((longestLease("t1") == SchedulerLimits().maxLease));
+}
+
+BOOST_AUTO_TEST_CASE(A_run_whose_job_is_gone_still_ends_with_its_grant)
+{
+    grant("e1", Milliseconds(400));
+    submit(jobOf("e1", "j"));
+    const auto name = port.starts[0].request.name;
+    loseStart(0);
+    answerRenewal("t1", {}, {}, RequestResult::Unknown);
+    now += Milliseconds(100);
+    scheduler.cancel("j", "e1", now);
+    grant("e2", Milliseconds(900));
+    submit(jobOf("e2", "k"));
+    now += Milliseconds(50);
+    answerRenewal("t1", {{name, 10}});
+    BOOST_TEST((longestLease("t1") <= Milliseconds(250) + GrantGracePeriod));
+}
+
+// The deadline of a target holds for a new run, too, and never shortens.
+BOOST_AUTO_TEST_CASE(No_run_is_started_where_an_earlier_lease_outlasts_its_grant)
+{
+    grant("e1", Milliseconds(900));
+    submit(jobOf("e1", "j"));
+    answerStart(0);
+    BOOST_REQUIRE((longestLease("t1") == SchedulerLimits().maxLease));
+    grant("e2", Milliseconds(500));
+    submit(jobOf("e2", "k"));
+    BOOST_TEST(port.starts.size() == 1);
+    grant("e2", Milliseconds(800));
+    advance(Milliseconds(25));
+    BOOST_TEST(port.starts.size() == 2);
+}
+
+BOOST_AUTO_TEST_CASE(No_run_is_started_under_a_grant_that_ends_before_its_first_lease)
+{
+    grant("e1", Milliseconds(100));
+    submit(jobOf("e1", "j"));
+    BOOST_TEST(port.starts.empty());
+    grant("e1", Milliseconds(300));
+    advance(Milliseconds(25));
+    BOOST_TEST(port.starts.size() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(No_run_is_started_beside_one_whose_grant_ends_before_its_first_lease)
+{
+    grant("e1", Milliseconds(300));
+    submit(jobOf("e1", "j"));
+    answerStart(0);
+    now += Milliseconds(200);
+    grant("e2", Milliseconds(900));
+    submit(jobOf("e2", "k"));
+    BOOST_TEST(port.starts.size() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(Renewals_follow_each_other_so_that_a_late_grant_comes_before_the_end_of_the_lease)
+{
+    grant("e1", Milliseconds(300));
+    submit(jobOf("e1", "j"));
+    answerStart(0);
+    now += Milliseconds(50);
+    answerRenewal("t1", {{port.starts[0].request.name, 10}});
+    const auto &renewal = lastRenewal("t1");
+    BOOST_TEST((now + Milliseconds(renewal.waitMs) < Begin + Seconds(2) + Milliseconds(300) + GrantGracePeriod));
+    BOOST_TEST(renewal.waitMs > 0);
+    now += Milliseconds(renewal.waitMs);
+    grant("e1", Milliseconds(900));
+    answerRenewal("t1", {{port.starts[0].request.name, 20}});
+    BOOST_TEST((longestLease("t1") == SchedulerLimits().maxLease));
+}
+
+// All that a job's first dispatcher started ends before callers send the job again, 1.3 s after they have lost its entry host, which may
+// have ended as soon as it had confirmed the dispatcher's last report.
+BOOST_AUTO_TEST_CASE(Every_run_ends_before_callers_come_again_whenever_its_dispatcher_is_lost)
+{
+    constexpr Milliseconds CallersComeAgainAfter {1300};
+    constexpr Milliseconds GrantLength {900};
+    for (Milliseconds startedAfter {0}; startedAfter < GrantLength; startedAfter += Milliseconds(50)) {
+        for (Milliseconds lostAfter = startedAfter; lostAfter < GrantLength + GrantGracePeriod; lostAfter += Milliseconds(50)) {
+            GrantsOfTwoHostsFixture fixture;
+            const auto confirmedAt = fixture.now;
+            fixture.grant("e1", GrantLength);
+            // Another entry host lives and renews its grant, whose runs extend the deadline of the same target.
+            const auto advanceTo = [&](Duration time) {
+                while (fixture.now < confirmedAt + time) {
+                    fixture.grant("e2", GrantLength);
+                    fixture.advance(Milliseconds(25));
+                    if (!fixture.port.starts.empty()) {
+                        std::vector<ActiveRun> running;
+                        for (const auto &start : fixture.startsButRepetitions()) {
+                            running.push_back({start.request.name, 10});
+                        }
+                        fixture.answerRenewal("t1", running);
+                    }
+                }
+            };
+            fixture.grant("e2", GrantLength);
+            fixture.submit(fixture.jobOf("e2", "k", 4000));
+            fixture.answerStart(0);
+            advanceTo(startedAfter);
+            fixture.submit(fixture.jobOf("e1", "j", 4000));
+            const bool isStarted = fixture.port.starts.size() > 1;
+            if (!isStarted) {
+                continue;
+            }
+            fixture.answerStart(1);
+            advanceTo(lostAfter);
+            // From now on no order follows. The target's clock is 2% slow since the last reading.
+            const auto slowLease = fixture.longestLease("t1") / 0.98;
+            BOOST_TEST_CONTEXT("started after " << startedAfter.count() << " ms, lost after " << lostAfter.count() << " ms")
+            {
+                BOOST_TEST((fixture.now + std::chrono::duration_cast<Duration>(slowLease) < confirmedAt + CallersComeAgainAfter));
+            }
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(A_report_says_how_long_runs_outlast_their_grants)
+{
+    HostNodeFixture host;
+    host.node.onFrame(HostNodeFixture::report("h2", 2, false), host.now);
+    host.advance(Milliseconds(700));
+    BOOST_REQUIRE(!host.port.frames.empty());
+    const auto decoded = decodeFrame(encodeFrame(host.port.frames.back().second, host.now), host.now);
+    BOOST_REQUIRE(decoded.has_value());
+    BOOST_REQUIRE(decoded->report.has_value());
+    BOOST_TEST((decoded->report->longestRunAfterGrant == LongestRunAfterGrant));
+}
+
+BOOST_AUTO_TEST_CASE(Jobs_of_a_dispatcher_of_an_earlier_version_wait_for_the_longest_lease)
+{
+    const auto maxLease = SchedulerLimits().maxLease;
+    IssuedGrants grants;
+    grants.onReport("h2", 2, 0, Duration(0), now);
+    grants.renew("h2", 2, Milliseconds(900));
+    const auto grantEnd = grants.endOf("h2", 2, 1);
+    BOOST_TEST((grants.runsEndBy("h2", 2, 1, maxLease) > grantEnd + maxLease));
+    grants.setLongestRunAfterGrant("h2", 2, LongestRunAfterGrant);
+    BOOST_TEST((grants.runsEndBy("h2", 2, 1, maxLease) >= grantEnd + LongestRunAfterGrant));
+    BOOST_TEST((grants.runsEndBy("h2", 2, 1, maxLease) < grantEnd + maxLease / 2));
+}
+
+// The end of a dispatcher ends its grants, but not the leases that it has sent under them.
+BOOST_AUTO_TEST_CASE(Runs_of_a_dispatcher_that_has_ended_last_as_long_as_its_grant_would_have)
+{
+    const auto maxLease = SchedulerLimits().maxLease;
+    IssuedGrants grants;
+    grants.onReport("h2", 2, 0, Duration(0), now);
+    grants.setLongestRunAfterGrant("h2", 2, LongestRunAfterGrant);
+    grants.renew("h2", 2, Milliseconds(900));
+    const auto grantEnd = grants.endOf("h2", 2, 1);
+    grants.onEnded("h2", 2, now + Milliseconds(500));
+    BOOST_TEST((grants.endOf("h2", 2, 1) == now + Milliseconds(500)));
+    BOOST_TEST((grants.runsEndBy("h2", 2, 1, maxLease) >= grantEnd + LongestRunAfterGrant));
+    grants.onEnded("h2", 2, now);
+    BOOST_TEST((grants.runsEndBy("h2", 2, 1, maxLease) <= now + maxLease + Milliseconds(200)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
