Dispatchers ask the entry hosts of their jobs for grants

On 147 hosts reports between zones are 0.59 s apart, and grants that followed their period lasted 2.5 s: callers of a lost entry host came again before its grants had ended.

A dispatcher that has jobs of an entry host asks it for a grant with each report, and in between when reports are further apart than 0.2 s; the entry host answers at once with a frame that renews the grant. A grant counts from the dispatcher's last frame of any kind, since each shows that the process lived then; which claims it confirms still follows from reports alone. A job that comes under a grant that ended less than 0.25 s before waits for the next one instead of being refused. The number of these frames grows with the pairs of hosts that share jobs, not with the size of the fleet. Dispatchers of earlier versions, which do not ask, get grants by their report period as before.

--- a/src/fleet/fleetframe.cpp
+++ b/src/fleet/fleetframe.cpp
@@ -277,6 +277,7 @@
     if (frame.grant) {
         encodeGrant(*frame.grant, *wire.mutable_grant());
     }
+    wire.set_requests_grant(frame.requestsGrant);
     for (const auto &lost : frame.lostDispatchers) {
         encodeLostDispatcher(lost, now, *wire.add_lost_dispatchers());
     }
@@ -357,6 +358,7 @@
                                 wire.grant().confirmed_claims(),
                                 wire.grant().recipient_incarnation()};
     }
+    frame.requestsGrant = wire.requests_grant();
     for (const auto &row : wire.lost_dispatchers()) {
         frame.lostDispatchers.push_back(decodeLostDispatcher(row, now));
     }
--- a/src/fleet/fleetframe.h
+++ b/src/fleet/fleetframe.h
@@ -101,6 +101,8 @@
     Duration timeSinceLastReport {0};
     /// The sender's permission for the recipient to run its jobs.
     std::optional<JobGrant> grant;
+    /// The sender has jobs of the recipient, which should renew its grant at once.
+    bool requestsGrant = false;
     /// The dispatchers that had the submitted jobs before.
     std::vector<LostDispatcher> lostDispatchers;
     std::vector<JobSubmission> submissions;
--- a/src/fleet/hostnode.h
+++ b/src/fleet/hostnode.h
@@ -144,6 +144,8 @@
         /// When the endpoint was first named, or last sent a report.
         TimePoint lastNamedAt;
         TimePoint nextReportAt;
+        /// When any frame was last sent there.
+        TimePoint lastFrameSentAt;
         /// When a report was last made due by a frame of a process that may have ended.
         TimePoint answeredUnprovenAt;
         /// The report period that was last sent there.
@@ -231,7 +233,8 @@
     Duration reportPeriod(const FleetMember *recipient, TimePoint now) const;
     bool hasFreeCapacity(TimePoint now) const;
     void sendDueReport(const Endpoint &endpoint, TimePoint now);
-    void sendReport(PeerRecord &peer, HostReport &report, TimePoint now);
+    void sendReport(PeerRecord &peer, HostReport &report, bool requestsGrant, TimePoint now);
+    void sendGrantRequests(TimePoint now);
     bool send(const std::string &host, FleetFrame frame, TimePoint now);
 
     HostIdentity m_identity;
--- a/src/fleet/hostnodepeers.cpp
+++ b/src/fleet/hostnodepeers.cpp
@@ -103,6 +103,8 @@
     if (frame.report) {
         onReport(frame, now);
         sendOwedResults(frame.host, now);
+    } else {
+        m_issuedGrants.onFrame(frame.host, frame.incarnation, frame.sentAt, now);
     }
     for (const auto &lost : frame.lostDispatchers) {
         recordLostDispatcher(lost, now);
@@ -142,6 +144,9 @@
     if (frame.configuration) {
         m_port.onConfigurationRecord(*frame.configuration);
     }
+    if (frame.requestsGrant) {
+        send(frame.host, FleetFrame(), now);
+    }
     processSchedulerEvents(now);
 }
 
@@ -193,7 +198,7 @@
 }
 
 /// Takes the grant from a frame, which covers the jobs in it. False when it is outdated, has ended or concerns an earlier incarnation of
-/// this host, so that the jobs must be refused.
+/// this host, so that the jobs must be refused. Under one that has just ended they wait, since the next frame may renew it.
 bool HostNode::acceptGrant(FleetFrame &frame, TimePoint now)
 {
     if (!frame.grant) {
@@ -203,19 +208,21 @@
         submission.grantEpoch = frame.grant->epoch;
     }
     return frame.grant->dispatcherIncarnation == m_identity.incarnation
-        && m_scheduler.onGrant(frame.host, frame.incarnation, *frame.grant, now) && frame.grant->until > now;
+        && m_scheduler.onGrant(frame.host, frame.incarnation, *frame.grant, now) && frame.grant->until + GrantGracePeriod > now;
 }
 
-/// Adds the grant for the recipient. It outlasts the silence after which either of the two hosts counts as lost to the other, by the time
-/// between two reports.
+/// Adds the grant for the recipient, which outlasts a silence of several report periods. A dispatcher with jobs asks for grants at the
+/// period of a small fleet, however long that of its reports is; one of an earlier version does not.
 void HostNode::addGrant(FleetFrame &frame, const FleetMember &recipient, TimePoint now)
 {
     const auto &report = recipient.report;
     if (report.claims.empty() && frame.submissions.empty()) {
         return;
     }
-    const auto longestPeriod = std::max(report.period, reportPeriod(&recipient, now));
-    frame.grant = m_issuedGrants.renew(report.host, report.incarnation, FleetView::longestSilence(longestPeriod) + report.period);
+    const bool requestsGrants = report.longestRunAfterGrant.has_value();
+    const auto period = requestsGrants ? Duration(DispatcherReportPeriod) : report.period;
+    const auto longestPeriod = requestsGrants ? period : std::max(period, reportPeriod(&recipient, now));
+    frame.grant = m_issuedGrants.renew(report.host, report.incarnation, FleetView::longestSilence(longestPeriod) + period);
 }
 
 /// Keeps what the newest report of a lost dispatcher has said, whichever host it has reached.
@@ -564,6 +571,7 @@
     m_owedResults.removeOld(now);
     m_earlierRuns.removeOld(now);
     sendReports(now);
+    sendGrantRequests(now);
     if (isDispatcher() && now - m_usageReportedAt >= UsagePeriod) {
         m_usageReportedAt = now;
         m_observer.onUsage(m_scheduler.usage(now));
@@ -670,16 +678,18 @@
     const bool loadReportsDue = m_loadReportsDue && sinceLast >= std::max<Duration>(MinReportInterval, loadInterval);
     const bool urgent = loadReportsDue || (m_reportsDue && sinceLast >= MinReportInterval);
     std::optional<HostReport> report;
+    std::unordered_set<std::string> entryHosts;
     for (auto &[endpointText, peer] : m_peers) {
         if ((!urgent && now < peer.nextReportAt) || !m_port.isConnected(peer.endpoint)) {
             continue;
         }
         if (!report) {
             report = makeReport(now);
+            entryHosts = m_scheduler.entryHosts();
             ++m_reportsSent;
             m_reportedFreeCapacity = isDispatcher() && hasFreeCapacity(now);
         }
-        sendReport(peer, *report, now);
+        sendReport(peer, *report, entryHosts.contains(peer.host), now);
     }
     if (urgent) {
         m_lastReportSentAt = now;
@@ -693,11 +703,11 @@
     const auto peer = m_peers.find(toString(endpoint));
     if (peer != m_peers.end() && now >= peer->second.nextReportAt && m_port.isConnected(endpoint)) {
         auto report = makeReport(now);
-        sendReport(peer->second, report, now);
+        sendReport(peer->second, report, m_scheduler.entryHosts().contains(peer->second.host), now);
     }
 }
 
-void HostNode::sendReport(PeerRecord &peer, HostReport &report, TimePoint now)
+void HostNode::sendReport(PeerRecord &peer, HostReport &report, bool requestsGrant, TimePoint now)
 {
     const auto *member = m_view.isLive(peer.host, now) ? m_view.find(peer.host) : nullptr;
     report.period = reportPeriod(member, now);
@@ -706,6 +716,7 @@
     frame.incarnation = m_identity.incarnation;
     frame.echo = m_peerProcesses.echoFor(peer.host);
     frame.report = report;
+    frame.requestsGrant = requestsGrant;
     if (member != nullptr) {
         // The time since the report of an earlier process does not concern the one that was heard last.
         const auto lastRead = frame.echo->recipientIncarnation;
@@ -722,6 +733,7 @@
     }
     frame.cancellations = m_owedCancellations.cancellationsAt(peer.host);
     m_port.sendFrame(peer.endpoint, frame);
+    peer.lastFrameSentAt = now;
     peer.announcedPeriod = report.period;
     peer.nextReportAt = now + report.period;
 }
@@ -736,6 +748,31 @@
     frame.incarnation = m_identity.incarnation;
     frame.echo = m_peerProcesses.echoFor(host);
     addGrant(frame, *member, now);
+    if (const auto peer = m_peers.find(toString(member->report.peerEndpoint)); peer != m_peers.end()) {
+        peer->second.lastFrameSentAt = now;
+    }
     return m_port.sendFrame(member->report.peerEndpoint, frame);
 }
+
+/// Asks the entry hosts of the jobs here for grants, at the period of a small fleet: reports in a large one are further apart than grants
+/// last.
+void HostNode::sendGrantRequests(TimePoint now)
+{
+    const auto isDue = [now](const PeerRecord &peer) {
+        return peer.announcedPeriod > DispatcherReportPeriod && now - peer.lastFrameSentAt >= DispatcherReportPeriod;
+    };
+    if (std::none_of(m_peers.begin(), m_peers.end(), [&](const auto &entry) {
+            return isDue(entry.second);
+        })) {
+        return;
+    }
+    const auto entryHosts = m_scheduler.entryHosts();
+    for (const auto &[endpoint, peer] : m_peers) {
+        if (isDue(peer) && entryHosts.contains(peer.host) && m_view.isLive(peer.host, now)) {
+            FleetFrame frame;
+            frame.requestsGrant = true;
+            send(peer.host, std::move(frame), now);
+        }
+    }
+}
 } // namespace Anvilcart::Fleet
--- a/src/fleet/issuedgrants.cpp
+++ b/src/fleet/issuedgrants.cpp
@@ -25,11 +25,23 @@
         return false;
     }
     record.reportSentAt = sentAt;
-    record.reportArrivedAt = now;
     record.claims = claims;
+    if (added || sentAt >= record.frameSentAt) {
+        record.frameSentAt = sentAt;
+        record.frameArrivedAt = now;
+    }
     return true;
 }
 
+void IssuedGrants::onFrame(const std::string &host, std::uint64_t incarnation, Duration sentAt, TimePoint now)
+{
+    const auto found = m_records.find({host, incarnation});
+    if (found != m_records.end() && sentAt > found->second.frameSentAt) {
+        found->second.frameSentAt = sentAt;
+        found->second.frameArrivedAt = now;
+    }
+}
+
 std::optional<JobGrant> IssuedGrants::renew(const std::string &host, std::uint64_t incarnation, Duration length)
 {
     const auto found = m_records.find({host, incarnation});
@@ -38,8 +50,8 @@
     }
     auto &record = found->second;
     const auto drift = std::chrono::duration_cast<Duration>(length * ClockDrift);
-    record.endsBy = std::max(record.endsBy, record.reportArrivedAt + length + drift);
-    return JobGrant {record.epoch, TimePoint(record.reportSentAt + length), record.claims, incarnation};
+    record.endsBy = std::max(record.endsBy, record.frameArrivedAt + length + drift);
+    return JobGrant {record.epoch, TimePoint(record.frameSentAt + length), record.claims, incarnation};
 }
 
 const IssuedGrants::Record *IssuedGrants::find(const std::string &host, std::uint64_t incarnation) const
@@ -101,7 +113,7 @@
 {
     std::erase_if(m_records, [&](const auto &entry) {
         const auto &record = entry.second;
-        const bool isOld = now - std::max({record.endsBy, record.earlierEndBy, record.reportArrivedAt}) > RecordRetention;
+        const bool isOld = now - std::max({record.endsBy, record.earlierEndBy, record.frameArrivedAt}) > RecordRetention;
         if (isOld) {
             m_firstEpoch = std::max(m_firstEpoch, record.epoch + 1);
         }
--- a/src/fleet/issuedgrants.h
+++ b/src/fleet/issuedgrants.h
@@ -12,7 +12,7 @@
 namespace Anvilcart::Fleet
 {
 /// The grants that an entry host has given to dispatchers, and when each has certainly ended. A grant counts from the sending of the
-/// dispatcher's last report, on the dispatcher's clock; here it counts from the arrival of that report, which is later. So it ends at the
+/// dispatcher's last frame, on the dispatcher's clock; here it counts from the arrival of that frame, which is later. So it ends at the
 /// dispatcher first, whatever the delays of messages, and clocks need not agree. Not thread-safe.
 class IssuedGrants
 {
@@ -21,11 +21,15 @@
     /// report of the same incarnation has arrived before.
     bool onReport(const std::string &host, std::uint64_t incarnation, std::uint64_t claims, Duration sentAt, TimePoint now);
 
+    /// Records any frame of the dispatcher: the next grant counts from its sending. Has no effect before the first report of this
+    /// incarnation, nor if a newer frame has arrived before. sentAt is on the dispatcher's clock.
+    void onFrame(const std::string &host, std::uint64_t incarnation, Duration sentAt, TimePoint now);
+
     /// Records how long the dispatcher's runs outlast their grants, as it has announced; nothing for one of an earlier version, whose runs
     /// end with the longest lease only. Precondition: a report of this incarnation was recorded.
     void setLongestRunAfterGrant(const std::string &host, std::uint64_t incarnation, std::optional<Duration> length);
 
-    /// The grant for the next frame to the dispatcher, which ends this long after its last report; nothing without a report.
+    /// The grant for the next frame to the dispatcher, which ends this long after its last frame; nothing without a report.
     std::optional<JobGrant> renew(const std::string &host, std::uint64_t incarnation, Duration length);
 
     /// The epoch under which jobs are submitted to the dispatcher; 0 without a report.
@@ -54,7 +58,9 @@
     {
         std::uint64_t epoch = 1;
         Duration reportSentAt {0};
-        TimePoint reportArrivedAt;
+        /// The last frame, which may be the report.
+        Duration frameSentAt {0};
+        TimePoint frameArrivedAt;
         std::uint64_t claims = 0;
         /// When the grants of the present epoch end, and those of all earlier ones.
         TimePoint endsBy;
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -685,6 +685,18 @@
     }
 }
 
+std::unordered_set<std::string> Scheduler::entryHosts() const
+{
+    std::unordered_set<std::string> hosts;
+    for (const auto &[id, job] : m_jobs) {
+        hosts.insert(job->submission.entryHost);
+        if (job->resubmission) {
+            hosts.insert(job->resubmission->entryHost);
+        }
+    }
+    return hosts;
+}
+
 std::size_t Scheduler::jobCount() const
 {
     return m_jobs.size();
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -21,6 +21,7 @@
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <utility>
 #include <vector>
 
@@ -201,6 +202,9 @@
     TargetUsage usage(TimePoint now) const;
 
     std::size_t jobCount() const;
+
+    /// The entry hosts of all jobs.
+    std::unordered_set<std::string> entryHosts() const;
     std::size_t runCount() const;
 
 private:
