Each frame to a dispatcher carries the cancellations that are owed to it

Cancellations were repeated with reports only, while any frame renews the grant.

Found by reading. LateCancellationsSuite checks both.

--- a/src/fleet/hostnodepeers.cpp
+++ b/src/fleet/hostnodepeers.cpp
@@ -748,6 +748,13 @@
     frame.incarnation = m_identity.incarnation;
     frame.echo = m_peerProcesses.echoFor(host);
     addGrant(frame, *member, now);
+    // A frame that renews a grant must not leave the recipient with a job that was given up, unless it submits the job again.
+    frame.cancellations = m_owedCancellations.cancellationsAt(host);
+    std::erase_if(frame.cancellations, [&](const JobCancellation &cancellation) {
+        return std::any_of(frame.submissions.begin(), frame.submissions.end(), [&](const JobSubmission &submission) {
+            return submission.request.id == cancellation.jobId;
+        });
+    });
     if (const auto peer = m_peers.find(toString(member->report.peerEndpoint)); peer != m_peers.end()) {
         peer->second.lastFrameSentAt = now;
     }
--- a/tests/unit/fleet/latecancellations.cpp
+++ b/tests/unit/fleet/latecancellations.cpp
@@ -168,6 +168,27 @@
     BOOST_TEST(takeCancelledNumbers().empty());
 }
 
+// A dispatcher that has missed a cancellation must not run the job on under a grant that is renewed before the next report.
+BOOST_FIXTURE_TEST_CASE(Each_frame_that_renews_a_grant_repeats_the_cancellations_that_are_owed, OwingEntryHostFixture)
+{
+    port.acceptsFrames = false;
+    node.cancel("j", now);
+    port.acceptsFrames = true;
+    port.frames.clear();
+    node.submit(job("k"), now);
+    BOOST_REQUIRE(port.frames.size() == 1);
+    BOOST_TEST(port.frames.back().second.grant.has_value());
+    BOOST_TEST(takeCancelledNumbers().size() == 1);
+}
+
+BOOST_FIXTURE_TEST_CASE(A_frame_that_submits_a_job_again_does_not_cancel_it, OwingEntryHostFixture)
+{
+    node.cancel("j", now);
+    takeCancelledNumbers();
+    node.submit(job("j"), now);
+    BOOST_TEST(takeCancelledNumbers().empty());
+}
+
 BOOST_FIXTURE_TEST_CASE(A_confirmation_of_a_host_that_names_no_submission_covers_any, OwingEntryHostFixture)
 {
     node.cancel("j", now);
