The grants of a dispatcher count again when it was taken for ended by mistake

Cause: the end of a process is kept as a time of its own since then, and nothing takes it back. Beside hosts of earlier versions a living process may be taken for ended: it counts again by its echo, or after 30 s without one. Each of its later grants then counted as ended long ago (IssuedGrants::endOf, runsEndBy), so that a job was handed on without a wait while its runs went on.

Change: a report of the process takes the end back. Reports of processes that are known to have ended are not recorded.

--- a/src/fleet/issuedgrants.cpp
+++ b/src/fleet/issuedgrants.cpp
@@ -26,6 +26,8 @@
     }
     record.reportSentAt = sentAt;
     record.claims = claims;
+    // Reports of a process that is known to have ended do not come here, so that its end was a mistake.
+    record.endedAt = TimePoint::max();
     if (added || sentAt >= record.frameSentAt) {
         record.frameSentAt = sentAt;
         record.frameArrivedAt = now;
--- a/tests/unit/scheduling/runsaftergrants.cpp
+++ b/tests/unit/scheduling/runsaftergrants.cpp
@@ -7,6 +7,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
+#include <optional>
 
 using namespace Anvilcart;
 using namespace Anvilcart::Fleet;
@@ -244,4 +245,21 @@
     BOOST_TEST((grants.runsEndBy("h2", 2, 1, maxLease) <= now + maxLease + Milliseconds(200)));
 }
 
+// Beside earlier versions a living process may be taken for ended until it counts again. Its jobs would be handed on at once from then on.
+BOOST_AUTO_TEST_CASE(Grants_of_a_dispatcher_that_was_taken_for_ended_by_mistake_count_once_it_reports_again)
+{
+    const auto maxLease = SchedulerLimits().maxLease;
+    for (const auto &announced : {std::optional<Duration>(), std::optional<Duration>(LongestRunAfterGrant)}) {
+        IssuedGrants grants;
+        grants.onReport("h2", 2, 0, Duration(0), now);
+        grants.setLongestRunAfterGrant("h2", 2, announced);
+        grants.onEnded("h2", 2, now);
+        const auto countsAgainAt = now + Seconds(3);
+        grants.onReport("h2", 2, 0, Seconds(3), countsAgainAt);
+        grants.renew("h2", 2, Milliseconds(900));
+        BOOST_TEST((grants.endOf("h2", 2, 1) >= countsAgainAt + Milliseconds(900)));
+        BOOST_TEST((grants.runsEndBy("h2", 2, 1, maxLease) >= countsAgainAt + Milliseconds(900) + LongestRunAfterGrant));
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
