Frames that ask for no grant do not put off the request for one

Cause: a dispatcher asked an entry host 0.2 s after any frame to it. One that sends results or confirmations of cancellations more often than that did not ask between its reports, which are 0.59 s apart on the large site; nor does the entry host answer those frames. One lost report, and its runs were stopped at the end of the grant.

Change: the time of the last request counts.

Evidence: GrantRequestsSuite/A_dispatcher_that_sends_other_frames_all_the_time_ still_asks_for_grants: one request in 0.5 s before, at least two now.

--- a/src/fleet/hostnode.h
+++ b/src/fleet/hostnode.h
@@ -144,8 +144,8 @@
         /// When the endpoint was first named, or last sent a report.
         TimePoint lastNamedAt;
         TimePoint nextReportAt;
-        /// When any frame was last sent there.
-        TimePoint lastFrameSentAt;
+        /// When a frame that asks for a grant was last sent there.
+        TimePoint grantRequestedAt;
         /// When a report was last made due by a frame of a process that may have ended.
         TimePoint answeredUnprovenAt;
         /// The report period that was last sent there.
--- a/src/fleet/hostnodepeers.cpp
+++ b/src/fleet/hostnodepeers.cpp
@@ -733,7 +733,9 @@
     }
     frame.cancellations = m_owedCancellations.cancellationsAt(peer.host);
     m_port.sendFrame(peer.endpoint, frame);
-    peer.lastFrameSentAt = now;
+    if (requestsGrant) {
+        peer.grantRequestedAt = now;
+    }
     peer.announcedPeriod = report.period;
     peer.nextReportAt = now + report.period;
 }
@@ -755,9 +757,6 @@
             return submission.request.id == cancellation.jobId;
         });
     });
-    if (const auto peer = m_peers.find(toString(member->report.peerEndpoint)); peer != m_peers.end()) {
-        peer->second.lastFrameSentAt = now;
-    }
     return m_port.sendFrame(member->report.peerEndpoint, frame);
 }
 
@@ -766,7 +765,7 @@
 void HostNode::sendGrantRequests(TimePoint now)
 {
     const auto isDue = [now](const PeerRecord &peer) {
-        return peer.announcedPeriod > DispatcherReportPeriod && now - peer.lastFrameSentAt >= DispatcherReportPeriod;
+        return peer.announcedPeriod > DispatcherReportPeriod && now - peer.grantRequestedAt >= DispatcherReportPeriod;
     };
     if (std::none_of(m_peers.begin(), m_peers.end(), [&](const auto &entry) {
             return isDue(entry.second);
@@ -774,10 +773,11 @@
         return;
     }
     const auto entryHosts = m_scheduler.entryHosts();
-    for (const auto &[endpoint, peer] : m_peers) {
+    for (auto &[endpoint, peer] : m_peers) {
         if (isDue(peer) && entryHosts.contains(peer.host) && m_view.isLive(peer.host, now)) {
             FleetFrame frame;
             frame.requestsGrant = true;
+            peer.grantRequestedAt = now;
             send(peer.host, std::move(frame), now);
         }
     }
--- a/tests/unit/fleet/grantrequests.cpp
+++ b/tests/unit/fleet/grantrequests.cpp
@@ -140,6 +140,34 @@
     BOOST_TEST(framesTo("10.0.0.10") <= 1);
 }
 
+// Results, confirmations and answers to the entry host do not bring a grant back.
+BOOST_FIXTURE_TEST_CASE(A_dispatcher_that_sends_other_frames_all_the_time_still_asks_for_grants, LargeFleetDispatcherFixture)
+{
+    claimTarget("t1");
+    sendReports();
+    FleetFrame frame;
+    frame.host = "h9";
+    frame.incarnation = 9;
+    frame.sentAt = now - Begin;
+    frame.grant = JobGrant {1, now + Milliseconds(900), 100, 1};
+    auto submission = job("k");
+    submission.entryHost = "h9";
+    frame.submissions.push_back(submission);
+    node.onFrame(frame, now);
+    BOOST_REQUIRE(port.starts.size() == 1);
+    port.frames.clear();
+    frame.submissions.clear();
+    frame.cancellations.push_back({"cancelled before", 1});
+    for (int part = 0; part < 10; ++part) {
+        advance(Milliseconds(50));
+        frame.sentAt = now - Begin;
+        frame.grant->until = now + Milliseconds(900);
+        node.onFrame(frame, now);
+    }
+    BOOST_REQUIRE(framesTo("10.0.0.9") >= 10);
+    BOOST_TEST(requestsTo("10.0.0.9") >= 2);
+}
+
 BOOST_AUTO_TEST_CASE(A_dispatcher_of_an_earlier_version_has_grants_that_outlast_its_reports)
 {
     asksForGrants = false;
