Renewed grants do not extend leases for runs that have been given up

Cause: while a run is being stopped, each renewal extended its lease to the end of the grant as renewed meanwhile. If a caller goes, the stops are lost, and the dispatcher is lost some 0.1 s later, the run lives for longer than 1.25 s after the cancellation, and the caller comes again after 1.3 s over another entry host.

Change: a run whose job has been given up keeps the end of the grant that was known then. The target's other runs are limited by it until the run's end is listed, usually one round trip.

--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -370,11 +370,13 @@
     return m_grants.endOf(submission.entryHost, submission.grantEpoch);
 }
 
-/// Looks up the grants of the target's runs. A run whose job is gone keeps the end that was known last.
+/// Looks up the grants of the target's runs. A run whose job is gone or has been given up keeps the end that was known last: its caller may
+/// come again, whatever becomes of this host and the stop.
 void Scheduler::updateGrantEnds(TargetLedger &target)
 {
     for (auto &[name, run] : target.runs()) {
-        if (const auto *job = findJob(name.task.jobId)) {
+        const auto *job = findJob(name.task.jobId);
+        if (job != nullptr && !job->pendingResult) {
             run.grantEndsBy = grantEndOf(job->submission);
         }
     }
@@ -429,7 +431,9 @@
         if (run != nullptr) {
             run->withoutGrant = !isGranted(job.submission, now) || target->second->claimNumber > confirmedClaims(job.submission);
             run->mayRunElsewhereUntil = job.submission.mayStartAt();
-            run->grantEndsBy = grantEndOf(job.submission);
+            if (!job.pendingResult) {
+                run->grantEndsBy = grantEndOf(job.submission);
+            }
         }
     }
 }
--- a/tests/unit/scheduling/runsaftergrants.cpp
+++ b/tests/unit/scheduling/runsaftergrants.cpp
@@ -106,6 +106,24 @@
     BOOST_TEST((longestLease("t1") <= Milliseconds(250) + GrantGracePeriod));
 }
 
+// A caller that has gone comes again 1.3 s after the cancellation, whose stop may be lost together with the dispatcher.
+BOOST_AUTO_TEST_CASE(Renewed_grants_do_not_extend_the_lease_of_a_run_whose_job_was_given_up)
+{
+    grant("e1", Milliseconds(900));
+    submit(jobOf("e1", "j"));
+    const auto name = port.starts[0].request.name;
+    answerStart(0);
+    const auto cancelledAt = now;
+    scheduler.cancel("j", "e1", now);
+    BOOST_REQUIRE(port.stops.size() == 1);
+    for (int part = 0; part < 10; ++part) {
+        now += Milliseconds(50);
+        grant("e1", Milliseconds(900));
+        answerRenewal("t1", {{name, 10}});
+    }
+    BOOST_TEST((now + longestLease("t1") <= cancelledAt + Milliseconds(900) + GrantGracePeriod));
+}
+
 // The deadline of a target holds for a new run, too, and never shortens.
 BOOST_AUTO_TEST_CASE(No_run_is_started_where_an_earlier_lease_outlasts_its_grant)
 {
