A frame that cancels a job carries that cancellation alone, and no grant

Cause: the frame that cancels a job carried all cancellations that were owed to its dispatcher.

Change: this frame grants nothing, as nothing needs to be granted with it, so that it need not repeat the others. All frames that grant still carry all.

--- a/src/fleet/hostnode.cpp
+++ b/src/fleet/hostnode.cpp
@@ -146,7 +146,9 @@
         const auto &submission = job.submission;
         m_owedCancellations.add(id,
                                 {job.dispatcher, job.dispatcherIncarnation, job.grantEpoch, submission.callerDeadline, submission.number});
-        send(job.dispatcher, FleetFrame(), now);
+        FleetFrame frame;
+        frame.cancellations.push_back({id, submission.number});
+        send(job.dispatcher, std::move(frame), now);
     }
 }
 
--- a/src/fleet/hostnodepeers.cpp
+++ b/src/fleet/hostnodepeers.cpp
@@ -749,14 +749,17 @@
     frame.host = m_identity.host;
     frame.incarnation = m_identity.incarnation;
     frame.echo = m_peerProcesses.echoFor(host);
-    addGrant(frame, *member, now);
-    // A frame that renews a grant must not leave the recipient with a job that was given up, unless it submits the job again.
-    frame.cancellations = m_owedCancellations.cancellationsAt(host);
-    std::erase_if(frame.cancellations, [&](const JobCancellation &cancellation) {
-        return std::any_of(frame.submissions.begin(), frame.submissions.end(), [&](const JobSubmission &submission) {
-            return submission.request.id == cancellation.jobId;
+    // A frame that cancels a single job renews nothing, so that it need not carry all cancellations: many callers may go at once.
+    if (frame.cancellations.empty()) {
+        addGrant(frame, *member, now);
+        // A frame that renews a grant must not leave the recipient with a job that was given up, unless it submits the job again.
+        frame.cancellations = m_owedCancellations.cancellationsAt(host);
+        std::erase_if(frame.cancellations, [&](const JobCancellation &cancellation) {
+            return std::any_of(frame.submissions.begin(), frame.submissions.end(), [&](const JobSubmission &submission) {
+                return submission.request.id == cancellation.jobId;
+            });
         });
-    });
+    }
     return m_port.sendFrame(member->report.peerEndpoint, frame);
 }
 
--- a/tests/unit/fleet/latecancellations.cpp
+++ b/tests/unit/fleet/latecancellations.cpp
@@ -3,6 +3,9 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
+#include <string>
+
 using namespace Anvilcart;
 using namespace Anvilcart::Fleet;
 
@@ -181,6 +184,26 @@
     BOOST_TEST(takeCancelledNumbers().size() == 1);
 }
 
+// Many callers go at once when their jobs wait for a dispatcher that has just stood still. It has to read all of these frames.
+BOOST_FIXTURE_TEST_CASE(Cancellations_of_many_jobs_are_not_repeated_with_each_other, OwingEntryHostFixture)
+{
+    constexpr std::size_t JobCount = 100;
+    for (std::size_t index = 0; index < JobCount; ++index) {
+        node.submit(job("k" + std::to_string(index)), now);
+    }
+    port.frames.clear();
+    for (std::size_t index = 0; index < JobCount; ++index) {
+        node.cancel("k" + std::to_string(index), now);
+    }
+    const bool anyGrants = std::any_of(port.frames.begin(), port.frames.end(), [](const auto &sent) {
+        return sent.second.grant.has_value();
+    });
+    BOOST_TEST(!anyGrants);
+    BOOST_TEST(takeCancelledNumbers().size() == JobCount);
+    node.submit(job("l"), now);
+    BOOST_TEST(takeCancelledNumbers().size() == JobCount);
+}
+
 BOOST_FIXTURE_TEST_CASE(A_frame_that_submits_a_job_again_does_not_cancel_it, OwingEntryHostFixture)
 {
     node.cancel("j", now);
