--- a/tests/unit/scheduling/runsaftergrants.cpp
+++ b/tests/unit/scheduling/runsaftergrants.cpp
@@ -7,6 +7,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
+#include <optional>
 
 using namespace Anvilcart;
 using namespace Anvilcart::Fleet;
@@ -105,6 +106,24 @@
     BOOST_TEST((longestLease("t1") <= Milliseconds(250) + GrantGracePeriod));
 }
 
+// A caller that has gone comes again 1.3 s after the cancellation, whose stop may be lost together with the dispatcher.
+BOOST_AUTO_TEST_CASE(Renewed_grants_do_not_extend_the_lease_of_a_run_whose_job_was_given_up)
+{
+    grant("e1", Milliseconds(900));
+    submit(jobOf("e1", "j"));
+    const auto name = port.starts[0].request.name;
+    answerStart(0);
+    const auto cancelledAt = now;
+    scheduler.cancel("j", "e1", now);
+    BOOST_REQUIRE(port.stops.size() == 1);
+    for (int part = 0; part < 10; ++part) {
+        now += Milliseconds(50);
+        grant("e1", Milliseconds(900));
+        answerRenewal("t1", {{name, 10}});
+    }
+    BOOST_TEST((now + longestLease("t1") <= cancelledAt + Milliseconds(900) + GrantGracePeriod));
+}
+
 // The deadline of a target holds for a new run, too, and never shortens.
 BOOST_AUTO_TEST_CASE(No_run_is_started_where_an_earlier_lease_outlasts_its_grant)
 {
@@ -244,4 +263,21 @@
     BOOST_TEST((grants.runsEndBy("h2", 2, 1, maxLease) <= now + maxLease + Milliseconds(200)));
 }
 
+// Beside earlier versions a living process may be taken for ended until it counts again. Its jobs would be handed on at once from then on.
+BOOST_AUTO_TEST_CASE(Grants_of_a_dispatcher_that_was_taken_for_ended_by_mistake_count_once_it_reports_again)
+{
+    const auto maxLease = SchedulerLimits().maxLease;
+    for (const auto &announced : {std::optional<Duration>(), std::optional<Duration>(LongestRunAfterGrant)}) {
+        IssuedGrants grants;
+        grants.onReport("h2", 2, 0, Duration(0), now);
+        grants.setLongestRunAfterGrant("h2", 2, announced);
+        grants.onEnded("h2", 2, now);
+        const auto countsAgainAt = now + Seconds(3);
+        grants.onReport("h2", 2, 0, Seconds(3), countsAgainAt);
+        grants.renew("h2", 2, Milliseconds(900));
+        BOOST_TEST((grants.endOf("h2", 2, 1) >= countsAgainAt + Milliseconds(900)));
+        BOOST_TEST((grants.runsEndBy("h2", 2, 1, maxLease) >= countsAgainAt + Milliseconds(900) + LongestRunAfterGrant));
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
