--- a/models/ownership.pml
+++ b/models/ownership.pml
@@ -7,6 +7,8 @@
  * Time is counted in steps, and every clock in the same: a lease lasts one and a grant GRANT of them. The drift of clocks and the margins
  * for it are left out, and so is the delay before runs without a grant are stopped, which may be any. A renewal arrives at once or
  * never, since the deadline that it carries counts from its sending. Reports and frames between two hosts do not overtake each other.
+ * After the end of a grant LEASE stands for what a run may last then: LongestRunAfterGrant (models/resubmission.pml), or the longest lease
+ * if the dispatcher announces nothing.
  * A restart of the entry host ends its jobs and is left out, and so are cancellations, jobs that are sent again, and task results.
  * The model's limits are END_OF_TIME, CLAIMS of each dispatcher, and HAND_OVERS of the job.
  *
@@ -17,7 +19,7 @@
  *   GRANT_FROM_ARRIVAL         a grant counts from the arrival of the frame
  *   NO_EPOCH                   the entry host takes a job back without raising the epoch
  *   ANY_INCARNATION            a grant for an earlier incarnation of the dispatcher counts
- *   NO_LEASE_WAIT              the next dispatcher waits for the end of the grant alone
+ *   NO_LEASE_WAIT              the next dispatcher waits for the end of the grant alone, not for what runs may last after it
  *   RELEASE_AFTER_LOST_TARGET  a dispatcher from which a target was taken says that nothing runs there
  *   TAKEOVER_OF_OWN_POOL       a takeover looks at the targets of the successor's pool, not at those of the lost dispatcher's last report
  *   TAKEOVER_BY_OLD_CLAIM      a takeover under claims made before that report
