A restarted target is claimed only under a token that is higher than before its restart

Cause: after the listing that shows a restart, Scheduler::onRenewalReply sent a renewal under the earlier token, and any accepted listing under the present token counted as the claim. HostNode::processSchedulerEvents replaced the token in the same event, but not for a target whose entry was gone from the list. There a late listing under the earlier token made the host take the run for ended and start its task elsewhere, while a start under that token could still be carried out.

Change: TargetLedger::needsHigherToken holds from the restart until the token is replaced. Until then no listing is a claim or shows that an unlisted run has ended, and only probes are sent. Probes extend no lease: a target that has seen no token carries out an order without one. HostNode claims a target again also if its entry is gone, as long as it holds it.

--- a/src/fleet/hostnode.cpp
+++ b/src/fleet/hostnode.cpp
@@ -584,9 +584,9 @@
         }
         const auto restarted = std::exchange(m_restartedTargets, {});
         for (const auto &target : restarted) {
-            const auto entry = m_targets.find(target);
-            if (entry != m_targets.end()) {
-                m_scheduler.addTarget(entry->second, nextFencingToken(target), now);
+            const auto *entry = findTargetEntry(target);
+            if (entry != nullptr && m_scheduler.ownsTarget(target)) {
+                m_scheduler.addTarget(*entry, nextFencingToken(target), now);
             }
         }
     }
--- a/src/scheduling/schedulertargets.cpp
+++ b/src/scheduling/schedulertargets.cpp
@@ -117,7 +117,7 @@
         m_crashSuspects.onTargetRestarted(entry.id);
     }
     if (restarted && target.ownership == Ownership::Owned) {
-        target.ownership = Ownership::Claiming;
+        target.recordRestart();
         m_port.onTargetRestarted(entry.id);
     }
 }
@@ -322,9 +322,9 @@
     updateGrantEnds(target);
     RenewalRequest request;
     // After an unanswered claim, the target is only probed, which does not take it over. When a network partition ends, messages from the
-    // hosts beyond it thus arrive before this host claims their targets.
-    const bool isProbe = target.ownership == Ownership::Claiming && target.failedProbes > 0
-        && (target.probesAnsweredSince == TimePoint() || now - target.probesAnsweredSince < ProbePeriodBeforeClaim);
+    // hosts beyond it thus arrive before this host claims their targets. A restarted target is not taken over under the earlier token.
+    const bool isProbePeriod = target.probesAnsweredSince == TimePoint() || now - target.probesAnsweredSince < ProbePeriodBeforeClaim;
+    const bool isProbe = target.needsHigherToken() || (target.ownership == Ownership::Claiming && target.failedProbes > 0 && isProbePeriod);
     request.fencingToken = isProbe ? 0 : target.fencingToken();
     request.acknowledgedPosition = target.acknowledgedEnds();
     const bool mayWait =
@@ -336,7 +336,7 @@
     const bool mayExtend = !target.hasUnidentifiedRuns() && target.mayExtendLeases(now);
     const auto longest = target.hasRunAlone() ? Duration(SuspectLease) : m_limits.maxLease;
     const auto lease = std::min(longest, target.leaseLimit() - now);
-    if (target.clock.isKnown() && !target.runs().empty() && answeredRecently && mayExtend && lease > Duration(0)) {
+    if (!isProbe && target.clock.isKnown() && !target.runs().empty() && answeredRecently && mayExtend && lease > Duration(0)) {
         request.leaseUntilMs = target.leaseEndMs(lease, now);
         target.recordLease(request.leaseUntilMs, now);
     }
@@ -421,9 +421,9 @@
         }
         return;
     }
-    const bool isClaimed = target.ownership == Ownership::Claiming && !changes.restarted;
+    const bool isClaimed = target.ownership == Ownership::Claiming && !changes.restarted && !target.needsHigherToken();
     if (changes.restarted) {
-        target.ownership = Ownership::Claiming;
+        target.recordRestart();
         if (target.lastAnswerBeforeRestartAt == TimePoint()) {
             target.lastAnswerBeforeRestartAt = previousAnswerAt;
         }
@@ -437,7 +437,7 @@
     for (const auto &run : changes.adopted) {
         onRunAdopted(target, run, now);
     }
-    if (!changes.restarted) {
+    if (!target.needsHigherToken()) {
         stopUnconfirmedStarts(target, now);
     }
     if (isClaimed) {
@@ -453,7 +453,7 @@
     if (!m_targets.contains(targetId)) {
         return;
     }
-    if (!target.renewalInFlight && !target.runs().empty()) {
+    if (!target.renewalInFlight && !target.runs().empty() && !target.needsHigherToken()) {
         renew(target, now);
     }
 }
--- a/src/scheduling/targetledger.cpp
+++ b/src/scheduling/targetledger.cpp
@@ -140,7 +140,7 @@
             }
             running.erase(listed);
             ++it;
-        } else if (!changes.restarted && hasEndedUnlisted(run, listing, sentAt)) {
+        } else if (!changes.restarted && !m_needsHigherToken && hasEndedUnlisted(run, listing, sentAt)) {
             changes.ended.push_back({run, RunEnd::LeaseExpired, false});
             it = m_runs.erase(it);
         } else {
@@ -197,6 +197,17 @@
     m_leaseBound.onClaimed(now);
 }
 
+void TargetLedger::recordRestart()
+{
+    ownership = Ownership::Claiming;
+    m_needsHigherToken = true;
+}
+
+bool TargetLedger::needsHigherToken() const
+{
+    return m_needsHigherToken;
+}
+
 bool TargetLedger::haveLeasesEnded(TimePoint now) const
 {
     return m_leaseBound.hasPassed(now);
@@ -379,6 +390,7 @@
 
 void TargetLedger::setFencingToken(std::uint64_t token)
 {
+    m_needsHigherToken = m_needsHigherToken && token <= m_fencingToken;
     m_fencingToken = token;
 }
 
--- a/src/scheduling/targetledger.h
+++ b/src/scheduling/targetledger.h
@@ -140,6 +140,13 @@
     /// Records that the target was listed under this host's claim, in a reply that was read now: the target is owned.
     void recordClaim(TimePoint now);
 
+    /// Records that the target has restarted: it must be claimed again, under a higher token than the present one.
+    void recordRestart();
+
+    /// True from recordRestart() until the token is replaced. A listing under the present token is no claim of the new life, since orders
+    /// of the earlier one under that token would still be carried out after it.
+    bool needsHigherToken() const;
+
     /// True once every lease on the target has certainly ended, whoever granted it.
     bool haveLeasesEnded(TimePoint now) const;
 
@@ -255,6 +262,7 @@
 
     TargetEntry m_entry;
     std::uint64_t m_fencingToken;
+    bool m_needsHigherToken = false;
     Duration m_maxLease;
     std::map<RunName, LedgerRun> m_runs;
     Resources m_used;
--- a/tests/unit/scheduling/restartedtargets.cpp
+++ b/tests/unit/scheduling/restartedtargets.cpp
@@ -87,6 +87,35 @@
     BOOST_TEST(scheduler.runCount() == 1);
 }
 
+// Issue 48: as above, while the host has not claimed the target again.
+BOOST_AUTO_TEST_CASE(A_listing_under_the_earlier_token_is_no_claim_of_the_new_life)
+{
+    startOnRestartedTarget();
+    now += Milliseconds(1);
+    answerStart(0);
+    scheduler.onRenewalReply("restarted", listing({}, Token), now);
+    const auto sentBefore = port.renewals.size();
+    for (int late = 0; late < 2; ++late) {
+        now += Milliseconds(5);
+        auto reply = listing({}, Token);
+        reply.sentAt = now - Milliseconds(2);
+        scheduler.onRenewalReply("restarted", reply, now);
+        scheduler.tick(now);
+        BOOST_TEST(!scheduler.isListed("restarted"));
+    }
+    BOOST_TEST(port.starts.size() == 1);
+    // Until then it is only asked whether it answers, which takes over nothing and extends no lease.
+    for (auto sent = sentBefore; sent < port.renewals.size(); ++sent) {
+        if (port.renewals[sent].first == "restarted") {
+            BOOST_TEST(port.renewals[sent].second.fencingToken == 0);
+            BOOST_TEST(port.renewals[sent].second.leaseUntilMs == 0);
+        }
+    }
+    claimAgain();
+    scheduler.onRenewalReply("restarted", listing({}, NextToken), now);
+    BOOST_TEST(scheduler.isListed("restarted"));
+}
+
 BOOST_AUTO_TEST_CASE(A_run_that_a_restarted_target_has_confirmed_is_not_ended_by_a_listing_that_was_made_before)
 {
     const auto run = startOnRestartedTarget();
