Answers under the token of the earlier claim count for the lease bound

Cause: an answer to a start was looked up by the present token, so that one to a start under the earlier token, which a restarted target had carried out between the listing of the restart and the next claim, was dropped. The run was taken for ended while its lease could last. The same holds for renewals.

Change: the deadline of a start counts if the answer has the token of that run, whichever token the target is claimed under now; the answer has no other effect. An accepted renewal under an earlier token counts as the longest lease while the target is being claimed, since its deadline is not kept.

--- a/src/scheduling/schedulerruns.cpp
+++ b/src/scheduling/schedulerruns.cpp
@@ -89,18 +89,23 @@
 void Scheduler::onStartReply(const std::string &targetId, const RunName &name, const TargetReply &reply, TimePoint now)
 {
     updateGrants(now);
-    auto *found = findTarget(targetId, reply.fencingToken);
-    if (found == nullptr) {
+    const auto held = m_targets.find(targetId);
+    if (held == m_targets.end()) {
         return;
     }
-    auto &target = *found;
+    auto &target = *held->second;
     auto *run = target.find(name);
+    // A target that has restarted carries out orders under the earlier token until it receives the next claim, and a lease lasts beyond
+    // that.
+    if (run != nullptr && run->fencingToken == reply.fencingToken && takesDeadline(reply.result)) {
+        target.recordDeadlineTaken(*run, reply.clockMs, now);
+    }
+    if (reply.fencingToken != target.fencingToken()) {
+        return;
+    }
     if (run != nullptr && reply.result == RequestResult::Accepted) {
         target.confirmStart(*run, now);
     }
-    if (run != nullptr && takesDeadline(reply.result)) {
-        target.recordDeadlineTaken(*run, reply.clockMs, now);
-    }
     if (reply.result != RequestResult::Unknown && reply.result != RequestResult::NotSent) {
         target.lastAnswerAt = now;
         if (target.clock.isKnown() && reply.clockMs > 0 && Milliseconds(target.clock.estimateMs(now) - reply.clockMs) > RestartClockGap) {
--- a/src/scheduling/schedulertargets.cpp
+++ b/src/scheduling/schedulertargets.cpp
@@ -365,6 +365,10 @@
         return;
     }
     if (reply.fencingToken != target.fencingToken()) {
+        if (target.ownership == Ownership::Claiming && reply.fencingToken != 0 && reply.result == RequestResult::Accepted) {
+            // A restarted target may have cut the deadline of that renewal to the longest lease just before the reply.
+            target.recordLongestLease(now);
+        }
         return;
     }
     // Each claim of a target has a token of its own, so this reply belongs to a renewal of the present claim.
--- a/tests/unit/scheduling/leasesofrestartedtargets.cpp
+++ b/tests/unit/scheduling/leasesofrestartedtargets.cpp
@@ -121,6 +121,38 @@
     BOOST_TEST((time < LongestLease + Milliseconds(150)));
 }
 
+// As the one above, for a renewal that is executed between the listing and the claim.
+BOOST_AUTO_TEST_CASE(A_run_is_not_taken_for_ended_while_a_renewal_under_the_token_of_the_earlier_claim_may_extend_its_lease)
+{
+    auto submission = job("j", 1, 14000);
+    submission.callerDeadline = now + Seconds(9);
+    submit(submission);
+    BOOST_REQUIRE(port.starts.size() == 1);
+    advance(Milliseconds(3));
+    answer(0, RequestResult::Accepted);
+    advance(Milliseconds(3));
+    const auto request = lastRenewal("restarted");
+    RenewalReply reply;
+    reply.result = RequestResult::Accepted;
+    reply.fencingToken = request.fencingToken;
+    reply.sequence = request.sequence;
+    reply.sentAt = request.sentAt;
+    reply.listing.clockMs = clockMs() - 5500;
+    reply.listing.startedAtMs = 2;
+    reply.listing.running = {{port.starts[0].request.name, 10}};
+    scheduler.onRenewalReply("restarted", reply, now);
+    BOOST_REQUIRE(port.restarted.size() == 1);
+    scheduler.addTarget(entry("restarted", 32000), Token + 1, now);
+    now += Milliseconds(200);
+    reply.sequence = request.sequence - 1;
+    reply.listing.clockMs = clockMs() - 5500;
+    scheduler.onRenewalReply("restarted", reply, now);
+    secondAnsweredAt = now;
+    const auto time = timeToLoss();
+    BOOST_TEST((time > LongestLease));
+    BOOST_TEST((time < LongestLease + Milliseconds(150)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 namespace
