Dispatchers name the jobs that ran and were given up to all hosts

Only the dispatcher that started a job knew that it had run.

A dispatcher now names a job that is cancelled or abandoned after a start to every live host, four times. These say unknown for it as for their own.

--- a/src/fleet/fleetframe.cpp
+++ b/src/fleet/fleetframe.cpp
@@ -320,6 +320,9 @@
         row.set_id(answer.jobId);
         row.set_cancelled(answer.cancelled);
     }
+    for (const auto &id : frame.abandonedRuns) {
+        wire.add_abandoned_runs(id);
+    }
     if (frame.requestsConfiguration) {
         wire.mutable_configuration_request();
     }
@@ -393,6 +396,7 @@
     for (const auto &row : wire.cancel_answers()) {
         frame.cancelAnswers.push_back({row.id(), row.cancelled()});
     }
+    frame.abandonedRuns.assign(wire.abandoned_runs().begin(), wire.abandoned_runs().end());
     frame.requestsConfiguration = wire.has_configuration_request();
     if (wire.has_configuration()) {
         frame.configuration = ConfigurationRecord {wire.configuration().version(), wire.configuration().record()};
--- a/src/fleet/fleetframe.h
+++ b/src/fleet/fleetframe.h
@@ -115,6 +115,8 @@
     /// Jobs that a caller has asked the sender to cancel.
     std::vector<std::string> cancelInquiries;
     std::vector<CancelAnswer> cancelAnswers;
+    /// Jobs that the sender ran and that were given up since. See RunNotices.
+    std::vector<std::string> abandonedRuns;
     bool requestsConfiguration = false;
     std::optional<ConfigurationRecord> configuration;
 };
--- a/src/fleet/hostnode.cpp
+++ b/src/fleet/hostnode.cpp
@@ -142,6 +142,7 @@
     const auto &id = job.submission.request.id;
     if (job.dispatcher == m_identity.host) {
         m_scheduler.cancel(id, m_identity.host, now, job.submission.number);
+        noteAbandonedRun(id);
     } else if (!job.dispatcher.empty()) {
         const auto &submission = job.submission;
         m_owedCancellations.add(id,
@@ -528,6 +529,9 @@
 void HostNode::onJobEnd(const JobSubmission &job, const JobResult &result)
 {
     m_observer.onJobEnded(job, result, m_now - job.arrivedAt);
+    if (result.end == JobEnd::Abandoned) {
+        noteAbandonedRun(job.request.id);
+    }
     if (job.entryHost == m_identity.host) {
         m_locallyEndedJobs.push_back({job.request.id, result, job.grantEpoch, job.number});
         return;
--- a/src/fleet/hostnode.h
+++ b/src/fleet/hostnode.h
@@ -10,6 +10,7 @@
 #include "fleet/owedresults.h"
 #include "fleet/peerprocesses.h"
 #include "fleet/poolassignment.h"
+#include "fleet/runnotices.h"
 #include "scheduling/scheduler.h"
 
 #include <map>
@@ -235,6 +236,8 @@
     void sendDueReport(const Endpoint &endpoint, TimePoint now);
     void sendReport(PeerRecord &peer, HostReport &report, bool requestsGrant, TimePoint now);
     void sendGrantRequests(TimePoint now);
+    void noteAbandonedRun(const std::string &jobId);
+    void sendRunNotices(TimePoint now);
     bool send(const std::string &host, FleetFrame frame, TimePoint now);
 
     HostIdentity m_identity;
@@ -302,6 +305,7 @@
     OwedCancellations m_owedCancellations;
     OwedResults m_owedResults;
     EarlierRuns m_earlierRuns;
+    RunNotices m_runNotices;
     ConfigurationRecord m_configuration;
     std::uint64_t m_highestRound = 0;
     /// TimePoint() before the first read.
--- a/src/fleet/hostnodepeers.cpp
+++ b/src/fleet/hostnodepeers.cpp
@@ -109,6 +109,9 @@
     for (const auto &lost : frame.lostDispatchers) {
         recordLostDispatcher(lost, now);
     }
+    for (const auto &jobId : frame.abandonedRuns) {
+        m_scheduler.onRunElsewhere(jobId, now);
+    }
     const bool isAccepted = acceptGrant(frame, now);
     const bool isLate = isStale(frame, now);
     if (isLate) {
@@ -268,6 +271,7 @@
     for (const auto &cancellation : frame.cancellations) {
         const auto &[id, number] = cancellation;
         m_scheduler.cancel(id, frame.host, now, number);
+        noteAbandonedRun(id);
         if (!m_scheduler.hasJobOf(id, frame.host, number)) {
             confirmation.confirmedCancellations.push_back(cancellation);
         }
@@ -570,6 +574,7 @@
     m_owedCancellations.removeOld(now);
     m_owedResults.removeOld(now);
     m_earlierRuns.removeOld(now);
+    sendRunNotices(now);
     sendReports(now);
     sendGrantRequests(now);
     if (isDispatcher() && now - m_usageReportedAt >= UsagePeriod) {
@@ -761,6 +766,28 @@
     return m_port.sendFrame(member->report.peerEndpoint, frame);
 }
 
+/// Lets all hosts know of a job that is given up here, if it ran.
+void HostNode::noteAbandonedRun(const std::string &jobId)
+{
+    if (m_scheduler.isKnownToHaveRun(jobId)) {
+        m_runNotices.add(jobId);
+    }
+}
+
+void HostNode::sendRunNotices(TimePoint now)
+{
+    const auto perHost = DispatcherReportPeriodPerHost * static_cast<Duration::rep>(m_view.liveCount(now));
+    const auto jobs = m_runNotices.takeDue(std::max<Duration>(DispatcherReportPeriod, perHost), now);
+    if (jobs.empty()) {
+        return;
+    }
+    for (const auto *member : m_view.liveMembers(now)) {
+        FleetFrame frame;
+        frame.abandonedRuns = jobs;
+        send(member->report.host, std::move(frame), now);
+    }
+}
+
 /// Asks the entry hosts of the jobs here for grants, at the period of a small fleet: reports in a large one are further apart than grants
 /// last.
 void HostNode::sendGrantRequests(TimePoint now)
--- /dev/null
+++ b/src/fleet/runnotices.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "kernel/time.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace Anvilcart::Fleet
+{
+/// The jobs that ran on this dispatcher and were given up since. All hosts are told of them, since the caller of a lost connection sends
+/// its job again over any host, to a dispatcher that would take it for one that never ran. Not thread-safe.
+class RunNotices
+{
+public:
+    /// Adds a job that had a run and was given up.
+    void add(const std::string &jobId);
+
+    /// The jobs to name to every host now. Empty until the period since the last ones is over.
+    std::vector<std::string> takeDue(Duration period, TimePoint now);
+
+private:
+    /// How often each job is still named.
+    std::map<std::string, int> m_remaining;
+    TimePoint m_nextAt;
+};
+} // namespace Anvilcart::Fleet
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -553,6 +553,16 @@
     return m_recentlyRunJobs.mayContain(jobId, now);
 }
 
+void Scheduler::onRunElsewhere(const std::string &jobId, TimePoint now)
+{
+    m_recentlyRunJobs.record(jobId, now);
+}
+
+bool Scheduler::isKnownToHaveRun(const std::string &jobId) const
+{
+    return m_recentlyRunJobs.contains(jobId);
+}
+
 bool Scheduler::hasRuns(const std::string &jobId) const
 {
     const auto found = m_jobs.find(jobId);
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -186,6 +186,12 @@
     /// False only when it is certain that no earlier submission of the job had a run.
     bool mayHaveRun(const std::string &jobId, TimePoint now) const;
 
+    /// Records a job that had a run at another dispatcher and was given up there.
+    void onRunElsewhere(const std::string &jobId, TimePoint now);
+
+    /// True when the job is known to have had a run within the time in which callers send jobs again.
+    bool isKnownToHaveRun(const std::string &jobId) const;
+
     /// Sets the dispatchers to which jobs may be redirected when there is no capacity here.
     void setPeers(std::vector<PeerDispatcher> peers);
 
--- a/tests/unit/fleet/fleetframe.cpp
+++ b/tests/unit/fleet/fleetframe.cpp
@@ -40,6 +40,7 @@
     frame.ended.push_back({"00000000000000bb", {JobEnd::NotRun, JobEndReason::BetterElsewhere, Seconds(2), "h2"}, 3, 16});
     frame.cancellations.push_back({"00000000000000cc", 18});
     frame.confirmedCancellations.push_back({"00000000000000ff", 19});
+    frame.abandonedRuns.push_back("00000000000000ab");
     frame.grant = JobGrant {3, Now + Milliseconds(700), 41, 8};
     frame.lostDispatchers.push_back({"h3", 9, Seconds(12), Now - Milliseconds(800), {{"a", 1}}, 55});
     frame.releases.push_back({"00000000000000ee", "h3#9", 20});
@@ -72,6 +73,8 @@
     BOOST_REQUIRE(frame->confirmedCancellations.size() == 1);
     BOOST_TEST(frame->confirmedCancellations.front().jobId == "00000000000000ff");
     BOOST_TEST(frame->confirmedCancellations.front().submissionNumber == 19);
+    BOOST_REQUIRE(frame->abandonedRuns.size() == 1);
+    BOOST_TEST(frame->abandonedRuns.front() == "00000000000000ab");
     BOOST_TEST((frame->submissions.at(0).lostDispatcherRunsEndBy == later + Milliseconds(1100)));
     // A grant counts on the recipient's clock.
     BOOST_TEST((frame->grant->until == Now + Milliseconds(700)));
