A host names only the jobs that ran on its own targets

A host recorded the jobs that others had named among its own, so that each dispatcher that refused such a job, or was told to cancel it before a start, named it to all hosts four more times. They are kept apart now.

--- a/src/fleet/hostnodepeers.cpp
+++ b/src/fleet/hostnodepeers.cpp
@@ -771,7 +771,7 @@
 /// Lets all hosts know of a job that is given up here, if it ran.
 void HostNode::noteAbandonedRun(const std::string &jobId)
 {
-    if (m_scheduler.isKnownToHaveRun(jobId)) {
+    if (m_scheduler.hasRunHere(jobId)) {
         m_runNotices.add(jobId);
     }
 }
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -554,15 +554,15 @@
 
 bool Scheduler::mayHaveRun(const std::string &jobId, TimePoint now) const
 {
-    return m_recentlyRunJobs.mayContain(jobId, now);
+    return m_recentlyRunJobs.mayContain(jobId, now) || m_runElsewhere.contains(jobId);
 }
 
 void Scheduler::onRunElsewhere(const std::string &jobId, TimePoint now)
 {
-    m_recentlyRunJobs.record(jobId, now);
+    m_runElsewhere.record(jobId, now);
 }
 
-bool Scheduler::isKnownToHaveRun(const std::string &jobId) const
+bool Scheduler::hasRunHere(const std::string &jobId) const
 {
     return m_recentlyRunJobs.contains(jobId);
 }
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -189,8 +189,8 @@
     /// Records a job that had a run at another dispatcher and was given up there.
     void onRunElsewhere(const std::string &jobId, TimePoint now);
 
-    /// True when the job is known to have had a run within the time in which callers send jobs again.
-    bool isKnownToHaveRun(const std::string &jobId) const;
+    /// True when the job is known to have had a run on a target of this host within the time in which callers send jobs again.
+    bool hasRunHere(const std::string &jobId) const;
 
     /// Sets the dispatchers to which jobs may be redirected when there is no capacity here.
     void setPeers(std::vector<PeerDispatcher> peers);
@@ -305,6 +305,8 @@
     RunTimeModel m_runTimes;
     /// Jobs that recently had a run, including those started by an earlier dispatcher.
     RecentJobs m_recentlyRunJobs;
+    /// Jobs that other dispatchers have named. Kept apart, so that a host does not name them in turn.
+    RecentJobs m_runElsewhere;
     EndedSubmissions m_endedSubmissions;
     /// For each job that had runs on targets which another host has taken: when these runs have ended.
     std::unordered_map<std::string, TimePoint> m_lostRunsEndBy;
--- a/tests/unit/fleet/runnotices.cpp
+++ b/tests/unit/fleet/runnotices.cpp
@@ -107,6 +107,16 @@
     BOOST_TEST(noticeCount("j") == 0);
 }
 
+BOOST_FIXTURE_TEST_CASE(A_host_does_not_name_a_job_that_ran_elsewhere_alone, TwoDispatchersFixture)
+{
+    auto frame = frameFromPeer();
+    frame.abandonedRuns.push_back("ran");
+    node.onFrame(frame, now);
+    submitInfeasible("ran");
+    advance(Seconds(1));
+    BOOST_TEST(noticeCount("ran") == 0);
+}
+
 BOOST_AUTO_TEST_CASE(A_job_is_named_a_limited_number_of_times)
 {
     RunNotices notices;
