Leases follow the caller's wait where targets grant shorter or longer ones

Change: a start needs a reading of the clock of the last 10 s (idle clocks are read every 5 s), and no lease of more than 1 s is requested. All sites of the users grant 1 s, where only the limit of the clock's age changes, from 24 s. Two tests in RunsAfterGrantsSuite, both of which failed before (3 checks).

--- a/src/scheduling/schedulertargets.cpp
+++ b/src/scheduling/schedulertargets.cpp
@@ -22,6 +22,9 @@
 constexpr Milliseconds ImmediateFailureLimit {20};
 /// The interval of renewals while a run exceeds its forecast.
 constexpr Milliseconds MinRenewalWait {60};
+/// The longest lease that is requested, also where targets grant longer ones: when this host ends, the runs of its own callers must end
+/// before those send their jobs again.
+constexpr Milliseconds LongestLease {1000};
 /// A renewal is sent this long before the leases end at the latest, as long as the grants of the target's runs limit them.
 constexpr Milliseconds RenewalLead {150};
 /// A target is unresponsive when its last reply is older than this; until then an unanswered renewal is repeated.
@@ -334,7 +337,7 @@
     // that another host has started, which waits for the end of its leases if it is only cut off.
     const bool answeredRecently = !target.unresponsive && now - target.lastAnswerAt < LeaseExtensionLimit;
     const bool mayExtend = !target.hasUnidentifiedRuns() && target.mayExtendLeases(now);
-    const auto longest = target.hasRunAlone() ? Duration(SuspectLease) : m_limits.maxLease;
+    const auto longest = target.hasRunAlone() ? Duration(SuspectLease) : std::min<Duration>(m_limits.maxLease, LongestLease);
     const auto lease = std::min(longest, target.leaseLimit() - now);
     if (!isProbe && target.clock.isKnown() && !target.runs().empty() && answeredRecently && mayExtend && lease > Duration(0)) {
         request.leaseUntilMs = target.leaseEndMs(lease, now);
--- a/src/scheduling/targetledger.cpp
+++ b/src/scheduling/targetledger.cpp
@@ -11,6 +11,8 @@
 {
 /// A run past its expected end is expected to take another 1/OverrunDivisor of its expected run time.
 constexpr int OverrunDivisor = 4;
+/// By an older reading of its clock, a slow target could carry out a start seconds after its deadline.
+constexpr Seconds LongestClockAge {10};
 
 TimePoint timeAfter(TimePoint grantEnd, Duration delay)
 {
@@ -337,7 +339,7 @@
 {
     const auto leaseEndsBy = LeaseBound::endOfRequest(lease, clock.age(now), now);
     const auto firstGrantEnd = std::min(grantEndsBy, firstEndOfGrants());
-    return leaseEndsBy - now <= m_maxLease && leaseEndsBy <= timeAfter(firstGrantEnd, LongestRunAfterGrant)
+    return clock.age(now) <= LongestClockAge && leaseEndsBy <= timeAfter(firstGrantEnd, LongestRunAfterGrant)
         && leasesEndBy() <= timeAfter(grantEndsBy, LongestRunAfterGrant);
 }
 
--- a/tests/unit/scheduling/runsaftergrants.cpp
+++ b/tests/unit/scheduling/runsaftergrants.cpp
@@ -7,6 +7,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
+#include <memory>
 #include <optional>
 
 using namespace Anvilcart;
@@ -222,6 +223,60 @@
     }
 }
 
+namespace
+{
+/// A target of a site whose targets grant other leases than those of the users' sites, held for long.
+struct OtherLeasesFixture : GrantsOfTwoHostsFixture
+{
+    void claimUnder(Duration maxLease)
+    {
+        SchedulerLimits limits;
+        limits.maxLease = maxLease;
+        site = std::make_unique<Scheduler>(limits, port, observer);
+        site->addTarget(entry("t9"), Token, now);
+        answer({});
+        now += Seconds(4);
+        site->tick(now);
+    }
+
+    void answer(const std::vector<ActiveRun> &running)
+    {
+        const auto &request = lastRenewal("t9");
+        RenewalReply reply;
+        reply.result = RequestResult::Accepted;
+        reply.fencingToken = request.fencingToken;
+        reply.sequence = request.sequence;
+        reply.sentAt = request.sentAt;
+        reply.listing.clockMs = clockMs();
+        reply.listing.startedAtMs = startedAtMs;
+        reply.listing.running = running;
+        site->onRenewalReply("t9", reply, now);
+    }
+
+    std::unique_ptr<Scheduler> site;
+};
+} // namespace
+
+BOOST_FIXTURE_TEST_CASE(Targets_that_grant_short_leases_are_used, OtherLeasesFixture)
+{
+    claimUnder(Milliseconds(450));
+    site->submit(job("j"), now);
+    BOOST_TEST(port.starts.size() == 1);
+}
+
+BOOST_FIXTURE_TEST_CASE(Where_targets_grant_long_leases_runs_still_end_before_callers_come_again, OtherLeasesFixture)
+{
+    claimUnder(Seconds(3));
+    site->submit(job("own", 1, 4000), now);
+    BOOST_REQUIRE(port.starts.size() == 1);
+    now += Milliseconds(20);
+    answer({{port.starts[0].request.name, 10}});
+    BOOST_TEST((longestLease("t9") <= Seconds(1)));
+    site->onGrant("e1", 5, {1, now + Milliseconds(800), ClaimCount, 1}, now);
+    site->submit(jobOf("e1", "granted", 4000), now);
+    BOOST_TEST(port.starts.size() == 2);
+}
+
 BOOST_AUTO_TEST_CASE(A_report_says_how_long_runs_outlast_their_grants)
 {
     HostNodeFixture host;
