Starts need a clock that was read; tests as strict as before

A target whose clock was never read is refused explicitly. GrantsSuite/A_report_names_a_target_that_was_ taken_away_while_it_ran_a_job would have passed by a report from before the loss since: it now checks every report after it, and that there is one. RunsAfterGrantsSuite: the own lease is exactly 1 s, a start needs a reading of the last 10 s, and the test of short leases is named after what it shows.

--- a/src/scheduling/targetledger.cpp
+++ b/src/scheduling/targetledger.cpp
@@ -339,7 +339,7 @@
 {
     const auto leaseEndsBy = LeaseBound::endOfRequest(lease, clock.age(now), now);
     const auto firstGrantEnd = std::min(grantEndsBy, firstEndOfGrants());
-    return clock.age(now) <= LongestClockAge && leaseEndsBy <= timeAfter(firstGrantEnd, LongestRunAfterGrant)
+    return clock.isKnown() && clock.age(now) <= LongestClockAge && leaseEndsBy <= timeAfter(firstGrantEnd, LongestRunAfterGrant)
         && leasesEndBy() <= timeAfter(grantEndsBy, LongestRunAfterGrant);
 }
 
--- a/tests/unit/fleet/grants.cpp
+++ b/tests/unit/fleet/grants.cpp
@@ -5,8 +5,6 @@
 
 #include <boost/test/unit_test.hpp>
 
-#include <algorithm>
-
 using namespace Anvilcart;
 using namespace Anvilcart::Fleet;
 
@@ -270,13 +268,17 @@
     TargetReply fenced;
     fenced.result = RequestResult::Fenced;
     fenced.fencingToken = port.starts.front().second.fencingToken;
+    port.frames.clear();
     node.onStartReply(target, port.starts.front().second.name, fenced, now);
     advance(Milliseconds(300));
-    const auto last = std::find_if(port.frames.rbegin(), port.frames.rend(), [](const auto &sent) {
-        return sent.second.report.has_value();
-    });
-    BOOST_REQUIRE((last != port.frames.rend()));
-    BOOST_TEST(last->second.report->targetsDigest == Scheduler::digestOf("t1") + Scheduler::digestOf("t2"));
+    std::size_t reportCount = 0;
+    for (const auto &[endpoint, frame] : port.frames) {
+        if (frame.report) {
+            ++reportCount;
+            BOOST_TEST(frame.report->targetsDigest == Scheduler::digestOf("t1") + Scheduler::digestOf("t2"));
+        }
+    }
+    BOOST_TEST(reportCount > 0);
 }
 
 // Issue 35, review/2: a host that was silent for 186 ms was seen again at once, when its jobs had been handed on.
--- a/tests/unit/scheduling/runsaftergrants.cpp
+++ b/tests/unit/scheduling/runsaftergrants.cpp
@@ -257,13 +257,24 @@
 };
 } // namespace
 
-BOOST_FIXTURE_TEST_CASE(Targets_that_grant_short_leases_are_used, OtherLeasesFixture)
+BOOST_FIXTURE_TEST_CASE(Tasks_are_started_on_targets_that_grant_short_leases, OtherLeasesFixture)
 {
     claimUnder(Milliseconds(450));
     site->submit(job("j"), now);
     BOOST_TEST(port.starts.size() == 1);
 }
 
+BOOST_AUTO_TEST_CASE(A_start_needs_a_reading_of_the_clock_of_the_last_ten_seconds)
+{
+    for (const auto age : {Milliseconds(9900), Milliseconds(10100)}) {
+        GrantsOfTwoHostsFixture fixture;
+        fixture.scheduler.tick(fixture.now);
+        fixture.now += age;
+        fixture.submit(fixture.job("j"));
+        BOOST_TEST(fixture.port.starts.size() == (age < Seconds(10) ? 1U : 0U));
+    }
+}
+
 BOOST_FIXTURE_TEST_CASE(Where_targets_grant_long_leases_runs_still_end_before_callers_come_again, OtherLeasesFixture)
 {
     claimUnder(Seconds(3));
@@ -271,7 +282,7 @@
     BOOST_REQUIRE(port.starts.size() == 1);
     now += Milliseconds(20);
     answer({{port.starts[0].request.name, 10}});
-    BOOST_TEST((longestLease("t9") <= Seconds(1)));
+    BOOST_TEST((longestLease("t9") == Seconds(1)));
     site->onGrant("e1", 5, {1, now + Milliseconds(800), ClaimCount, 1}, now);
     site->submit(jobOf("e1", "granted", 4000), now);
     BOOST_TEST(port.starts.size() == 2);
