Log lines that tell when a caller had gone before its job was read

Nothing logged told whether the second one had read a stale request, had noticed the end of its caller late, or had been asked by a connected caller.

job_read looks at the caller's connection once the request is read, and caller_disconnected tells how long after the last look the end was handled; both tell how late the process is with its timer. No decision depends on them.

--- a/src/entry/callerrequesthandler.cpp
+++ b/src/entry/callerrequesthandler.cpp
@@ -61,6 +61,16 @@
     return answer;
 }
 
+void CallerRequestHandler::onTick(TimePoint nextTickAt)
+{
+    m_nextTickAt = nextTickAt;
+}
+
+Duration CallerRequestHandler::tickDelay(TimePoint now) const
+{
+    return m_nextTickAt == TimePoint() ? Duration(0) : std::max<Duration>(now - m_nextTickAt, Duration(0));
+}
+
 asio::awaitable<HttpResponse> CallerRequestHandler::handle(HttpRequest request, HttpPeer &peer)
 {
     const auto routes = m_routes;
@@ -105,8 +115,9 @@
     auto waiter = std::make_shared<OneShot<CallerReply>>(m_executor);
     auto &waiters = m_waiters[id];
     waiters.push_back(waiter);
-    peer.onDisconnect([this, id, waiter] {
-        onCallerDisconnected(id, waiter);
+    m_telemetry.onJobRead(id, peer.isConnected(), tickDelay(now));
+    peer.onDisconnect([this, id, waiter, now] {
+        onCallerDisconnected(id, waiter, now);
     });
     if (waiters.size() == 1) {
         JobSubmission submission;
@@ -147,8 +158,10 @@
     m_waiters.erase(found);
 }
 
-void CallerRequestHandler::onCallerDisconnected(const std::string &id, const Waiter &waiter)
+void CallerRequestHandler::onCallerDisconnected(const std::string &id, const Waiter &waiter, TimePoint connectedAt)
 {
+    const auto now = Clock::now();
+    m_telemetry.onCallerDisconnected(id, now - connectedAt, tickDelay(now));
     CallerReply reply;
     reply.reason = "caller has gone";
     waiter->set(reply);
@@ -159,7 +172,7 @@
     std::erase(found->second, waiter);
     if (found->second.empty()) {
         m_waiters.erase(found);
-        m_node.cancel(id, Clock::now());
+        m_node.cancel(id, now);
     }
 }
 
--- a/src/entry/callerrequesthandler.h
+++ b/src/entry/callerrequesthandler.h
@@ -24,6 +24,9 @@
     /// The node and the telemetry must outlive this object.
     CallerRequestHandler(const boost::asio::any_io_executor &executor, HostNode &node, HostTelemetry &telemetry);
 
+    /// Sets when the process's timer is due next; the log tells how late it is.
+    void onTick(TimePoint nextTickAt);
+
     /// Replaces the configuration in force.
     void setRoutes(std::shared_ptr<const RouteTable> routes);
 
@@ -46,13 +49,15 @@
     submit(HttpRequest request, HttpPeer &peer, std::shared_ptr<const RouteTable> routes, const Route *route, std::string id);
     HttpResponse refuse(const std::string &jobId, int status, const std::string &reason, Duration retryAfter);
     boost::asio::awaitable<HttpResponse> cancel(std::string id);
-    void onCallerDisconnected(const std::string &id, const Waiter &waiter);
+    void onCallerDisconnected(const std::string &id, const Waiter &waiter, TimePoint connectedAt);
+    Duration tickDelay(TimePoint now) const;
 
     boost::asio::any_io_executor m_executor;
     HostNode &m_node;
     HostTelemetry &m_telemetry;
     std::shared_ptr<const RouteTable> m_routes;
     std::map<std::string, std::vector<Waiter>> m_waiters;
+    TimePoint m_nextTickAt;
     std::map<std::string, std::vector<std::shared_ptr<OneShot<CancelOutcome>>>> m_cancelWaiters;
 };
 } // namespace Anvilcart::Fleet
--- a/src/hostruntime/hostprocess.cpp
+++ b/src/hostruntime/hostprocess.cpp
@@ -218,6 +218,7 @@
         node.onTimerDelay(now - lastTickAt - TickPeriod, now);
         lastBootTime = bootNow;
         lastTickAt = now;
+        callerHandler.onTick(now + TickPeriod);
         node.tick(now);
         continueShutdown(now);
     }
--- a/src/hostruntime/hosttelemetry.cpp
+++ b/src/hostruntime/hosttelemetry.cpp
@@ -81,6 +81,21 @@
           LogPriority::Important);
 }
 
+void HostTelemetry::onJobRead(const std::string &jobId, bool isCallerConnected, Duration tickDelay)
+{
+    const auto *caller = isCallerConnected ? "connected" : "gone";
+    count("anvilcart_jobs_read_total", "caller", caller);
+    write(LogLine("job_read").add("job", jobId).add("caller", caller).add("tick_delay_ms", tickDelay),
+          isCallerConnected ? LogPriority::Routine : LogPriority::Important);
+}
+
+void HostTelemetry::onCallerDisconnected(const std::string &jobId, Duration sinceConnected, Duration tickDelay)
+{
+    count("anvilcart_callers_disconnected_total", "while", "waiting");
+    write(LogLine("caller_disconnected").add("job", jobId).add("since_connected_ms", sinceConnected).add("tick_delay_ms", tickDelay),
+          LogPriority::Important);
+}
+
 void HostTelemetry::onProcessEvent(const LogLine &line)
 {
     write(line, LogPriority::Important);
--- a/src/hostruntime/hosttelemetry.h
+++ b/src/hostruntime/hosttelemetry.h
@@ -22,6 +22,12 @@
     /// A request was refused before it became a job.
     void onRequestRefused(const std::string &jobId, int status, const std::string &reason, std::uint64_t configurationVersion);
 
+    /// A caller's job was read, and the caller's connection looked at. tickDelay is how late the process is with its timer.
+    void onJobRead(const std::string &jobId, bool isCallerConnected, Duration tickDelay);
+
+    /// A caller closed the connection of a job. sinceConnected is the time since the connection was last seen open.
+    void onCallerDisconnected(const std::string &jobId, Duration sinceConnected, Duration tickDelay);
+
     /// The process started, began to stop, stopped or reloaded its settings.
     void onProcessEvent(const LogLine &line);
 
--- a/src/net/disconnectwatch.h
+++ b/src/net/disconnectwatch.h
@@ -29,6 +29,15 @@
         });
     }
 
+    bool isConnected() override
+    {
+        char byte = 0;
+        boost::system::error_code error;
+        m_socket.non_blocking(true, error);
+        const auto count = m_socket.receive(boost::asio::buffer(&byte, 1), boost::asio::ip::tcp::socket::message_peek, error);
+        return count > 0 || error == boost::asio::error::would_block;
+    }
+
     /// The request has been handled; the action is called no more.
     void end()
     {
@@ -41,11 +50,7 @@
 private:
     void readable()
     {
-        char byte = 0;
-        boost::system::error_code error;
-        m_socket.non_blocking(true, error);
-        const auto count = m_socket.receive(boost::asio::buffer(&byte, 1), boost::asio::ip::tcp::socket::message_peek, error);
-        if (count == 0 && error != boost::asio::error::would_block) {
+        if (!isConnected()) {
             m_action();
         }
     }
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -50,6 +50,9 @@
 
     /// Calls action once if the caller closes the connection before the answer is written.
     virtual void onDisconnect(std::function<void()> action) = 0;
+
+    /// Looks at the connection: false if the caller has closed it, even if that is not reported yet.
+    virtual bool isConnected() = 0;
 };
 
 using HttpHandler = std::function<boost::asio::awaitable<HttpResponse>(HttpRequest, HttpPeer &)>;
