--- a/emulator/emulatedcallers.cpp
+++ b/emulator/emulatedcallers.cpp
@@ -31,6 +31,8 @@
     std::size_t host = 0;
     bool finished = false;
     bool isConnected = false;
+    /// The last connection over which the job was sent.
+    std::shared_ptr<CallerConnection> connection;
     /// The caller sends the job again after an unknown outcome.
     bool isPersistent = false;
     /// The index of its task that crashes each target; nothing for most jobs.
@@ -67,6 +69,7 @@
     , m_random(random)
     , m_invariants(invariants)
     , m_hosts(hosts)
+    , m_connections(clock, hosts)
 {
 }
 
@@ -88,7 +91,7 @@
             m_clock.callAfter(job->runTime / 2, [this, job] {
                 if (!job->finished) {
                     job->finished = true;
-                    cancelAtHost(job);
+                    closeConnection(job);
                 }
             });
         }
@@ -143,27 +146,24 @@
     job->host = acceptingHosts[m_random() % acceptingHosts.size()];
     job->isConnected = true;
     m_invariants.onJobSubmitted(job->request.id);
-    auto &host = *m_hosts[job->host];
-    m_clock.callAfter(CallerDelay, [this, job, &host, generation = host.generation()] {
-        host.callWhenRunning(generation, [this, job](HostNode &node) {
-            JobSubmission submission;
-            submission.request = job->request;
-            submission.route = job->kind.route;
-            submission.service = "service";
-            submission.priority = job->kind.priority;
-            submission.maxAttempts = 3;
-            submission.stretchFactor = job->kind.stretchFactor;
-            submission.targetLatency = job->kind.targetLatency;
-            submission.arrivedAt = m_clock.now();
-            submission.callerDeadline = job->submittedAt + job->timeout() - 2 * CallerDelay;
-            node.submit(std::move(submission), m_clock.now());
-        });
+    job->connection = m_connections.open(job->host, job->request.id, CallerDelay + drawReadDelay(), [this, job](HostNode &node) {
+        JobSubmission submission;
+        submission.request = job->request;
+        submission.route = job->kind.route;
+        submission.service = "service";
+        submission.priority = job->kind.priority;
+        submission.maxAttempts = 3;
+        submission.stretchFactor = job->kind.stretchFactor;
+        submission.targetLatency = job->kind.targetLatency;
+        submission.arrivedAt = m_clock.now();
+        submission.callerDeadline = job->submittedAt + job->timeout() - 2 * CallerDelay;
+        node.submit(std::move(submission), m_clock.now());
     });
     m_clock.callAfter(job->timeout(), [this, job] {
         if (!job->finished && !job->isWaiting(m_clock.now())) {
             job->finished = true;
             ++m_results[job->resultName()].unanswered;
-            cancelAtHost(job);
+            closeConnection(job);
         }
     });
 }
@@ -177,12 +177,17 @@
     });
 }
 
-void EmulatedCallers::cancelAtHost(const std::shared_ptr<CallerJob> &job)
+void EmulatedCallers::closeConnection(const std::shared_ptr<CallerJob> &job)
 {
-    auto &host = *m_hosts[job->host];
-    host.callWhenRunning(host.generation(), [this, job](HostNode &node) {
-        node.cancel(job->request.id, m_clock.now());
-    });
+    m_connections.close(job->connection, drawReadDelay());
+}
+
+Duration EmulatedCallers::drawReadDelay()
+{
+    if (m_lateReadShare == 0 || !std::bernoulli_distribution(m_lateReadShare)(m_random)) {
+        return Duration(0);
+    }
+    return Duration(std::uniform_int_distribution<Duration::rep>(0, m_longestReadDelay.count())(m_random));
 }
 
 void EmulatedCallers::breakConnection(const std::shared_ptr<CallerJob> &job)
@@ -191,7 +196,7 @@
         return;
     }
     job->isConnected = false;
-    cancelAtHost(job);
+    closeConnection(job);
     submitAgainAfter(ResubmitDelay, job);
 }
 
@@ -205,8 +210,14 @@
     }
 }
 
+bool EmulatedCallers::isConnected(std::size_t host, const std::string &jobId) const
+{
+    return m_connections.isConnected(host, jobId);
+}
+
 void EmulatedCallers::onAnswer(std::size_t host, const std::string &jobId, const CallerReply &reply)
 {
+    m_connections.onAnswer(host, jobId);
     const auto found = m_jobs.find(jobId);
     if (found == m_jobs.end() || found->second->finished || !found->second->isConnected || found->second->host != host) {
         return;
@@ -271,6 +282,12 @@
     m_brokenConnectionShare = share;
 }
 
+void EmulatedCallers::setLateReads(double share, Duration longest)
+{
+    m_lateReadShare = share;
+    m_longestReadDelay = longest;
+}
+
 void EmulatedCallers::sendAgainAfterUnknownOutcomes()
 {
     m_sendsAgainAfterUnknownOutcomes = true;
--- a/emulator/emulatedcallers.h
+++ b/emulator/emulatedcallers.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "emulator/callerconnections.h"
 #include "emulator/emulatedhost.h"
 #include "emulator/invariantchecker.h"
 #include "emulator/jobkind.h"
@@ -50,6 +51,9 @@
     /// A host answers the caller of a job.
     void onAnswer(std::size_t host, const std::string &jobId, const Fleet::CallerReply &reply);
 
+    /// True if a caller of the job is connected to the host, by what the host's system knows.
+    bool isConnected(std::size_t host, const std::string &jobId) const;
+
     /// Breaks the connections of all callers to a host whose process has stopped.
     void onHostStopped(std::size_t host);
 
@@ -62,6 +66,9 @@
     void setCancelledShare(double share);
     void setBrokenConnectionShare(double share);
 
+    /// Hosts read this share of the jobs, and of the ends of connections, up to the longest delay late, from now on.
+    void setLateReads(double share, Duration longest);
+
     /// Callers of the jobs that are submitted from now on send them again after an unknown outcome, as the protocol says.
     void sendAgainAfterUnknownOutcomes();
 
@@ -81,17 +88,21 @@
     std::shared_ptr<CallerJob> makeJob(const JobKind &kind);
     void submit(const std::shared_ptr<CallerJob> &job);
     void submitAgainAfter(Duration delay, const std::shared_ptr<CallerJob> &job);
-    void cancelAtHost(const std::shared_ptr<CallerJob> &job);
+    void closeConnection(const std::shared_ptr<CallerJob> &job);
+    Duration drawReadDelay();
     void breakConnection(const std::shared_ptr<CallerJob> &job);
 
     SimulatedClock &m_clock;
     std::mt19937_64 &m_random;
     InvariantChecker &m_invariants;
     const std::vector<std::unique_ptr<EmulatedHost>> &m_hosts;
+    CallerConnections m_connections;
     std::map<std::string, std::shared_ptr<CallerJob>> m_jobs;
     std::map<std::string, JobKindResult> m_results;
     double m_cancelledShare = 0;
     double m_brokenConnectionShare = 0;
+    double m_lateReadShare = 0;
+    Duration m_longestReadDelay {0};
     bool m_sendsAgainAfterUnknownOutcomes = false;
     std::map<std::string, double> m_crashingShare;
     double m_loadFactor = 1;
--- a/emulator/emulatedfleet.cpp
+++ b/emulator/emulatedfleet.cpp
@@ -48,13 +48,23 @@
     const auto onAnswer = [this](std::size_t host, const std::string &jobId, const Fleet::CallerReply &reply) {
         m_callers.onAnswer(host, jobId, reply);
     };
+    const auto isCallerConnected = [this](std::size_t host, const std::string &jobId) {
+        return m_callers.isConnected(host, jobId);
+    };
     const auto onClaim = [this](std::size_t host) {
         if (m_claimHandler) {
             m_claimHandler(host, m_clock.elapsed());
         }
     };
-    const EmulatedHost::Environment environment {
-        m_clock, m_network, m_invariants, m_options.hasConnections ? &m_connections : nullptr, m_hosts, m_targets, onAnswer, onClaim};
+    const EmulatedHost::Environment environment {m_clock,
+                                                 m_network,
+                                                 m_invariants,
+                                                 m_options.hasConnections ? &m_connections : nullptr,
+                                                 m_hosts,
+                                                 m_targets,
+                                                 isCallerConnected,
+                                                 onAnswer,
+                                                 onClaim};
     for (std::size_t index = 0; index < m_options.hostZones.size(); ++index) {
         m_hosts.push_back(std::make_unique<EmulatedHost>(index, m_options.hostZones[index], m_options.limits, environment));
         m_clock.callAfter(Milliseconds(m_random() % 300), [this, index] {
@@ -260,6 +270,20 @@
     });
 }
 
+void EmulatedFleet::delayCallerReads(double share, Duration longest, Duration at, Duration length)
+{
+    scheduleFault(at, length, [this, share, longest](bool isActive) {
+        m_callers.setLateReads(isActive ? share : 0, longest);
+    });
+}
+
+void EmulatedFleet::delayReads(std::size_t host, Duration delay, Duration at, Duration length)
+{
+    scheduleFault(at, length, [this, host, delay](bool isActive) {
+        m_hosts[host]->setReadDelay(isActive ? delay : Duration(0));
+    });
+}
+
 void EmulatedFleet::sendJobsAgainAfterUnknownOutcomes()
 {
     m_callers.sendAgainAfterUnknownOutcomes();
--- a/emulator/emulatedfleet.h
+++ b/emulator/emulatedfleet.h
@@ -75,6 +75,10 @@
     /// The connection to the entry host breaks for a share of the jobs that callers submit in this time, early in their run time. Their
     /// callers send them again, also after an unknown outcome.
     void breakCallerConnections(double share, Duration at, Duration length);
+    /// In this time, hosts read a share of the callers' jobs, and of the ends of their connections, up to the longest delay late.
+    void delayCallerReads(double share, Duration longest, Duration at, Duration length);
+    /// In this time, a host reads all that arrives this much late, in the order of arrival; its timers stay on time.
+    void delayReads(std::size_t host, Duration delay, Duration at, Duration length);
     /// The callers of all jobs send them again after an unknown outcome, as the protocol says.
     void sendJobsAgainAfterUnknownOutcomes();
     /// A share of the jobs of a route has a task that crashes each target that starts it.
--- a/emulator/emulatedhost.cpp
+++ b/emulator/emulatedhost.cpp
@@ -1,5 +1,6 @@
 #include "emulator/emulatedhost.h"
 
+#include <algorithm>
 #include <map>
 #include <utility>
 
@@ -83,6 +84,7 @@
     }
     m_connectedEndpoints.clear();
     m_targetListReadAt = TimePoint();
+    m_lastReadAt = TimePoint();
     m_links = m_environment.connections != nullptr ? makeLinks() : nullptr;
     HostPort &port = *this;
     m_node = std::make_unique<HostNode>(identity, port, m_observer);
@@ -121,7 +123,7 @@
         return std::nullopt;
     };
     const auto callNode = [this, generation = m_generation](std::function<void()> action) {
-        callWhenRunning(generation, [action = std::move(action)](HostNode &) {
+        callWhenRead(generation, [action = std::move(action)](HostNode &) {
             action();
         });
     };
@@ -167,6 +169,11 @@
     }
 }
 
+void EmulatedHost::setReadDelay(Duration delay)
+{
+    m_readDelay = delay;
+}
+
 void EmulatedHost::setTargetListFailing(bool failing)
 {
     m_isTargetListFailing = failing;
@@ -174,11 +181,24 @@
 
 void EmulatedHost::reportClosedLink(std::uint64_t generation, const std::string &peer, std::uint64_t peerIncarnation)
 {
-    callWhenRunning(generation, [this, peer, peerIncarnation](HostNode &node) {
+    callWhenRead(generation, [this, peer, peerIncarnation](HostNode &node) {
         node.onLinkClosed(peer, peerIncarnation, m_environment.clock.now());
     });
 }
 
+void EmulatedHost::callWhenRead(std::uint64_t generation, std::function<void(HostNode &node)> action)
+{
+    const auto now = m_environment.clock.now();
+    m_lastReadAt = std::max(m_lastReadAt, now + m_readDelay);
+    if (m_lastReadAt == now) {
+        callWhenRunning(generation, std::move(action));
+        return;
+    }
+    m_environment.clock.callAfter(m_lastReadAt - now, [this, generation, action = std::move(action)] {
+        callWhenRunning(generation, action);
+    });
+}
+
 void EmulatedHost::callWhenRunning(std::uint64_t generation, std::function<void(HostNode &node)> action)
 {
     if (m_generation != generation || !m_node) {
@@ -295,6 +315,11 @@
     return m_connectedEndpoints.contains(toString(endpoint)) && findRunningPeer(endpoint) != nullptr;
 }
 
+bool EmulatedHost::isCallerConnected(const std::string &jobId)
+{
+    return m_environment.isCallerConnected(m_index, jobId);
+}
+
 bool EmulatedHost::sendFrame(const Endpoint &endpoint, const FleetFrame &frame)
 {
     if (m_links) {
@@ -308,7 +333,7 @@
         && m_environment.network.takeFrameLoss(m_address, recipient->m_address);
     if (hasReconnected) {
         m_environment.clock.callAfter(Duration(0), [this, endpoint, generation = m_generation] {
-            callWhenRunning(generation, [this, endpoint](HostNode &node) {
+            callWhenRead(generation, [this, endpoint](HostNode &node) {
                 node.onConnectionLost(endpoint, m_environment.clock.now());
             });
         });
@@ -316,7 +341,7 @@
     auto bytes = encodeFrame(frame, m_environment.clock.now());
     m_environment.network.sendFrame(
         m_address, recipient->m_address, [this, recipient, hasReconnected, bytes = std::move(bytes), generation = recipient->m_generation] {
-            recipient->callWhenRunning(generation, [this, recipient, hasReconnected, bytes](HostNode &node) {
+            recipient->callWhenRead(generation, [this, recipient, hasReconnected, bytes](HostNode &node) {
                 const auto now = m_environment.clock.now();
                 if (m_environment.network.isPartitioned(m_address, recipient->m_address)) {
                     m_environment.network.onFrameLost(m_address, recipient->m_address);
@@ -344,7 +369,7 @@
     const auto finish = [this, generation = m_generation, target, answered, handler = std::move(handler)](const Reply &reply) {
         if (!*answered) {
             *answered = true;
-            callWhenRunning(generation, [this, target, handler, reply](HostNode &node) {
+            callWhenRead(generation, [this, target, handler, reply](HostNode &node) {
                 handler(node, reply);
                 if (target != nullptr) {
                     checkLeases(*target);
--- a/emulator/emulatedhost.h
+++ b/emulator/emulatedhost.h
@@ -32,6 +32,8 @@
         /// All hosts, by their indexes.
         const std::vector<std::unique_ptr<EmulatedHost>> &hosts;
         const std::vector<std::unique_ptr<SimulatedTarget>> &targets;
+        /// True if a caller of the job is connected to the host, by what the host's system knows.
+        std::function<bool(std::size_t host, const std::string &jobId)> isCallerConnected;
         /// Receives the hosts' answers to callers.
         std::function<void(std::size_t host, const std::string &jobId, const Fleet::CallerReply &reply)> onAnswer;
         /// Called whenever a host claims a pool.
@@ -70,14 +72,18 @@
     /// A process that already stands still is not paused again.
     void pause(Duration length);
 
+    /// The process reads what arrives from now on this much later, in the order of arrival. Its timers stay on time.
+    void setReadDelay(Duration delay);
+
     /// Whether reads of the list of targets fail.
     void setTargetListFailing(bool failing);
 
     /// Notifies the node, if it is still of that generation, that the connection to a peer has closed.
     void reportClosedLink(std::uint64_t generation, const std::string &peer, std::uint64_t peerIncarnation);
 
-    /// Calls action with the node unless the process has stopped since that generation; while the process is paused, after it resumes.
-    void callWhenRunning(std::uint64_t generation, std::function<void(Fleet::HostNode &node)> action);
+    /// Calls action with the node when the process reads what has arrived now, unless the process has stopped since that generation; while
+    /// the process is paused, after it resumes.
+    void callWhenRead(std::uint64_t generation, std::function<void(Fleet::HostNode &node)> action);
 
 private:
     /// Sends a target's reply.
@@ -88,6 +94,7 @@
     void disconnect(const Endpoint &endpoint) override;
     void reconnect(const Endpoint &endpoint) override;
     bool isConnected(const Endpoint &endpoint) const override;
+    bool isCallerConnected(const std::string &jobId) override;
     bool sendFrame(const Endpoint &endpoint, const Fleet::FleetFrame &frame) override;
     void sendStart(const Fleet::TargetEntry &target, const Fleet::StartRequest &request) override;
     void sendStop(const Fleet::TargetEntry &target, const Fleet::StopRequest &request) override;
@@ -102,6 +109,8 @@
     /// Links for the process that is about to start.
     std::shared_ptr<EmulatedPeerLinks> makeLinks();
 
+    /// Calls action with the node unless the process has stopped since that generation; while the process is paused, after it resumes.
+    void callWhenRunning(std::uint64_t generation, std::function<void(Fleet::HostNode &node)> action);
     void tick(std::uint64_t generation);
     void readTargetList();
 
@@ -128,6 +137,9 @@
     std::unique_ptr<Fleet::HostNode> m_node;
     std::uint64_t m_generation = 0;
     TimePoint m_pausedUntil;
+    Duration m_readDelay {0};
+    /// When the last of what has arrived is read.
+    TimePoint m_lastReadAt;
     std::set<std::string> m_connectedEndpoints;
     TimePoint m_targetListReadAt;
     bool m_isTargetListFailing = false;
--- a/emulator/faultscenarios.cpp
+++ b/emulator/faultscenarios.cpp
@@ -211,6 +211,28 @@
         fleet, options, std::mt19937_64(seed * 4799 + 19), {10, Milliseconds(1500), Milliseconds(750), Milliseconds(2000)});
 }
 
+std::string addLateReads(EmulatedFleet &fleet, const FleetOptions &options, std::uint64_t seed)
+{
+    constexpr Seconds Begin {4};
+    constexpr Seconds Length {14};
+    constexpr Milliseconds LongestDelay {2500};
+    std::mt19937_64 random(seed * 4861 + 17);
+    fleet.breakCallerConnections(0.5, Begin, Length);
+    fleet.delayCallerReads(0.5, LongestDelay, Begin, Length);
+    std::string description = "half of the callers lose their connections and send their jobs again; half of the jobs, and of the ends of "
+                              "connections, are read up to 2500 ms late; hosts read all that arrives late:";
+    constexpr int DelayCount = 12;
+    for (int delayed = 0; delayed < DelayCount; ++delayed) {
+        const auto host = random() % options.hostZones.size();
+        const auto at = drawBetween(random, Begin, Begin + Length);
+        const auto length = drawBetween(random, Milliseconds(200), Milliseconds(2000));
+        const auto delay = drawBetween(random, Milliseconds(20), Milliseconds(1200));
+        fleet.delayReads(host, delay, at, length);
+        description += " " + std::to_string(host) + " " + describeSpan(at, length) + " by " + std::to_string(delay.count()) + " ms,";
+    }
+    return description;
+}
+
 std::string addLateFrames(EmulatedFleet &fleet, const FleetOptions &options, std::uint64_t seed)
 {
     std::mt19937_64 random(seed * 5279 + 27);
--- a/emulator/faultscenarios.h
+++ b/emulator/faultscenarios.h
@@ -42,8 +42,12 @@
 /// times.
 std::string addResubmissions(EmulatedFleet &fleet, const FleetOptions &options, std::uint64_t seed);
 
-/// The same with cuts of 0.75 to 2 s, so that jobs are taken from dispatchers that are out of sight and handed on. Returns a description
-/// with times.
+/// Callers lose their connections and send their jobs again, while hosts read half of the jobs and of the ends of connections late, and
+/// single hosts read all that arrives late. Returns a description with times.
+std::string addLateReads(EmulatedFleet &fleet, const FleetOptions &options, std::uint64_t seed);
+
+/// As addResubmissions() with cuts of 0.75 to 2 s, so that jobs are taken from dispatchers that are out of sight and handed on. Returns a
+/// description with times.
 std::string addResubmissionsOfHandedOnJobs(EmulatedFleet &fleet, const FleetOptions &options, std::uint64_t seed);
 
 /// Single hosts are cut off from all other hosts for 0.6 s, one after the other. Returns a description with times.
--- a/emulator/main.cpp
+++ b/emulator/main.cpp
@@ -65,6 +65,7 @@
     {"fault-series", optionsOfFaultSeries, addFaultSeries},
     {"late-frames", optionsOfLateFrames, addLateFrames},
     {"staggered-losses", optionsOfLateFrames, addStaggeredLosses},
+    {"late-reads", optionsOfLongRuns, addLateReads},
     {"unanswered-orders", optionsOfOrdinaryFleet, addFixed<addUnansweredOrders>},
     {"none",
      optionsOfOrdinaryFleet,
--- a/src/entry/callerrequesthandler.cpp
+++ b/src/entry/callerrequesthandler.cpp
@@ -112,7 +112,7 @@
         co_return refuse(id, ServiceUnavailable, std::string("not supported: ") + feature, Seconds(60));
     }
     const auto now = Clock::now();
-    auto waiter = std::make_shared<OneShot<CallerReply>>(m_executor);
+    const Waiter waiter {std::make_shared<OneShot<CallerReply>>(m_executor), &peer};
     auto &waiters = m_waiters[id];
     waiters.push_back(waiter);
     m_telemetry.onJobRead(id, peer.isConnected(), tickDelay(now));
@@ -132,7 +132,7 @@
         submission.callerDeadline = now + callerLimit(request.header(Platform::Names::CallerTimeoutHeader), *route) - AnswerMargin;
         m_node.submit(std::move(submission), now);
     }
-    const auto reply = co_await waiter->wait();
+    const auto reply = co_await waiter.reply->wait();
     switch (reply.answer) {
     case CallerAnswer::Completed:
         co_return makeResponse(Ok, Platform::encodeJobResult(true));
@@ -153,23 +153,33 @@
         return;
     }
     for (const auto &waiter : found->second) {
-        waiter->set(reply);
+        waiter.reply->set(reply);
     }
     m_waiters.erase(found);
 }
 
+bool CallerRequestHandler::isCallerConnected(const std::string &jobId) const
+{
+    const auto found = m_waiters.find(jobId);
+    return found != m_waiters.end() && std::any_of(found->second.begin(), found->second.end(), [](const Waiter &waiter) {
+               return waiter.peer->isConnected();
+           });
+}
+
 void CallerRequestHandler::onCallerDisconnected(const std::string &id, const Waiter &waiter, TimePoint connectedAt)
 {
     const auto now = Clock::now();
     m_telemetry.onCallerDisconnected(id, now - connectedAt, tickDelay(now));
     CallerReply reply;
     reply.reason = "caller has gone";
-    waiter->set(reply);
+    waiter.reply->set(reply);
     const auto found = m_waiters.find(id);
     if (found == m_waiters.end()) {
         return;
     }
-    std::erase(found->second, waiter);
+    std::erase_if(found->second, [&waiter](const Waiter &other) {
+        return other.reply == waiter.reply;
+    });
     if (found->second.empty()) {
         m_waiters.erase(found);
         m_node.cancel(id, now);
--- a/src/entry/callerrequesthandler.h
+++ b/src/entry/callerrequesthandler.h
@@ -42,8 +42,16 @@
     /// Passes the answer of a job to every caller that waits for it.
     void onAnswer(const std::string &jobId, const CallerReply &reply);
 
+    /// Looks at the connections of the callers that wait for this job: false when all of them have been closed.
+    bool isCallerConnected(const std::string &jobId) const;
+
 private:
-    using Waiter = std::shared_ptr<OneShot<CallerReply>>;
+    /// A caller that waits for its answer. The peer lives at least until the answer is set.
+    struct Waiter
+    {
+        std::shared_ptr<OneShot<CallerReply>> reply;
+        HttpPeer *peer = nullptr;
+    };
 
     boost::asio::awaitable<HttpResponse>
     submit(HttpRequest request, HttpPeer &peer, std::shared_ptr<const RouteTable> routes, const Route *route, std::string id);
--- a/src/fleet/interfaces/hostport.h
+++ b/src/fleet/interfaces/hostport.h
@@ -41,6 +41,10 @@
     /// Reads the list of targets soon, without waiting for the next periodic read.
     virtual void refreshTargetList() = 0;
 
+    /// Looks at the connections of the callers that wait for this job: false when all of them have been closed, even if this host has not
+    /// been told yet.
+    virtual bool isCallerConnected(const std::string &jobId) = 0;
+
     /// Answers the caller that waits for this job.
     virtual void answerCaller(const std::string &jobId, const CallerReply &reply) = 0;
 
--- a/src/hostruntime/hostprocess.cpp
+++ b/src/hostruntime/hostprocess.cpp
@@ -373,6 +373,11 @@
         targetConnections.closeIdleConnections(target);
     }
 
+    bool isCallerConnected(const std::string &jobId) override
+    {
+        return callerHandler.isCallerConnected(jobId);
+    }
+
     void answerCaller(const std::string &jobId, const CallerReply &reply) override
     {
         callerHandler.onAnswer(jobId, reply);
--- a/tests/support/hostnodefixture.h
+++ b/tests/support/hostnodefixture.h
@@ -3,6 +3,7 @@
 #include "fleet/hostnode.h"
 
 #include <map>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -50,6 +51,10 @@
     void closeTargetConnections(const std::string &) override
     {
     }
+    bool isCallerConnected(const std::string &jobId) override
+    {
+        return !disconnectedCallers.contains(jobId);
+    }
     void answerCaller(const std::string &jobId, const CallerReply &reply) override
     {
         answers[jobId] = reply;
@@ -76,6 +81,8 @@
     std::vector<std::pair<std::string, StopRequest>> stops;
     std::vector<std::pair<std::string, RenewalRequest>> renewals;
     std::map<std::string, CallerReply> answers;
+    /// Jobs whose callers have closed their connections, which the node is not told.
+    std::set<std::string> disconnectedCallers;
     std::map<std::string, CancelOutcome> cancels;
     int targetListRefreshes = 0;
     bool acceptsFrames = true;
