--- a/emulator/callerconnections.cpp
+++ b/emulator/callerconnections.cpp
@@ -64,9 +64,10 @@
     }
 }
 
-void CallerConnections::onAnswer(std::size_t host, const std::string &jobId)
+std::vector<std::shared_ptr<CallerConnection>> CallerConnections::takeAnswered(std::size_t host, const std::string &jobId)
 {
-    m_waiting[{host, m_hosts[host]->generation()}].erase(jobId);
+    const auto answered = m_waiting[{host, m_hosts[host]->generation()}].extract(jobId);
+    return answered ? answered.mapped() : std::vector<std::shared_ptr<CallerConnection>>();
 }
 
 bool CallerConnections::isConnected(std::size_t host, const std::string &jobId) const
--- a/emulator/callerconnections.h
+++ b/emulator/callerconnections.h
@@ -40,8 +40,8 @@
     /// Closes a connection; the host reads that after this delay or later, and cancels the job if no other connection waits for it.
     void close(const std::shared_ptr<CallerConnection> &connection, Duration readDelay);
 
-    /// The host has answered the connections that wait for this job.
-    void onAnswer(std::size_t host, const std::string &jobId);
+    /// The host answers the connections that wait for this job; returns them.
+    std::vector<std::shared_ptr<CallerConnection>> takeAnswered(std::size_t host, const std::string &jobId);
 
     /// True if a connection that waits at the host for this job is open.
     bool isConnected(std::size_t host, const std::string &jobId) const;
--- a/emulator/emulatedcallers.cpp
+++ b/emulator/emulatedcallers.cpp
@@ -1,5 +1,6 @@
 #include "emulator/emulatedcallers.h"
 
+#include <algorithm>
 #include <cmath>
 #include <cstdio>
 #include <optional>
@@ -217,9 +218,12 @@
 
 void EmulatedCallers::onAnswer(std::size_t host, const std::string &jobId, const CallerReply &reply)
 {
-    m_connections.onAnswer(host, jobId);
+    const auto answered = m_connections.takeAnswered(host, jobId);
     const auto found = m_jobs.find(jobId);
-    if (found == m_jobs.end() || found->second->finished || !found->second->isConnected || found->second->host != host) {
+    if (found == m_jobs.end() || found->second->finished || !found->second->isConnected) {
+        return;
+    }
+    if (std::find(answered.begin(), answered.end(), found->second->connection) == answered.end()) {
         return;
     }
     auto &job = *found->second;
