Hosts act only for callers whose connections they have just looked at

A task ran twice at the same time: a host read a job more than a second after its caller had lost the connection, and started it beside the host to which the caller had sent it again. It learned of the closed connection some 50 ms later.

The cause: grants bound how long a dispatcher acts without its entry host, but nothing bounded how long an entry host acts without its caller. It learned of a closed connection only when its event loop came to it, and jobs that it dispatched itself needed no grant at all.

Now the entry host looks at the caller's connection when it accepts a job, before it submits a job that waited, and, for all jobs of a dispatcher, when it reads the frame from which the next grant to that dispatcher counts; only reports and requests for grants count for that. Jobs of its own callers are dispatched under a grant to itself of 0.9 s, which it renews each 0.2 s after a look; after a pause it looks before it acts. So each run has ended 1.25 s after the last look, before a caller that left just after it comes again (1.3 s). That closes as well the row on runs of a dispatcher's own callers whose stops are lost: their leases end with the grant that was known when they were given up.

--- a/emulator/claimobserver.h
+++ b/emulator/claimobserver.h
@@ -65,6 +65,9 @@
     void onCallerAnswered(const Fleet::EntryJob &, const Fleet::CallerReply &, Duration) override
     {
     }
+    void onCallerGone(const Fleet::EntryJob &, Duration) override
+    {
+    }
     void onJobEnded(const Fleet::JobSubmission &, const Fleet::JobResult &, Duration) override
     {
     }
--- a/src/fleet/hostnode.cpp
+++ b/src/fleet/hostnode.cpp
@@ -64,6 +64,9 @@
     job.submission = std::move(submission);
     m_earlierRuns.applyTo(job.submission);
     auto &entryJob = m_jobs[id] = std::move(job);
+    if (endIfCallerHasGone(id, now)) {
+        return;
+    }
     if (m_refusesJobs) {
         abandon(id, now);
         return;
@@ -279,7 +282,7 @@
 /// When the runs that the job's dispatcher started, or may yet start, have ended if that hears nothing more.
 TimePoint HostNode::runsEndBy(const EntryJob &job, TimePoint now) const
 {
-    if (job.grantEpoch == 0) {
+    if (job.grantEpoch == 0 || job.dispatcher == m_identity.host) {
         return now + m_identity.limits.maxLease + LeaseExpiryMargin;
     }
     return m_issuedGrants.runsEndBy(job.dispatcher, job.dispatcherIncarnation, job.grantEpoch, m_identity.limits.maxLease);
@@ -330,18 +333,20 @@
         takeBack(job, now);
     }
     job.submission.number = ++m_lastSubmissionNumber;
-    if (dispatcher.host != m_identity.host && !sendSubmission(job, dispatcher.host, now)) {
+    const bool isOwn = dispatcher.host == m_identity.host;
+    job.submission.grantEpoch = isOwn ? OwnGrantEpoch : 0;
+    if (!isOwn && !sendSubmission(job, dispatcher.host, now)) {
         return false;
     }
     job.connectionClosedAt = TimePoint();
     job.dispatcher = dispatcher.host;
     job.dispatcherIncarnation = dispatcher.incarnation;
-    job.grantEpoch = m_issuedGrants.epoch(dispatcher.host, dispatcher.incarnation);
+    job.grantEpoch = isOwn ? OwnGrantEpoch : m_issuedGrants.epoch(dispatcher.host, dispatcher.incarnation);
     // A repeated cancellation would end the new submission.
     m_owedCancellations.onConfirmed({job.submission.request.id}, dispatcher.host);
     ++job.submissionCount;
     m_observer.onJobSent(job, dispatcher.host, dispatcher.reportAge);
-    if (dispatcher.host == m_identity.host) {
+    if (isOwn) {
         schedule(job.submission, now);
     }
     return true;
@@ -360,7 +365,7 @@
     }
     for (const auto &id : due) {
         const auto found = m_jobs.find(id);
-        if (found != m_jobs.end()) {
+        if (found != m_jobs.end() && !endIfCallerHasGone(id, now)) {
             placeJob(found->second, now);
         }
     }
@@ -478,12 +483,13 @@
     return true;
 }
 
-/// Submits a job to the dispatcher that the refusing one named. False when that cannot be reached.
+/// Submits a job to the dispatcher that the refusing one named. False when that cannot be reached, or the caller has gone.
 bool HostNode::followRedirect(EntryJob &job, const JobResult &result, TimePoint now)
 {
     ++job.submission.transfers;
     const auto *member = m_view.find(result.preferredDispatcher);
-    if (member == nullptr || !m_view.isLive(result.preferredDispatcher, now)) {
+    const bool mayFollow = m_port.isCallerConnected(job.submission.request.id) && m_view.isLive(result.preferredDispatcher, now);
+    if (member == nullptr || !mayFollow) {
         return false;
     }
     Dispatcher dispatcher;
--- a/src/fleet/hostnode.h
+++ b/src/fleet/hostnode.h
@@ -49,7 +49,8 @@
     HostNode(HostIdentity identity, HostPort &port, HostObserver &observer);
     ~HostNode() override;
 
-    /// Accepts a caller's job. HostPort::answerCaller() is called once for it, unless it is cancelled first.
+    /// Accepts a caller's job, unless its caller has gone already. HostPort::answerCaller() is called once for it, unless it is cancelled
+    /// first.
     void submit(JobSubmission submission, TimePoint now);
 
     /// Cancels a job whose caller has gone.
@@ -125,6 +126,9 @@
     const Scheduler &scheduler() const;
 
 private:
+    /// The epoch of the grant for the jobs that this host dispatches for its own callers.
+    static constexpr std::uint64_t OwnGrantEpoch = 1;
+
     struct Dispatcher
     {
         std::string host;
@@ -172,6 +176,13 @@
     /// Handles the events that the scheduler reported during a call. Must not be called from within a scheduler callback.
     void processSchedulerEvents(TimePoint now);
 
+    /// Looks at the connections of a job's callers, and gives the job up when all of them have been closed. True in that case.
+    bool endIfCallerHasGone(const std::string &jobId, TimePoint now);
+    /// The same for all jobs that a dispatcher has.
+    void endJobsOfGoneCallers(const std::string &dispatcher, TimePoint now);
+    /// Lets this host dispatch for its own callers a while longer, once it has looked at their connections.
+    void renewOwnGrant(TimePoint now);
+
     CallerAnswer answerForUnstarted(const EntryJob &job, TimePoint now) const;
     void placeJob(EntryJob &job, TimePoint now);
     bool placeWithSuccessor(EntryJob &job, TimePoint now);
@@ -311,6 +322,7 @@
     /// TimePoint() before the first read.
     TimePoint m_targetListReadAt;
     TimePoint m_lastTickAt;
+    TimePoint m_ownGrantRenewedAt;
     TimePoint m_configurationRequestedAt;
     TimePoint m_now;
     TimePoint m_lastReportSentAt;
--- a/src/fleet/hostnodepeers.cpp
+++ b/src/fleet/hostnodepeers.cpp
@@ -69,6 +69,7 @@
         excludeFromWaits(pause, now);
         onTimeGap(pause, now);
     }
+    renewOwnGrant(now);
 }
 
 /// Leaves a time for which this host has just stood still out of all waits in which it could have heard of others.
@@ -100,10 +101,14 @@
     case PeerProcesses::Finding::Present:
         break;
     }
+    if (frame.report || frame.requestsGrant) {
+        // The next grants count from this frame, and must not cover jobs of callers who left before it.
+        endJobsOfGoneCallers(frame.host, now);
+    }
     if (frame.report) {
         onReport(frame, now);
         sendOwedResults(frame.host, now);
-    } else {
+    } else if (frame.requestsGrant) {
         m_issuedGrants.onFrame(frame.host, frame.incarnation, frame.sentAt, now);
     }
     for (const auto &lost : frame.lostDispatchers) {
@@ -511,6 +516,7 @@
     m_now = now;
     m_observer.onTimeGap(pause);
     m_scheduler.onTimeGap(now);
+    m_ownGrantRenewedAt = TimePoint();
     if (!m_assignment.self().claims.empty()) {
         // Another host may have taken this one's pools over and dispatched meanwhile.
         m_scheduler.onHistoryLost(now);
--- a/src/fleet/interfaces/hostobserver.h
+++ b/src/fleet/interfaces/hostobserver.h
@@ -19,6 +19,9 @@
     /// A caller gets its answer, this long after the arrival of its job.
     virtual void onCallerAnswered(const EntryJob &job, const CallerReply &reply, Duration responseTime) = 0;
 
+    /// A look at the connections of a job's callers showed that all of them have been closed, this long after the arrival of the job.
+    virtual void onCallerGone(const EntryJob &job, Duration sinceArrival) = 0;
+
     /// This host, as the dispatcher, ended a job, this long after the job's arrival.
     virtual void onJobEnded(const JobSubmission &job, const JobResult &result, Duration sinceArrival) = 0;
 
--- a/src/fleet/issuedgrants.h
+++ b/src/fleet/issuedgrants.h
@@ -21,8 +21,9 @@
     /// report of the same incarnation has arrived before.
     bool onReport(const std::string &host, std::uint64_t incarnation, std::uint64_t claims, Duration sentAt, TimePoint now);
 
-    /// Records any frame of the dispatcher: the next grant counts from its sending. Has no effect before the first report of this
-    /// incarnation, nor if a newer frame has arrived before. sentAt is on the dispatcher's clock.
+    /// Records a frame other than a report from which the next grant counts. Has no effect before the first report of this incarnation, nor
+    /// if a newer frame has arrived before. sentAt is on the dispatcher's clock. Precondition, as for onReport(): the callers of all jobs
+    /// that the dispatcher has are seen to be connected before the next call of renew().
     void onFrame(const std::string &host, std::uint64_t incarnation, Duration sentAt, TimePoint now);
 
     /// Records how long the dispatcher's runs outlast their grants, as it has announced; nothing for one of an earlier version, whose runs
--- a/src/hostruntime/hosttelemetry.cpp
+++ b/src/hostruntime/hosttelemetry.cpp
@@ -250,6 +250,13 @@
           reply.answer == CallerAnswer::Completed ? LogPriority::Routine : LogPriority::Important);
 }
 
+void HostTelemetry::onCallerGone(const EntryJob &job, Duration sinceArrival)
+{
+    count("anvilcart_callers_disconnected_total", "while", job.dispatcher.empty() ? "submitting" : "dispatched");
+    write(LogLine("caller_gone").add("job", job.submission.request.id).add("dispatcher", job.dispatcher).add("after_ms", sinceArrival),
+          LogPriority::Important);
+}
+
 void HostTelemetry::onJobEnded(const JobSubmission &job, const JobResult &result, Duration sinceArrival)
 {
     count("anvilcart_jobs_ended_total", "reason", toName(result.reason));
--- a/src/hostruntime/hosttelemetry.h
+++ b/src/hostruntime/hosttelemetry.h
@@ -57,6 +57,7 @@
     void onRunsLost(const TargetLoss &loss, TimePoint now) override;
     void onJobSent(const EntryJob &job, const std::string &dispatcher, Duration reportAge) override;
     void onCallerAnswered(const EntryJob &job, const CallerReply &reply, Duration response) override;
+    void onCallerGone(const EntryJob &job, Duration sinceArrival) override;
     void onJobEnded(const JobSubmission &job, const JobResult &result, Duration sinceArrival) override;
     void onStaleFrame(const std::string &host, Duration delay, std::size_t jobs) override;
     void onHostLivenessChanged(const HostReport &report, bool live, Duration sinceLastMessage) override;
--- a/tests/support/hostnodefixture.h
+++ b/tests/support/hostnodefixture.h
@@ -131,6 +131,9 @@
     void onCallerAnswered(const EntryJob &, const CallerReply &, Duration) override
     {
     }
+    void onCallerGone(const EntryJob &, Duration) override
+    {
+    }
     void onJobEnded(const JobSubmission &, const JobResult &, Duration) override
     {
     }
--- /dev/null
+++ b/tests/unit/fleet/departedcallers.cpp
@@ -0,0 +1,192 @@
+#include "hostnodefixture.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+using namespace Anvilcart;
+using namespace Anvilcart::Fleet;
+
+namespace
+{
+/// Callers whose connections have closed unnoticed come again over another host after this time.
+constexpr Milliseconds ResubmitDelay {1300};
+
+/// A host that dispatches to the target t1, whose callers leave without that being reported.
+struct DepartedCallersFixture : HostNodeFixture
+{
+    /// Jobs of which a run was stopped.
+    std::vector<std::string> stoppedJobs() const
+    {
+        std::vector<std::string> ids;
+        for (const auto &[target, request] : port.stops) {
+            ids.push_back(request.name.task.jobId);
+        }
+        return ids;
+    }
+
+    void acceptStarts()
+    {
+        for (const auto &[target, request] : port.starts) {
+            TargetReply reply;
+            reply.result = RequestResult::Accepted;
+            reply.fencingToken = request.fencingToken;
+            node.onStartReply(target, request.name, reply, now);
+            m_running.push_back({request.name});
+        }
+        port.starts.clear();
+    }
+
+    /// Advances the clock while the target answers renewals and stops are lost. Returns the end of the longest lease that was requested.
+    std::int64_t longestLeaseWhileStopsAreLost(Duration time)
+    {
+        std::int64_t longest = 0;
+        for (const auto end = now + time; now < end;) {
+            advance(TickPeriod);
+            for (const auto &[target, request] : port.renewals) {
+                longest = std::max(longest, request.leaseUntilMs);
+            }
+            if (!port.renewals.empty()) {
+                answerRenewal("t1", m_running);
+                port.renewals.clear();
+            }
+        }
+        return longest;
+    }
+
+    std::int64_t targetClockMs() const
+    {
+        return 1000 + std::chrono::duration_cast<Milliseconds>(now - Begin).count();
+    }
+
+    std::vector<ActiveRun> m_running;
+};
+
+/// True if some frame from this index on cancels the job, before any that grants.
+bool isCancelledBeforeNextGrant(const FakeHostPort &port, std::size_t first, const std::string &jobId)
+{
+    for (std::size_t index = first; index < port.frames.size(); ++index) {
+        const auto &frame = port.frames[index].second;
+        const bool cancels = std::any_of(frame.cancellations.begin(), frame.cancellations.end(), [&](const JobCancellation &cancellation) {
+            return cancellation.jobId == jobId;
+        });
+        if (cancels || frame.grant) {
+            return cancels;
+        }
+    }
+    return false;
+}
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(DepartedCallersSuite, DepartedCallersFixture)
+
+// Issue 51: the caller had sent the job again over another host, which had started it.
+BOOST_AUTO_TEST_CASE(A_job_that_is_read_after_its_caller_has_gone_is_not_started)
+{
+    claimTarget("t1");
+    port.disconnectedCallers.insert("j");
+    node.submit(job("j"), now);
+    advance(Seconds(1));
+    BOOST_TEST(port.starts.empty());
+    BOOST_TEST(!node.hasWaitingCaller("j"));
+    BOOST_TEST((port.answers.at("j").answer == CallerAnswer::Unknown));
+}
+
+BOOST_AUTO_TEST_CASE(A_job_whose_caller_goes_while_it_waits_for_a_dispatcher_is_sent_to_none)
+{
+    node.submit(job("j"), now);
+    port.disconnectedCallers.insert("j");
+    node.onFrame(report("h2", 2, true), now);
+    advance(Milliseconds(100));
+    BOOST_TEST(std::none_of(port.frames.begin(), port.frames.end(), [](const auto &sent) {
+        return !sent.second.submissions.empty();
+    }));
+}
+
+BOOST_AUTO_TEST_CASE(The_runs_of_a_caller_who_has_gone_unnoticed_are_stopped_by_its_own_host)
+{
+    claimTarget("t1");
+    node.submit(job("j"), now);
+    acceptStarts();
+    port.disconnectedCallers.insert("j");
+    advance(Milliseconds(225));
+    BOOST_TEST(stoppedJobs() == std::vector<std::string> {"j"}, boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(Leases_end_before_a_departed_caller_comes_again_though_stops_are_lost_and_another_run_goes_on)
+{
+    claimTarget("t1");
+    advance(Seconds(2));
+    answerRenewal("t1", {});
+    node.submit(job("j"), now);
+    node.submit(job("k"), now);
+    BOOST_TEST_REQUIRE(port.starts.size() == 2);
+    acceptStarts();
+    port.renewals.clear();
+    longestLeaseWhileStopsAreLost(Milliseconds(300));
+    port.disconnectedCallers.insert("j");
+    const auto goneAtMs = targetClockMs();
+    BOOST_TEST(longestLeaseWhileStopsAreLost(Seconds(2)) < goneAtMs + ResubmitDelay.count());
+}
+
+BOOST_AUTO_TEST_CASE(A_grant_that_counts_from_a_report_follows_a_look_at_the_callers)
+{
+    node.onFrame(report("h2", 2, true), now);
+    node.submit(job("j"), now);
+    advance(Milliseconds(100));
+    port.disconnectedCallers.insert("j");
+    const auto sentBefore = port.frames.size();
+    auto next = report("h2", 2, true);
+    next.sentAt = Milliseconds(100);
+    node.onFrame(next, now);
+    advance(Milliseconds(300));
+    BOOST_TEST(isCancelledBeforeNextGrant(port, sentBefore, "j"));
+}
+
+BOOST_AUTO_TEST_CASE(A_grant_on_request_follows_a_look_at_the_callers)
+{
+    node.onFrame(report("h2", 2, true), now);
+    node.submit(job("j"), now);
+    advance(Milliseconds(100));
+    port.disconnectedCallers.insert("j");
+    const auto sentBefore = port.frames.size();
+    FleetFrame request;
+    request.host = "h2";
+    request.incarnation = 2;
+    request.sentAt = Milliseconds(100);
+    request.requestsGrant = true;
+    node.onFrame(request, now);
+    BOOST_TEST(isCancelledBeforeNextGrant(port, sentBefore, "j"));
+}
+
+// The look at the callers came before such a frame, so that a grant must not count from it.
+BOOST_AUTO_TEST_CASE(A_grant_does_not_count_from_a_frame_that_neither_reports_nor_asks)
+{
+    auto first = report("h2", 2, true);
+    first.report->longestRunAfterGrant = LongestRunAfterGrant;
+    node.onFrame(first, now);
+    node.submit(job("j"), now);
+    const auto grantOf = [this] {
+        for (auto sent = port.frames.rbegin(); sent != port.frames.rend(); ++sent) {
+            if (sent->second.grant) {
+                return sent->second.grant->until;
+            }
+        }
+        return TimePoint();
+    };
+    const auto granted = grantOf();
+    BOOST_TEST_REQUIRE((granted != TimePoint()));
+    advance(Milliseconds(100));
+    FleetFrame result;
+    result.host = "h2";
+    result.incarnation = 2;
+    result.sentAt = Milliseconds(100);
+    node.onFrame(result, now);
+    node.submit(job("k"), now);
+    BOOST_TEST((grantOf() == granted));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
