All hosts hear of jobs that were completed after their callers had gone

A caller whose connection had broken sent its job again and was told "not run", though the job had been completed: its entry host delivered the result to a closed connection, or had given the job up while the result was on its way, and no host that the caller came to next knew of the run. Dispatchers named only the jobs that they had given up themselves.

An entry host now names a job whose result comes after its callers have gone.

The tests were red without the change.

--- a/src/fleet/hostnode.cpp
+++ b/src/fleet/hostnode.cpp
@@ -390,6 +390,10 @@
     const auto &[jobId, result, grantEpoch, submissionNumber] = notice;
     const auto found = m_jobs.find(jobId);
     if (found == m_jobs.end()) {
+        if (result.end == JobEnd::Completed || result.end == JobEnd::Failed) {
+            // Its caller has gone, and the dispatcher does not name jobs that were not given up.
+            m_runNotices.add(jobId);
+        }
         return;
     }
     auto &job = found->second;
@@ -506,6 +510,10 @@
         return;
     }
     m_observer.onCallerAnswered(found->second, reply, now - found->second.submission.arrivedAt);
+    const bool hasRun = reply.answer == CallerAnswer::Completed || reply.answer == CallerAnswer::Failed;
+    if (hasRun && !m_port.isCallerConnected(jobId)) {
+        m_runNotices.add(jobId);
+    }
     m_earlierRuns.record(found->second.submission, now);
     m_jobs.erase(found);
     m_port.answerCaller(jobId, reply);
--- a/src/fleet/runnotices.h
+++ b/src/fleet/runnotices.h
@@ -8,12 +8,13 @@
 
 namespace Anvilcart::Fleet
 {
-/// The jobs that ran on this dispatcher and were given up since. All hosts are told of them, since the caller of a lost connection sends
-/// its job again over any host, to a dispatcher that would take it for one that never ran. Not thread-safe.
+/// The jobs that ran and were given up since by this dispatcher, or whose result came to this entry host after their callers had gone. All
+/// hosts are told of them, since the caller of a lost connection sends its job again over any host, to a dispatcher that would take it for
+/// one that never ran. Not thread-safe.
 class RunNotices
 {
 public:
-    /// Adds a job that had a run and was given up.
+    /// Adds a job that had a run.
     void add(const std::string &jobId);
 
     /// The jobs to name to every host now. Empty until the period since the last ones is over.
--- a/tests/unit/fleet/runnotices.cpp
+++ b/tests/unit/fleet/runnotices.cpp
@@ -44,6 +44,37 @@
         node.submit(infeasible, now);
     }
 };
+
+/// An entry host whose only dispatcher is h2.
+struct RemoteDispatcherFixture : HostNodeFixture
+{
+    RemoteDispatcherFixture()
+    {
+        node.onFrame(report("h2", 2, true), now);
+    }
+
+    /// The dispatcher reports that the job is completed.
+    void complete(const std::string &id)
+    {
+        FleetFrame frame;
+        frame.host = "h2";
+        frame.incarnation = 2;
+        JobEndNotice notice;
+        notice.jobId = id;
+        notice.result.end = JobEnd::Completed;
+        frame.ended.push_back(notice);
+        node.onFrame(frame, now);
+    }
+
+    /// How many frames name the job.
+    std::ptrdiff_t noticeCount(const std::string &jobId) const
+    {
+        return std::count_if(port.frames.begin(), port.frames.end(), [&](const auto &sent) {
+            const auto &runs = sent.second.abandonedRuns;
+            return std::find(runs.begin(), runs.end(), jobId) != runs.end();
+        });
+    }
+};
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(RunNoticesSuite, *boost::unit_test::label("fleet"))
@@ -129,4 +160,31 @@
     BOOST_TEST(named == 4);
 }
 
+// late-reads 51016: a job was completed after the connection of its caller had closed, and another dispatcher refused it as not run.
+BOOST_FIXTURE_TEST_CASE(All_hosts_hear_of_a_job_that_is_completed_after_its_caller_has_gone, RemoteDispatcherFixture)
+{
+    node.submit(job("j"), now);
+    port.disconnectedCallers.insert("j");
+    complete("j");
+    advance(Milliseconds(25));
+    BOOST_TEST(noticeCount("j") == 1);
+}
+
+BOOST_FIXTURE_TEST_CASE(All_hosts_hear_of_a_job_that_is_completed_before_its_cancellation_arrives, RemoteDispatcherFixture)
+{
+    node.submit(job("j"), now);
+    node.cancel("j", now);
+    complete("j");
+    advance(Milliseconds(25));
+    BOOST_TEST(noticeCount("j") == 1);
+}
+
+BOOST_FIXTURE_TEST_CASE(A_job_whose_caller_gets_its_result_is_not_named, RemoteDispatcherFixture)
+{
+    node.submit(job("j"), now);
+    complete("j");
+    advance(Milliseconds(25));
+    BOOST_TEST(noticeCount("j") == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
