Grants count from any frame again, if the callers were seen after it

The first form of the rule let grants count from reports and requests for grants alone, so that looks at callers stay few.

Now any frame counts when this host looks at the callers of its sender's jobs after it, which it does for each report and request, and for other frames at most every 100 ms.

--- a/src/fleet/hostnode.h
+++ b/src/fleet/hostnode.h
@@ -180,6 +180,9 @@
     bool endIfCallerHasGone(const std::string &jobId, TimePoint now);
     /// The same for all jobs that a dispatcher has.
     void endJobsOfGoneCallers(const std::string &dispatcher, TimePoint now);
+    /// Looks at the callers of the sender's jobs, so that the next grants to it may count from this frame: they must not cover a job whose
+    /// caller left before the frame. False when the last look is too recent; the grants count from an earlier frame then.
+    bool seeCallersOf(const FleetFrame &frame, TimePoint now);
     /// Lets this host dispatch for its own callers a while longer, once it has looked at their connections.
     void renewOwnGrant(TimePoint now);
 
@@ -323,6 +326,8 @@
     TimePoint m_targetListReadAt;
     TimePoint m_lastTickAt;
     TimePoint m_ownGrantRenewedAt;
+    /// When this host last looked at the callers of the jobs that a dispatcher has, by its name.
+    std::map<std::string, TimePoint> m_callersSeenAt;
     TimePoint m_configurationRequestedAt;
     TimePoint m_now;
     TimePoint m_lastReportSentAt;
--- a/src/fleet/hostnodecallers.cpp
+++ b/src/fleet/hostnodecallers.cpp
@@ -14,6 +14,8 @@
 constexpr Milliseconds OwnGrantLength {900};
 /// How often this host looks at the connections of those callers.
 constexpr Milliseconds OwnGrantPeriod {200};
+/// Results arrive many at a time; this limits the time that is spent on looks at the callers of one dispatcher's jobs.
+constexpr Milliseconds MinLookInterval {100};
 } // namespace
 
 bool HostNode::endIfCallerHasGone(const std::string &jobId, TimePoint now)
@@ -45,6 +47,17 @@
     }
 }
 
+bool HostNode::seeCallersOf(const FleetFrame &frame, TimePoint now)
+{
+    auto &seenAt = m_callersSeenAt[frame.host];
+    if (!frame.report && !frame.requestsGrant && now - seenAt < MinLookInterval) {
+        return false;
+    }
+    seenAt = now;
+    endJobsOfGoneCallers(frame.host, now);
+    return true;
+}
+
 void HostNode::renewOwnGrant(TimePoint now)
 {
     if (now - m_ownGrantRenewedAt < OwnGrantPeriod) {
--- a/src/fleet/hostnodepeers.cpp
+++ b/src/fleet/hostnodepeers.cpp
@@ -101,14 +101,11 @@
     case PeerProcesses::Finding::Present:
         break;
     }
-    if (frame.report || frame.requestsGrant) {
-        // The next grants count from this frame, and must not cover jobs of callers who left before it.
-        endJobsOfGoneCallers(frame.host, now);
-    }
+    const bool mayGrantFromHere = seeCallersOf(frame, now);
     if (frame.report) {
         onReport(frame, now);
         sendOwedResults(frame.host, now);
-    } else if (frame.requestsGrant) {
+    } else if (mayGrantFromHere) {
         m_issuedGrants.onFrame(frame.host, frame.incarnation, frame.sentAt, now);
     }
     for (const auto &lost : frame.lostDispatchers) {
--- a/tests/unit/emulator/fleet.cpp
+++ b/tests/unit/emulator/fleet.cpp
@@ -231,6 +231,21 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(No_task_runs_twice_while_the_links_of_a_zone_flap)
+{
+    for (std::uint64_t seed = 1; seed <= 4; ++seed) {
+        BOOST_TEST_CONTEXT("seed " << seed)
+        {
+            auto options = ordinaryOptions(seed);
+            options.kinds = longTimeoutJobKinds();
+            EmulatedFleet fleet(options);
+            addFlappingZone(fleet, options, seed);
+            fleet.run(Seconds(3), Seconds(20), Seconds(25));
+            requireNoViolations(fleet);
+        }
+    }
+}
+
 // Issue 42: a late frame of an ended process of a host was taken for a restart, and the jobs of its living successor were handed on.
 BOOST_AUTO_TEST_CASE(No_task_runs_twice_when_frames_of_ended_processes_arrive_late)
 {
