Frames cancel jobs before their grant takes effect

A dispatcher accepted the grant of a frame, then its submissions, and only then its cancellations. A job that waited for a grant was started with the next submission in the frame that cancelled it, though its caller had gone and may have come again elsewhere.

Cancellations are handled first.

Measured: the test was red before (two starts instead of one).

--- a/src/fleet/hostnodepeers.cpp
+++ b/src/fleet/hostnodepeers.cpp
@@ -114,6 +114,8 @@
     for (const auto &jobId : frame.abandonedRuns) {
         m_scheduler.onRunElsewhere(jobId, now);
     }
+    // Under the grant, jobs that waited for it may be started with the next submission.
+    onCancellations(frame, now);
     const bool isAccepted = acceptGrant(frame, now);
     const bool isLate = isStale(frame, now);
     if (isLate) {
@@ -139,7 +141,6 @@
     for (const auto &release : frame.releases) {
         m_scheduler.onLostDispatcherDone(release.jobId, release.lostDispatcher, frame.host, release.submissionNumber, now);
     }
-    onCancellations(frame, now);
     onCancelFrame(frame, now);
     if (frame.requestsConfiguration && m_configuration.version > 0) {
         FleetFrame reply;
--- a/tests/unit/fleet/latecancellations.cpp
+++ b/tests/unit/fleet/latecancellations.cpp
@@ -221,4 +221,28 @@
     BOOST_TEST(takeCancelledNumbers().empty());
 }
 
+// Issue 51, review: the frame that renewed the grant started a job that it cancelled.
+BOOST_FIXTURE_TEST_CASE(A_frame_does_not_start_a_waiting_job_that_it_cancels, CancellingEntryHostFixture)
+{
+    const auto frameWithGrant = [this](Duration length) {
+        auto frame = frameFromEntryHost();
+        frame.grant = JobGrant {1, now + length, 100, 1};
+        return frame;
+    };
+    auto first = frameWithGrant(Duration(0));
+    first.submissions.push_back(job("j"));
+    first.submissions.back().entryHost = "h2";
+    first.submissions.back().number = 5;
+    node.onFrame(first, now);
+    BOOST_TEST_REQUIRE(port.starts.empty());
+    auto second = frameWithGrant(Milliseconds(900));
+    second.submissions.push_back(job("k"));
+    second.submissions.back().entryHost = "h2";
+    second.submissions.back().number = 6;
+    second.cancellations.push_back({"j", 5});
+    node.onFrame(second, now);
+    BOOST_TEST_REQUIRE(port.starts.size() == 1);
+    BOOST_TEST(port.starts.front().second.name.task.jobId == "k");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
