Hosts accept all connections that wait, not one per round of the loop

Cause: each completion of async_accept() is queued behind all other work of the loop, and accepts one connection. After a reset of many connections the callers' new ones wait in the accept queue, one round each; on a host with little processor a round takes tens of milliseconds, so that requests are read after their callers have gone, while the host's timer is on time. Peer links accepted in the same way.

Change: after each completion up to 63 more waiting connections are accepted without blocking. The limits on connections are as before.

Measured: 200 callers with requests in the accept queue of a busy loop are read after 203 to 204 rounds before, 7 to 8 now; 200 peer links after 201 before, at most 40 now (bound of the test).

--- a/src/fleet/peerlinks.cpp
+++ b/src/fleet/peerlinks.cpp
@@ -34,6 +34,8 @@
 /// One for each host, and more while connections of hosts that have failed are still open. Well below the descriptors of the smallest
 /// hosts.
 constexpr std::size_t MaxIncomingConnections = 1024;
+/// Few enough that other work of the loop is not held up for long.
+constexpr std::size_t MaxAcceptedAtOnce = 64;
 /// Many times the longest round trip between zones of one region.
 constexpr Milliseconds ConnectTimeout {250};
 constexpr Milliseconds MinRetryDelay {20};
@@ -237,6 +239,7 @@
         , closedHandler(std::move(closedHandler))
         , lostHandler(std::move(lostHandler))
     {
+        acceptor.non_blocking(true);
     }
 
     asio::awaitable<void> accept()
@@ -251,19 +254,41 @@
                 co_await retryDelay.async_wait(Awaitable);
                 continue;
             }
-            auto shared = std::make_shared<tcp::socket>(std::move(socket));
-            enableKeepAlive(*shared);
-            const auto number = ++lastAccepted;
-            incoming[number] = shared;
-            asio::co_spawn(
-                executor,
-                [self = shared_from_this(), shared, number] {
-                    return self->read(shared, number);
-                },
-                asio::detached);
+            add(std::move(socket));
+            // Each completion of async_accept() waits for all other work of the loop.
+            acceptWaiting(MaxAcceptedAtOnce - 1);
         }
     }
 
+    /// Accepts connections that wait already, up to a number of them.
+    void acceptWaiting(std::size_t limit)
+    {
+        boost::system::error_code error;
+        for (std::size_t count = 0; count < limit && incoming.size() < MaxIncomingConnections; ++count) {
+            tcp::socket socket(executor);
+            acceptor.accept(socket, error);
+            if (error) {
+                return;
+            }
+            add(std::move(socket));
+        }
+    }
+
+    /// Begins to read from a connection.
+    void add(tcp::socket socket)
+    {
+        auto shared = std::make_shared<tcp::socket>(std::move(socket));
+        enableKeepAlive(*shared);
+        const auto number = ++lastAccepted;
+        incoming[number] = shared;
+        asio::co_spawn(
+            executor,
+            [self = shared_from_this(), shared, number] {
+                return self->read(shared, number);
+            },
+            asio::detached);
+    }
+
     asio::awaitable<void> read(std::shared_ptr<tcp::socket> socket, std::uint64_t number)
     {
         LinkSender sender;
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -21,6 +21,7 @@
 #include <glog/logging.h>
 
 #include <atomic>
+#include <limits>
 
 namespace Anvilcart
 {
@@ -33,6 +34,8 @@
 {
 constexpr auto Awaitable = asio::as_tuple(asio::use_awaitable);
 constexpr Milliseconds AcceptRetryDelay {50};
+/// Few enough that other work of the loop is not held up for long.
+constexpr std::size_t MaxAcceptedAtOnce = 64;
 } // namespace
 
 struct HttpServer::Shared
@@ -44,6 +47,7 @@
         , refusal(std::move(refusal))
         , acceptor(loops.at(0), tcp::endpoint(asio::ip::make_address(endpoint.address), endpoint.port))
     {
+        acceptor.non_blocking(true);
     }
 
     std::shared_ptr<const HttpLimits> limits() const
@@ -294,19 +298,26 @@
     co_await session.run();
 }
 
-/// Takes what waits in the accept queue, then closes it: closing alone would reset those connections.
-void closeAcceptor(const std::shared_ptr<HttpServer::Shared> &shared)
+/// Accepts connections that wait already, up to a number of them.
+void acceptWaiting(const std::shared_ptr<HttpServer::Shared> &shared, std::size_t limit)
 {
     boost::system::error_code error;
-    shared->acceptor.non_blocking(true, error);
-    while (!error) {
+    for (std::size_t count = 0; count < limit; ++count) {
         auto &loop = shared->loops.next();
         tcp::socket socket(loop);
         shared->acceptor.accept(socket, error);
-        if (!error) {
-            asio::co_spawn(loop, serve(std::move(socket), shared), asio::detached);
+        if (error) {
+            return;
         }
+        asio::co_spawn(loop, serve(std::move(socket), shared), asio::detached);
     }
+}
+
+/// Accepts what waits, then closes the acceptor: closing alone would reset those connections.
+void closeAcceptor(const std::shared_ptr<HttpServer::Shared> &shared)
+{
+    acceptWaiting(shared, std::numeric_limits<std::size_t>::max());
+    boost::system::error_code error;
     shared->acceptor.close(error);
 }
 
@@ -324,6 +335,8 @@
             continue;
         }
         asio::co_spawn(loop, serve(std::move(socket), shared), asio::detached);
+        // Each completion of async_accept() waits for all other work of the loop.
+        acceptWaiting(shared, MaxAcceptedAtOnce - 1);
     }
 }
 } // namespace
--- a/tests/unit/fleet/peerlinks.cpp
+++ b/tests/unit/fleet/peerlinks.cpp
@@ -2,9 +2,11 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -135,6 +137,32 @@
     context.poll();
 }
 
+BOOST_FIXTURE_TEST_CASE(Many_hosts_who_connect_at_once_are_read_within_a_few_rounds_of_a_busy_loop, ListeningHostFixture)
+{
+    constexpr std::size_t Hosts = 200;
+    constexpr int FewRounds = 40;
+    constexpr int MaxRounds = 5000;
+    std::vector<Socket> sockets;
+    for (std::size_t host = 0; host < Hosts; ++host) {
+        sockets.push_back(connect());
+        const std::string message {'\0', '\0', '\0', '\1', 'x'};
+        boost::asio::write(sockets.back(), boost::asio::buffer(message));
+    }
+    int rounds = 0;
+    std::function<void()> runRound = [&] {
+        if (received < Hosts && rounds < MaxRounds) {
+            ++rounds;
+            boost::asio::post(context, runRound);
+        }
+    };
+    boost::asio::post(context, runRound);
+    runUntil([&] {
+        return received == Hosts || rounds == MaxRounds;
+    });
+    BOOST_TEST(received == Hosts);
+    BOOST_TEST(rounds <= FewRounds);
+}
+
 // Messages that were sent over the connection may be lost.
 BOOST_AUTO_TEST_CASE(The_loss_of_an_open_connection_is_reported)
 {
--- a/tests/unit/net/http.cpp
+++ b/tests/unit/net/http.cpp
@@ -6,8 +6,10 @@
 #include <boost/test/unit_test.hpp>
 
 #include <future>
+#include <memory>
 #include <thread>
 #include <unistd.h>
+#include <vector>
 
 using namespace Anvilcart;
 namespace asio = boost::asio;
@@ -84,6 +86,59 @@
     asio::ip::tcp::socket m_socket;
 };
 
+/// Keeps a loop busy with a handler that queues itself again, and counts the rounds of the loop's queue.
+class BusyLoop
+{
+public:
+    /// The loop runs nothing until release().
+    explicit BusyLoop(asio::io_context &loop)
+        : m_loop(loop)
+    {
+        asio::post(m_loop, [this, released = m_released.get_future().share()] {
+            released.wait();
+            runRound();
+        });
+    }
+
+    void release()
+    {
+        m_released.set_value();
+    }
+
+    /// Stops counting when the condition holds at the beginning of a round. Called before release().
+    void countUntil(std::function<bool()> condition)
+    {
+        m_condition = std::move(condition);
+    }
+
+    /// The number of rounds until the condition held; at most MaxRounds.
+    int countedRounds()
+    {
+        return m_counted.get_future().get();
+    }
+
+    static constexpr int MaxRounds = 5000;
+
+private:
+    void runRound()
+    {
+        if (m_rounds == MaxRounds || m_condition()) {
+            m_counted.set_value(m_rounds);
+            return;
+        }
+        ++m_rounds;
+        asio::post(m_loop, [this] {
+            runRound();
+        });
+    }
+
+    asio::io_context &m_loop;
+    std::promise<void> m_released;
+    std::promise<int> m_counted;
+    std::function<bool()> m_condition;
+    int m_rounds = 0;
+};
+
 int statusOf(const std::string &answer)
 {
     return answer.size() < 12 ? 0 : std::stoi(answer.substr(9, 3));
@@ -179,6 +234,27 @@
     BOOST_TEST(door.handled == 1);
 }
 
+BOOST_AUTO_TEST_CASE(Many_callers_who_connect_at_once_are_read_within_a_few_rounds_of_a_busy_loop)
+{
+    constexpr int Callers = 200;
+    constexpr int FewRounds = 40;
+    Door door {HttpLimits()};
+    BusyLoop busy(door.loops.at(0));
+    busy.countUntil([&] {
+        return door.handled == Callers;
+    });
+    std::vector<std::unique_ptr<RawConnection>> callers;
+    for (int i = 0; i < Callers; ++i) {
+        callers.push_back(std::make_unique<RawConnection>(door.endpoint));
+        BOOST_TEST(callers.back()->send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n{}"));
+    }
+    busy.release();
+    const auto rounds = busy.countedRounds();
+    BOOST_TEST_MESSAGE("rounds: " << rounds);
+    BOOST_TEST(rounds <= FewRounds);
+    BOOST_TEST(door.handled == Callers);
+}
+
 BOOST_AUTO_TEST_CASE(A_connection_on_which_a_second_answer_came_is_not_reused)
 {
     const auto endpoint = freeEndpoint();
