--- a/tests/unit/fleet/departedcallers.cpp
+++ b/tests/unit/fleet/departedcallers.cpp
@@ -44,14 +44,13 @@
     std::int64_t longestLeaseWhileStopsAreLost(Duration time)
     {
         std::int64_t longest = 0;
+        // Each answer is followed by the next renewal, which must stay to be answered.
+        auto seen = port.renewals.size();
         for (const auto end = now + time; now < end;) {
             advance(TickPeriod);
-            for (const auto &[target, request] : port.renewals) {
-                longest = std::max(longest, request.leaseUntilMs);
-            }
-            if (!port.renewals.empty()) {
-                answerRenewal("t1", m_running);
-                port.renewals.clear();
+            answerRenewal("t1", m_running);
+            for (; seen < port.renewals.size(); ++seen) {
+                longest = std::max(longest, port.renewals[seen].second.leaseUntilMs);
             }
         }
         return longest;
@@ -125,11 +124,12 @@
     node.submit(job("k"), now);
     BOOST_TEST_REQUIRE(port.starts.size() == 2);
     acceptStarts();
-    port.renewals.clear();
     longestLeaseWhileStopsAreLost(Milliseconds(300));
     port.disconnectedCallers.insert("j");
     const auto goneAtMs = targetClockMs();
-    BOOST_TEST(longestLeaseWhileStopsAreLost(Seconds(2)) < goneAtMs + ResubmitDelay.count());
+    const auto longest = longestLeaseWhileStopsAreLost(Seconds(2));
+    BOOST_TEST(longest > goneAtMs);
+    BOOST_TEST(longest < goneAtMs + ResubmitDelay.count());
 }
 
 BOOST_AUTO_TEST_CASE(A_grant_that_counts_from_a_report_follows_a_look_at_the_callers)
@@ -218,4 +218,46 @@
     BOOST_TEST((lastGrantEnd() == granted));
 }
 
+// The dispatcher h2 names h3 as the better one.
+BOOST_FIXTURE_TEST_CASE(A_redirected_job_whose_caller_has_gone_is_not_submitted_to_the_next_dispatcher, HostNodeFixture)
+{
+    node.onFrame(report("h2", 2, true), now);
+    node.submit(job("j"), now);
+    node.onFrame(report("h3", 3, true), now);
+    port.disconnectedCallers.insert("j");
+    const auto sentBefore = port.frames.size();
+    std::uint64_t number = 0;
+    for (const auto &[endpoint, sent] : port.frames) {
+        for (const auto &submission : sent.submissions) {
+            number = submission.number;
+        }
+    }
+    FleetFrame refusal;
+    refusal.host = "h2";
+    refusal.incarnation = 2;
+    JobEndNotice notice;
+    notice.jobId = "j";
+    notice.submissionNumber = number;
+    notice.result.end = JobEnd::NotRun;
+    notice.result.reason = JobEndReason::BetterElsewhere;
+    notice.result.preferredDispatcher = "h3";
+    refusal.ended.push_back(notice);
+    node.onFrame(refusal, now);
+    BOOST_TEST(std::none_of(port.frames.begin() + static_cast<std::ptrdiff_t>(sentBefore), port.frames.end(), [](const auto &sent) {
+        return !sent.second.submissions.empty();
+    }));
+}
+
+// A suspension that the steady clock does not count: own jobs must not wait for the rest of the period.
+BOOST_FIXTURE_TEST_CASE(After_a_suspension_own_jobs_start_as_soon_as_the_callers_were_looked_at, HostNodeFixture)
+{
+    claimTarget("t1");
+    advance(Seconds(2));
+    answerRenewal("t1", {});
+    node.onTimeGap(Seconds(3), now);
+    now += Milliseconds(1);
+    node.submit(job("j"), now);
+    BOOST_TEST(port.starts.size() == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/fleet/latecancellations.cpp
+++ b/tests/unit/fleet/latecancellations.cpp
@@ -88,6 +88,39 @@
         return numbers;
     }
 };
+
+/// A dispatcher with the target t1 and the entry host h2, which cancels jobs in frames that grant.
+struct CancelledByGrantingFrameFixture : HostNodeFixture
+{
+    CancelledByGrantingFrameFixture()
+    {
+        claimTarget("t1");
+        advance(Seconds(2));
+        answerRenewal("t1", {});
+        node.onFrame(report("h2", 2, false), now);
+    }
+
+    FleetFrame grantingFrame(TimePoint until, std::uint64_t confirmedClaims = 100) const
+    {
+        FleetFrame frame;
+        frame.host = "h2";
+        frame.incarnation = 2;
+        frame.grant = JobGrant {1, until, confirmedClaims, 1};
+        return frame;
+    }
+
+    void addSubmission(FleetFrame &frame, const std::string &id, std::uint64_t number) const
+    {
+        frame.submissions.push_back(job(id));
+        frame.submissions.back().entryHost = "h2";
+        frame.submissions.back().number = number;
+    }
+
+    std::int64_t targetClockMs(TimePoint time) const
+    {
+        return 1000 + std::chrono::duration_cast<Milliseconds>(time - Begin).count();
+    }
+};
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(LateCancellationsSuite, *boost::unit_test::label("fleet"))
@@ -245,4 +278,41 @@
     BOOST_TEST(port.starts.front().second.name.task.jobId == "k");
 }
 
+// Its caller may have gone right after the look on which the first grant rests, and comes again 1.3 s later.
+BOOST_FIXTURE_TEST_CASE(A_grant_does_not_extend_the_leases_of_a_run_that_its_frame_cancels, CancelledByGrantingFrameFixture)
+{
+    const auto firstGrantEnd = now + Milliseconds(900);
+    auto first = grantingFrame(firstGrantEnd);
+    addSubmission(first, "j", 1);
+    addSubmission(first, "k", 2);
+    node.onFrame(first, now);
+    BOOST_TEST_REQUIRE(port.starts.size() == 2);
+    std::vector<ActiveRun> running;
+    for (const auto &[target, request] : port.starts) {
+        TargetReply reply;
+        reply.result = RequestResult::Accepted;
+        reply.fencingToken = request.fencingToken;
+        node.onStartReply(target, request.name, reply, now);
+        running.push_back({request.name});
+    }
+    std::int64_t longest = 0;
+    const auto runFor = [&](Duration time) {
+        for (const auto end = now + time; now < end;) {
+            advance(TickPeriod);
+            answerRenewal("t1", running);
+            for (const auto &[target, request] : port.renewals) {
+                longest = std::max(longest, request.leaseUntilMs);
+            }
+        }
+    };
+    runFor(Milliseconds(500));
+    // The dispatcher has claimed a further target meanwhile, which this grant confirms.
+    auto next = grantingFrame(now + Milliseconds(900), 101);
+    next.cancellations.push_back({"j", 1});
+    node.onFrame(next, now);
+    runFor(Seconds(2));
+    BOOST_TEST(longest > targetClockMs(firstGrantEnd - Milliseconds(900)));
+    BOOST_TEST(longest <= targetClockMs(firstGrantEnd + LongestRunAfterGrant));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
