Long answers are read in large parts, and reads of the list of targets are logged

The list of targets of the host concerned took 2.2 s to read, as the new log line targets_read shows: the read buffer grows from 512 bytes and is emptied as the answer is parsed, so that 40 KB are read in some 100 parts, and each part waits for all other work of the event loop. The time-out of 0.9 s did not end it, since each single read ended at once.

The header is read first, and room is made for up to 64 KB of the body.

--- a/src/hostruntime/hosttelemetry.cpp
+++ b/src/hostruntime/hosttelemetry.cpp
@@ -120,6 +120,12 @@
     d->storeCall.Observe(toMilliseconds(time));
 }
 
+void HostTelemetry::onTargetListRead(Duration time, std::size_t changes, std::uint64_t remaining)
+{
+    write(LogLine("targets_read").add("took_ms", time).add("changes", std::uint64_t(changes)).add("remaining", remaining),
+          LogPriority::Routine);
+}
+
 void HostTelemetry::onBadInput(const char *source, const std::string &detail)
 {
     count("anvilcart_bad_input_total", "source", source);
--- a/src/hostruntime/hosttelemetry.h
+++ b/src/hostruntime/hosttelemetry.h
@@ -40,6 +40,9 @@
     /// A call to the store returned or failed.
     void onStoreCall(const char *call, Duration time, bool succeeded);
 
+    /// The changes of the list of targets were read; this many remain to be read.
+    void onTargetListRead(Duration time, std::size_t changes, std::uint64_t remaining);
+
     /// A record in the store, a peer's message or a settings file could not be read.
     void onBadInput(const char *source, const std::string &detail);
 
--- a/src/hostruntime/storefollower.cpp
+++ b/src/hostruntime/storefollower.cpp
@@ -226,6 +226,7 @@
     }
     m_synchronised = answer.page.endOffset >= m_nextOffset;
     m_nextOffset = answer.page.nextOffset;
+    m_telemetry.onTargetListRead(Clock::now() - startedAt, answer.page.records.size(), answer.page.endOffset - m_nextOffset);
     co_return true;
 }
 
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -13,6 +13,7 @@
 #include <boost/beast/http/write.hpp>
 
 #include <algorithm>
+#include <tuple>
 
 namespace Anvilcart
 {
@@ -26,6 +27,9 @@
 constexpr auto Awaitable = asio::as_tuple(asio::use_awaitable);
 constexpr std::uint64_t ReplyBodyLimit = 64 * 1024 * 1024;
 constexpr Milliseconds ConnectLimit {1000};
+/// A longer answer is read in parts of this size at most. By itself the buffer grows to a fraction of it, and each part waits for all other
+/// work of the loop.
+constexpr std::size_t LongestRead = std::size_t(64) * 1024;
 
 HttpReply failure(CallProgress progress, const boost::system::error_code &error)
 {
@@ -118,7 +122,13 @@
     }
     http::response_parser<http::string_body> parser;
     parser.body_limit(ReplyBodyLimit);
-    auto [readError, count] = co_await http::async_read(d->stream, d->buffer, parser, Awaitable);
+    auto [headerError, headerBytes] = co_await http::async_read_header(d->stream, d->buffer, parser, Awaitable);
+    auto readError = headerError;
+    if (!readError) {
+        d->buffer.reserve(std::min<std::size_t>(LongestRead, parser.content_length_remaining().value_or(0)));
+        std::tie(readError, std::ignore) = co_await http::async_read(d->stream, d->buffer, parser, Awaitable);
+        d->buffer.shrink_to_fit();
+    }
     if (readError) {
         close();
         co_return failure(CallProgress::Sent, readError);
