Requests that have come whole are read in one step

Cause: a request whose bytes were there was read in three asynchronous steps (bytes, header, body). Each waits for all other work of the loop, tens of milliseconds on a host with little processor, while the caller may leave.

Change: what has been read is parsed at once; only what is missing is read asynchronously. Limits and refusals are as before.

--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -216,15 +216,22 @@
     {
         m_stream.expires_never();
         m_timeout->begin(m_shared->limits()->requestTime);
-        auto [headerError, headerBytes] = co_await http::async_read_header(m_stream, m_buffer, parser, Awaitable);
-        if (headerError) {
-            co_return co_await refuse(headerError);
+        auto error = parseBuffered(parser);
+        if (error == http::error::need_more) {
+            error = std::get<0>(co_await http::async_read_header(m_stream, m_buffer, parser, Awaitable));
+        }
+        if (error) {
+            co_return co_await refuse(error);
         }
         const BodyReservation reservation(*m_shared, bodyBytesOf(parser));
         if (!reservation.isGranted()) {
             co_return co_await refuse(ResultCode::QueueFull);
         }
-        auto [error, count] = co_await http::async_read(m_stream, m_buffer, parser, Awaitable);
+        parser.eager(true);
+        error = parseBuffered(parser);
+        if (!parser.is_done() && (!error || error == http::error::need_more)) {
+            error = std::get<0>(co_await http::async_read(m_stream, m_buffer, parser, Awaitable));
+        }
         if (error) {
             co_return co_await refuse(error);
         }
@@ -232,6 +239,16 @@
         co_return true;
     }
 
+    /// Parses what has been read already: each asynchronous read, even one of bytes that are there, waits for all other work of the loop.
+    boost::system::error_code parseBuffered(http::request_parser<http::string_body> &parser)
+    {
+        boost::system::error_code error;
+        if (!parser.is_done()) {
+            m_buffer.consume(parser.put(m_buffer.data(), error));
+        }
+        return error;
+    }
+
     /// The memory that the body may take; one without a declared length may take the whole limit.
     std::size_t bodyBytesOf(const http::request_parser<http::string_body> &parser) const
     {
--- a/tests/unit/net/http.cpp
+++ b/tests/unit/net/http.cpp
@@ -39,7 +39,8 @@
               loops,
               endpoint,
               limits,
-              [this](HttpRequest, HttpPeer &) -> asio::awaitable<HttpResponse> {
+              [this](HttpRequest request, HttpPeer &) -> asio::awaitable<HttpResponse> {
+                  bodyBytes += request.body.size();
                   ++handled;
                   co_return HttpResponse();
               },
@@ -59,6 +60,7 @@
     Endpoint endpoint;
     EventLoops loops;
     std::atomic<int> handled = 0;
+    std::atomic<std::size_t> bodyBytes = 0;
     HttpServer server;
 };
 
@@ -255,6 +257,51 @@
     BOOST_TEST(door.handled == Callers);
 }
 
+BOOST_AUTO_TEST_CASE(A_body_that_comes_in_parts_is_read_whole)
+{
+    const std::string body(10000, 'b');
+    Door door {HttpLimits()};
+    RawConnection caller(door.endpoint);
+    caller.send("POST / HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: 10000\r\n\r\n" + body.substr(0, 5000));
+    waitFor([&] {
+        return door.server.requestsInFlight() == 1;
+    });
+    caller.send(body.substr(5000));
+    BOOST_TEST(statusOf(caller.readAll()) == 200);
+    BOOST_TEST(door.bodyBytes == 10000);
+}
+
+BOOST_AUTO_TEST_CASE(Requests_that_come_together_are_read_one_by_one)
+{
+    Door door {HttpLimits()};
+    RawConnection caller(door.endpoint);
+    caller.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n{}"
+                "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"
+                "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    caller.readAll();
+    BOOST_TEST(door.handled == 3);
+    BOOST_TEST(door.bodyBytes == 5);
+}
+
+BOOST_AUTO_TEST_CASE(A_request_that_has_come_whole_is_read_within_two_rounds_of_a_busy_loop)
+{
+    Door door {HttpLimits()};
+    RawConnection caller(door.endpoint);
+    caller.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n{}");
+    waitFor([&] {
+        return door.handled == 1;
+    });
+    BusyLoop busy(door.loops.at(0));
+    busy.countUntil([&] {
+        return door.handled == 2;
+    });
+    caller.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n{}");
+    busy.release();
+    const auto rounds = busy.countedRounds();
+    BOOST_TEST_MESSAGE("rounds: " << rounds);
+    BOOST_TEST(rounds <= 2);
+}
+
 BOOST_AUTO_TEST_CASE(A_connection_on_which_a_second_answer_came_is_not_reused)
 {
     const auto endpoint = freeEndpoint();
