Connections that come one by one are spread over all loops again

Since the accept loop takes what waits, it drew a loop for a connection that it did not find, so that with two loops all connections that came one by one went to one of them. Hosts have one loop; the door of anvilcart serve has two.

A loop that was drawn and not used is kept for the next connection.

--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -22,6 +22,7 @@
 
 #include <atomic>
 #include <limits>
+#include <utility>
 
 namespace Anvilcart
 {
@@ -64,6 +65,9 @@
     std::atomic<std::size_t> inFlight = 0;
     std::atomic<std::size_t> bodyBytes = 0;
     std::atomic<bool> draining = false;
+    /// The loop for the next connection that acceptWaiting() finds; null when it was used. Drawn once for each connection, so that all
+    /// loops get their share.
+    asio::io_context *unusedLoop = nullptr;
 };
 
 namespace
@@ -315,17 +319,20 @@
     co_await session.run();
 }
 
-/// Accepts connections that wait already, up to a number of them.
+/// Accepts connections that wait already, up to a number of them. Runs on the acceptor's loop only.
 void acceptWaiting(const std::shared_ptr<HttpServer::Shared> &shared, std::size_t limit)
 {
     boost::system::error_code error;
     for (std::size_t count = 0; count < limit; ++count) {
-        auto &loop = shared->loops.next();
-        tcp::socket socket(loop);
+        if (shared->unusedLoop == nullptr) {
+            shared->unusedLoop = &shared->loops.next();
+        }
+        tcp::socket socket(*shared->unusedLoop);
         shared->acceptor.accept(socket, error);
         if (error) {
             return;
         }
+        auto &loop = *std::exchange(shared->unusedLoop, nullptr);
         asio::co_spawn(loop, serve(std::move(socket), shared), asio::detached);
     }
 }
--- a/tests/unit/net/http.cpp
+++ b/tests/unit/net/http.cpp
@@ -6,7 +6,9 @@
 #include <boost/test/unit_test.hpp>
 
 #include <future>
+#include <map>
 #include <memory>
+#include <mutex>
 #include <thread>
 #include <unistd.h>
 #include <vector>
@@ -334,4 +336,40 @@
     BOOST_TEST((reply.progress == CallProgress::Sent));
 }
 
+BOOST_AUTO_TEST_CASE(Callers_who_connect_one_by_one_are_spread_over_all_loops)
+{
+    const auto endpoint = freeEndpoint();
+    EventLoops loops(2);
+    std::mutex mutex;
+    std::map<std::thread::id, int> handled;
+    {
+        HttpServer server(
+            loops,
+            endpoint,
+            HttpLimits(),
+            [&](HttpRequest, HttpPeer &) -> asio::awaitable<HttpResponse> {
+                {
+                    const std::lock_guard lock(mutex);
+                    ++handled[std::this_thread::get_id()];
+                }
+                co_return HttpResponse();
+            },
+            [](ResultCode) {
+                return HttpResponse();
+            });
+        asio::io_context context;
+        for (int call = 0; call < 20; ++call) {
+            asio::ip::tcp::socket socket(context);
+            socket.connect({asio::ip::make_address(endpoint.address), endpoint.port});
+            asio::write(socket,
+                        asio::buffer(std::string("POST / HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: 2\r\n\r\n{}")));
+            char answer[512];
+            boost::system::error_code error;
+            while (socket.read_some(asio::buffer(answer), error) > 0) { }
+        }
+        loops.stop();
+    }
+    BOOST_TEST(handled.size() == 2);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
