Entry hosts wait for runs that outlast their grants

A dispatcher that takes a running job over from another entry host, or finds a run on a target that it has claimed, holds a lease that was extended under another grant. The entry host handed the job on 0.35 s after its own grant, so that the run could outlast that by 0.8 s.

Now the dispatcher tells the entry host when the leases of such runs have ended (one small frame, only if they outlast the grant by more than 0.35 s), and the entry host hands the job on after that. A lost notice leaves the gap.

Tests: two of RunsAfterGrantsSuite and one of HandedOnJobsSuite fail without the call in the scheduler and the wait of the entry host.

--- a/src/fleet/entryjob.h
+++ b/src/fleet/entryjob.h
@@ -43,6 +43,8 @@
     std::uint64_t dispatcherIncarnation = 0;
     /// The epoch of the grant under which that dispatcher has the job.
     std::uint64_t grantEpoch = 0;
+    /// When the runs that it has found have ended; TimePoint() when its grant says that.
+    TimePoint longRunsEndBy;
     /// That dispatcher is not live: the job waits for it, or for another one that can have it first.
     bool dispatcherIsLost = false;
     /// When a connection to or from that dispatcher closed, so that the submission or its result may be lost; TimePoint() when none did.
--- a/src/fleet/fleetframe.cpp
+++ b/src/fleet/fleetframe.cpp
@@ -290,6 +290,12 @@
         encodeCrashes(notice.crashes, row);
         row.set_number(notice.number);
     }
+    for (const auto &notice : frame.longRuns) {
+        auto &row = *wire.add_long_runs();
+        row.set_id(notice.jobId);
+        row.set_for_us(remainingMicroseconds(notice.endBy, now));
+        row.set_submission(notice.submissionNumber);
+    }
     for (const auto &notice : frame.ended) {
         auto &row = *wire.add_ended();
         row.set_id(notice.jobId);
@@ -373,6 +379,9 @@
     for (const auto &row : wire.crash_notices()) {
         frame.crashNotices.push_back({row.id(), decodeCrashes(row), row.number()});
     }
+    for (const auto &row : wire.long_runs()) {
+        frame.longRuns.push_back({row.id(), now + fromMicroseconds(row.for_us()), row.submission()});
+    }
     for (const auto &row : wire.ended()) {
         if (row.end() > static_cast<std::uint32_t>(JobEnd::Abandoned) || row.reason() >= JobEndReasonCount) {
             continue;
--- a/src/fleet/fleetframe.h
+++ b/src/fleet/fleetframe.h
@@ -30,6 +30,16 @@
     std::uint64_t number = 0;
 };
 
+/// Runs that another entry host's submission has started, and that the dispatcher has found for a job; sent to its entry host.
+struct LongRunsNotice
+{
+    std::string jobId;
+    /// Later than LongestRunAfterGrant after the entry host's grant.
+    TimePoint endBy;
+    /// See JobSubmission::number.
+    std::uint64_t submissionNumber = 0;
+};
+
 /// The operator's configuration record as it is stored.
 struct ConfigurationRecord
 {
@@ -107,6 +117,7 @@
     std::vector<LostDispatcher> lostDispatchers;
     std::vector<JobSubmission> submissions;
     std::vector<CrashNotice> crashNotices;
+    std::vector<LongRunsNotice> longRuns;
     std::vector<JobEndNotice> ended;
     std::vector<JobRelease> releases;
     std::vector<JobCancellation> cancellations;
--- a/src/fleet/hostnode.cpp
+++ b/src/fleet/hostnode.cpp
@@ -285,7 +285,8 @@
     if (job.grantEpoch == 0 || job.dispatcher == m_identity.host) {
         return now + m_identity.limits.maxLease + LeaseExpiryMargin;
     }
-    return m_issuedGrants.runsEndBy(job.dispatcher, job.dispatcherIncarnation, job.grantEpoch, m_identity.limits.maxLease);
+    const auto endBy = m_issuedGrants.runsEndBy(job.dispatcher, job.dispatcherIncarnation, job.grantEpoch, m_identity.limits.maxLease);
+    return std::max(endBy, job.longRunsEndBy);
 }
 
 /// Takes a job from its lost dispatcher, so that another one can have it.
@@ -297,6 +298,7 @@
     job.submission.earlierRunsEndBy = job.submission.mayStartAt();
     job.submission.lostDispatcher = incarnationKey(job.dispatcher, job.dispatcherIncarnation);
     job.submission.lostDispatcherRunsEndBy = runsEndBy(job, now);
+    job.longRunsEndBy = TimePoint();
     job.previousDispatcher = std::exchange(job.dispatcher, {});
     job.previousDispatcherIncarnation = job.dispatcherIncarnation;
     job.previousGrantEpoch = job.grantEpoch;
@@ -591,6 +593,34 @@
     job.crashNoticeNumber = notice.number;
 }
 
+void HostNode::onRunsOutlastGrant(const JobSubmission &job, TimePoint endBy)
+{
+    if (job.entryHost == m_identity.host) {
+        // Jobs of this host wait for the longest lease anyway.
+        return;
+    }
+    FleetFrame frame;
+    frame.longRuns.push_back({job.request.id, endBy, job.number});
+    send(job.entryHost, std::move(frame), m_now);
+}
+
+/// Lets the job wait for these runs when it is handed on, or if it was taken back just before.
+void HostNode::onLongRuns(const LongRunsNotice &notice, const std::string &from, std::uint64_t incarnation)
+{
+    const auto found = m_jobs.find(notice.jobId);
+    if (found == m_jobs.end()) {
+        return;
+    }
+    auto &job = found->second;
+    const auto endBy = notice.endBy + LeaseExpiryMargin;
+    if (job.dispatcher == from && job.dispatcherIncarnation == incarnation && job.submission.number == notice.submissionNumber) {
+        job.longRunsEndBy = std::max(job.longRunsEndBy, endBy);
+    } else if (job.previousDispatcher == from && job.previousDispatcherIncarnation == incarnation
+               && job.previousSubmissionNumber == notice.submissionNumber) {
+        job.submission.earlierRunsEndBy = std::max(job.submission.earlierRunsEndBy, endBy);
+    }
+}
+
 void HostNode::processSchedulerEvents(TimePoint now)
 {
     while (!m_locallyEndedJobs.empty() || !m_takenOverTargets.empty() || !m_restartedTargets.empty()) {
--- a/src/fleet/hostnode.h
+++ b/src/fleet/hostnode.h
@@ -164,6 +164,7 @@
     void sendRenewal(const std::string &target, const RenewalRequest &request) override;
     void onJobEnd(const JobSubmission &job, const JobResult &result) override;
     void onCrashRecords(const JobSubmission &job, const std::vector<TaskCrashes> &crashes) override;
+    void onRunsOutlastGrant(const JobSubmission &job, TimePoint endBy) override;
     void onTargetLost(const std::string &target, bool wasOwned) override;
     void onTargetRestarted(const std::string &target) override;
     void onTargetReleased(const std::string &target) override;
@@ -189,6 +190,7 @@
     bool submitTo(EntryJob &job, const Dispatcher &dispatcher, TimePoint now);
     std::vector<Dispatcher> dispatchersFor(const std::string &service, TimePoint now) const;
     void onCrashNotice(const CrashNotice &notice, const std::string &from, std::uint64_t incarnation);
+    void onLongRuns(const LongRunsNotice &notice, const std::string &from, std::uint64_t incarnation);
     void onJobResult(const JobEndNotice &notice, const std::string &from, std::uint64_t incarnation, TimePoint now);
     void onResultOfPrevious(EntryJob &job, const JobEndNotice &notice, const std::string &from, std::uint64_t incarnation, TimePoint now);
     bool cancelForCaller(const std::string &jobId, TimePoint now);
--- a/src/fleet/hostnodepeers.cpp
+++ b/src/fleet/hostnodepeers.cpp
@@ -136,6 +136,9 @@
     for (const auto &notice : frame.crashNotices) {
         onCrashNotice(notice, frame.host, frame.incarnation);
     }
+    for (const auto &notice : frame.longRuns) {
+        onLongRuns(notice, frame.host, frame.incarnation);
+    }
     for (const auto &notice : frame.ended) {
         onJobResult(notice, frame.host, frame.incarnation, now);
     }
--- a/src/scheduling/interfaces/schedulerport.h
+++ b/src/scheduling/interfaces/schedulerport.h
@@ -29,6 +29,10 @@
     /// The records of the targets that were lost under the job's tasks have changed. Its entry host keeps them for the next dispatcher.
     virtual void onCrashRecords(const JobSubmission &job, const std::vector<TaskCrashes> &crashes) = 0;
 
+    /// Runs of the job that were found, or taken over from another entry host, may last until then, which is later than its entry host
+    /// assumes by its grant. Called again when that becomes known anew.
+    virtual void onRunsOutlastGrant(const JobSubmission &job, TimePoint endBy) = 0;
+
     /// A target holds a higher fencing token than this host's: another host took it over. wasOwned is false when it never accepted this
     /// host's token.
     virtual void onTargetLost(const std::string &target, bool wasOwned) = 0;
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -423,6 +423,7 @@
 
 void Scheduler::markRunsWithoutGrant(const ScheduledJob &job, TimePoint now)
 {
+    TimePoint leasesEndBy;
     for (const auto &task : job.tasks) {
         const auto target = task.phase == TaskPhase::Assigned ? m_targets.find(task.target) : m_targets.end();
         auto *run = target == m_targets.end()
@@ -434,8 +435,13 @@
             if (!job.pendingResult) {
                 run->grantEndsBy = grantEndOf(job.submission);
             }
+            leasesEndBy = std::max(leasesEndBy, target->second->leasesEndBy());
         }
     }
+    const auto grantEnd = grantEndOf(job.submission);
+    if (!job.pendingResult && grantEnd != TimePoint::max() && leasesEndBy > std::max(now, grantEnd + LongestRunAfterGrant)) {
+        m_port.onRunsOutlastGrant(job.submission, leasesEndBy);
+    }
 }
 
 /// The number of the last claim of a target under which tasks of the job may be started and their leases extended.
--- a/tests/support/schedulerfixture.h
+++ b/tests/support/schedulerfixture.h
@@ -50,6 +50,11 @@
         crashesOfJob[job.request.id] = crashes;
     }
 
+    void onRunsOutlastGrant(const JobSubmission &job, TimePoint endBy) override
+    {
+        outlasting.emplace_back(job, endBy);
+    }
+
     void onTargetLost(const std::string &target, bool) override
     {
         lost.push_back(target);
@@ -70,6 +75,7 @@
     std::vector<std::pair<std::string, RenewalRequest>> renewals;
     std::vector<EndedJob> ended;
     std::map<std::string, std::vector<TaskCrashes>> crashesOfJob;
+    std::vector<std::pair<JobSubmission, TimePoint>> outlasting;
     std::vector<std::string> lost;
     std::vector<std::string> restarted;
     std::vector<std::string> released;
--- a/tests/unit/fleet/fleetframe.cpp
+++ b/tests/unit/fleet/fleetframe.cpp
@@ -37,6 +37,7 @@
     submission.crashes.push_back({0, 2, 3, 1, 2, true});
     frame.submissions.push_back(submission);
     frame.crashNotices.push_back({"00000000000000dd", {{1, 3, 2, 2, 0, false}}, 21});
+    frame.longRuns.push_back({"00000000000000ac", Now + Milliseconds(950), 22});
     frame.ended.push_back({"00000000000000bb", {JobEnd::NotRun, JobEndReason::BetterElsewhere, Seconds(2), "h2"}, 3, 16});
     frame.cancellations.push_back({"00000000000000cc", 18});
     frame.confirmedCancellations.push_back({"00000000000000ff", 19});
@@ -64,6 +65,10 @@
     BOOST_TEST(frame->crashNotices.at(0).jobId == "00000000000000dd");
     BOOST_TEST((frame->crashNotices.at(0).crashes == completeFrame().crashNotices.at(0).crashes));
     BOOST_TEST(frame->crashNotices.at(0).number == 21);
+    BOOST_REQUIRE(frame->longRuns.size() == 1);
+    BOOST_TEST(frame->longRuns.front().jobId == "00000000000000ac");
+    BOOST_TEST((frame->longRuns.front().endBy == later + Milliseconds(950)));
+    BOOST_TEST(frame->longRuns.front().submissionNumber == 22);
     BOOST_TEST(frame->submissions.at(0).number == 17);
     BOOST_TEST(frame->ended.at(0).result.preferredDispatcher == "h2");
     BOOST_TEST(frame->ended.at(0).submissionNumber == 16);
--- a/tests/unit/fleet/handedonjobs.cpp
+++ b/tests/unit/fleet/handedonjobs.cpp
@@ -143,4 +143,74 @@
     BOOST_TEST(port.starts.size() == 1);
 }
 
+namespace
+{
+/// An entry host that has submitted the job "k" to h4, whose runs end soon after its grant as far as it knows.
+struct FoundRunsFixture : HandedOnJobFixture
+{
+    FoundRunsFixture()
+    {
+        auto dispatcher = report("h4", 4, true);
+        dispatcher.report->longestRunAfterGrant = LongestRunAfterGrant;
+        dispatcher.report->loads = {{"service", 100, 0, Duration(0)}};
+        // h3 is silent meanwhile.
+        advance(Seconds(1));
+        dispatcher.sentAt = now - Begin;
+        node.onFrame(dispatcher, now);
+        heardAt = now;
+        node.submit(job("k"), now);
+        if (const auto *submission = lastSubmissionTo("10.0.0.4")) {
+            number = submission->number;
+        }
+    }
+
+    void announce(TimePoint endBy, std::uint64_t submissionNumber)
+    {
+        FleetFrame frame;
+        frame.host = "h4";
+        frame.incarnation = 4;
+        frame.sentAt = now - Begin;
+        frame.longRuns.push_back({"k", endBy, submissionNumber});
+        node.onFrame(frame, now);
+    }
+
+    /// Loses h4, and returns when the next dispatcher may start the job.
+    TimePoint mayStartOnceHandedOn()
+    {
+        port.frames.clear();
+        while (now < heardAt + Seconds(3)) {
+            hearSecondDispatcher(Milliseconds(100));
+            const auto *last = lastSubmissionTo("10.0.0.3");
+            if (last != nullptr && last->request.id == "k") {
+                return last->mayStartAt();
+            }
+        }
+        return TimePoint();
+    }
+
+    std::uint64_t number = 0;
+    TimePoint heardAt;
+};
+} // namespace
+
+BOOST_FIXTURE_TEST_CASE(A_job_is_handed_on_after_the_end_of_the_runs_that_its_dispatcher_has_found, FoundRunsFixture)
+{
+    BOOST_REQUIRE(number != 0);
+    const auto endBy = now + Milliseconds(1900);
+    announce(endBy, number);
+    announce(now + Milliseconds(100), number);
+    const auto mayStartAt = mayStartOnceHandedOn();
+    BOOST_TEST((mayStartAt >= endBy));
+    BOOST_TEST((mayStartAt < endBy + Milliseconds(200)));
+}
+
+BOOST_FIXTURE_TEST_CASE(Runs_that_were_found_for_another_submission_of_a_job_do_not_count, FoundRunsFixture)
+{
+    BOOST_REQUIRE(number != 0);
+    announce(now + Milliseconds(1900), number + 1);
+    const auto mayStartAt = mayStartOnceHandedOn();
+    BOOST_REQUIRE((mayStartAt != TimePoint()));
+    BOOST_TEST((mayStartAt < heardAt + GrantLength + 2 * LongestRunAfterGrant));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/scheduling/leasebelief.cpp
+++ b/tests/unit/scheduling/leasebelief.cpp
@@ -240,6 +240,10 @@
     {
     }
 
+    void onRunsOutlastGrant(const JobSubmission &, TimePoint) override
+    {
+    }
+
     void onTargetLost(const std::string &target, bool) override
     {
         m_network.clock.callAfter(Duration(0), [this, target] {
--- a/tests/unit/scheduling/runsaftergrants.cpp
+++ b/tests/unit/scheduling/runsaftergrants.cpp
@@ -223,6 +223,65 @@
     }
 }
 
+// By its grant, the entry host of a job assumes that its runs have ended sooner, and hands it on then.
+BOOST_AUTO_TEST_CASE(An_entry_host_is_told_that_a_run_which_was_taken_over_outlasts_its_grant)
+{
+    grant("e1", Milliseconds(900));
+    submit(jobOf("e1", "j"));
+    answerStart(0);
+    answerRenewal("t1", {{port.starts[0].request.name, 10}});
+    BOOST_TEST(port.outlasting.empty());
+    const auto leaseEnd = now + longestLease("t1");
+    now += Milliseconds(100);
+    grant("e2", Milliseconds(300));
+    auto again = jobOf("e2", "j");
+    again.number = 7;
+    submit(again);
+    BOOST_REQUIRE(port.outlasting.size() == 1);
+    BOOST_TEST(port.outlasting[0].first.entryHost == "e2");
+    BOOST_TEST(port.outlasting[0].first.number == 7);
+    BOOST_TEST((port.outlasting[0].second >= leaseEnd));
+}
+
+BOOST_AUTO_TEST_CASE(An_entry_host_is_told_that_a_run_which_was_found_outlasts_its_grant)
+{
+    const RunName run {{"j", 0, 0, 0}, 1};
+    for (const bool isJobHereBefore : {true, false}) {
+        GrantsOfTwoHostsFixture fixture;
+        fixture.scheduler.addTarget(fixture.entry("t2"), Token, fixture.now);
+        fixture.grant("e2", Milliseconds(600));
+        // Nothing can be started before the listing.
+        auto submission = fixture.jobOf("e2", "j");
+        submission.request.steps[0].demand.milliCores = 32000;
+        submission.earlierRunsEndBy = fixture.now + Milliseconds(10);
+        if (isJobHereBefore) {
+            fixture.submit(submission);
+        }
+        fixture.answerRenewal("t2", {{run, 10}});
+        if (!isJobHereBefore) {
+            fixture.submit(submission);
+        }
+        BOOST_TEST_CONTEXT("job here before " << isJobHereBefore)
+        {
+            BOOST_TEST(fixture.port.starts.empty());
+            BOOST_REQUIRE(!fixture.port.outlasting.empty());
+            BOOST_TEST((fixture.port.outlasting.back().second >= fixture.now + SchedulerLimits().maxLease));
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(An_entry_host_whose_grant_covers_the_lease_of_a_run_that_was_taken_over_is_not_told_of_it)
+{
+    grant("e1", Milliseconds(900));
+    submit(jobOf("e1", "j"));
+    answerStart(0);
+    now += Milliseconds(50);
+    grant("e2", Milliseconds(900));
+    submit(jobOf("e2", "j"));
+    advance(Seconds(3));
+    BOOST_TEST(port.outlasting.empty());
+}
+
 namespace
 {
 /// A target of a site whose targets grant other leases than those of the users' sites, held for long.
