A grant that comes back extends leases at once

A grant that came back after its end, but before the dispatcher stops its runs (0.25 s), extended their leases only with the next renewal, which could be due 60 ms later, or be too late where the lease ended before.

Now the dispatcher renews the targets whose leases it may extend again, beside the renewal that waits. It costs one request for each target of such runs, only after a grant had ended or when claims are confirmed.

--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -392,7 +392,7 @@
     case HeldGrants::Change::Renewed:
         break;
     case HeldGrants::Change::Extended:
-        markRunsWithoutGrant(entryHost, now);
+        resumeLeases(entryHost, now);
         break;
     case HeldGrants::Change::EpochRaised:
         returnJobs(entryHost, "taken back", now);
@@ -404,6 +404,23 @@
     return true;
 }
 
+/// Extends at once the leases that could not be extended without the grant: they may end before the next renewal is due.
+void Scheduler::resumeLeases(const std::string &entryHost, TimePoint now)
+{
+    std::vector<TargetLedger *> paused;
+    for (const auto &[id, target] : m_targets) {
+        if (!target->mayExtendLeases(now) && !target->unresponsive && target->ownership != Ownership::Claiming) {
+            paused.push_back(target.get());
+        }
+    }
+    markRunsWithoutGrant(entryHost, now);
+    for (auto *target : paused) {
+        if (target->mayExtendLeases(now)) {
+            renew(*target, now);
+        }
+    }
+}
+
 /// Must be called before anything is started or renewed at this time.
 void Scheduler::updateGrants(TimePoint now)
 {
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -276,6 +276,7 @@
     void stopRunsAndEnd(ScheduledJob &job, const JobResult &result, TimePoint now);
     void endCrashingJob(ScheduledJob &job, TimePoint now);
     void updateGrants(TimePoint now);
+    void resumeLeases(const std::string &entryHost, TimePoint now);
     void markRunsWithoutGrant(const std::string &entryHost, TimePoint now);
     void markRunsWithoutGrant(const ScheduledJob &job, TimePoint now);
     std::uint64_t confirmedClaims(const JobSubmission &submission) const;
--- a/tests/unit/scheduling/runsaftergrants.cpp
+++ b/tests/unit/scheduling/runsaftergrants.cpp
@@ -177,6 +177,38 @@
     BOOST_TEST((longestLease("t1") == SchedulerLimits().maxLease));
 }
 
+// The next renewal may be due only when the lease has ended or is about to.
+BOOST_AUTO_TEST_CASE(A_grant_that_comes_back_in_its_grace_period_extends_the_leases_at_once)
+{
+    constexpr Milliseconds GrantLength {400};
+    for (Milliseconds backAfter {5}; backAfter < GrantGracePeriod; backAfter += Milliseconds(5)) {
+        GrantsOfTwoHostsFixture fixture;
+        fixture.grant("e1", GrantLength);
+        const auto grantEnd = fixture.now + GrantLength;
+        fixture.submit(fixture.jobOf("e1", "j"));
+        fixture.answerStart(0);
+        const std::vector<ActiveRun> running {{fixture.port.starts[0].request.name, 10}};
+        auto answerAt = fixture.now;
+        while (fixture.now < grantEnd + backAfter) {
+            fixture.advance(Milliseconds(5));
+            if (fixture.now >= answerAt) {
+                fixture.answerRenewal("t1", running);
+                answerAt = fixture.now + Milliseconds(fixture.lastRenewal("t1").waitMs + 5);
+            }
+        }
+        fixture.port.renewals.clear();
+        fixture.grant("e1", Milliseconds(900));
+        BOOST_TEST_CONTEXT("back after " << backAfter.count() << " ms")
+        {
+            const bool isExtended = std::any_of(fixture.port.renewals.begin(), fixture.port.renewals.end(), [&](const auto &renewal) {
+                return Milliseconds(renewal.second.leaseUntilMs - fixture.clockMs()) > GrantGracePeriod;
+            });
+            const bool isNextInTime = answerAt + Milliseconds(100) < grantEnd + GrantGracePeriod;
+            BOOST_TEST((isExtended || isNextInTime));
+        }
+    }
+}
+
 // All that a job's first dispatcher started ends before callers send the job again, 1.3 s after they have lost its entry host, which may
 // have ended as soon as it had confirmed the dispatcher's last report.
 BOOST_AUTO_TEST_CASE(Every_run_ends_before_callers_come_again_whenever_its_dispatcher_is_lost)
