Renewals and starts fit short longest leases

Only the longest lease of 1 s was covered where targets grant other ones. Renewals waited up to 0.3 s, so that shorter leases could end in between; and where they are shorter than 0.72 s, a start by an old reading of the clock could act after the waits that count the longest lease.

Now three renewals fit into the longest lease, and a start needs a reading of the clock by which its deadline ends within the margin of those waits. Nothing changes at 1 s. With longer leases granted jobs wait after a claim; a test says for how long.

Tests: RunsAfterGrantsSuite/Three_renewals_fit_into_the_leases_of_targets_that_grant_short_ones failed for 250, 450 and 700 ms before, RunsAfterGrantsSuite/A_start_ends_with_the_longest_lease_however_old_the_reading_of_the_clock_is for 250 and 450 ms with readings of 6 to 10 s. The third one, Where_targets_grant_long_leases_granted_jobs_wait_after_a_claim_until_all_leases_end_with_their_grants, passed before.

--- a/src/scheduling/schedulertargets.cpp
+++ b/src/scheduling/schedulertargets.cpp
@@ -10,9 +10,10 @@
 {
 namespace
 {
-/// How long a renewal's reply may wait for a run to end. This is also the interval of renewals; three fit into the longest lease of the
-/// sites.
+/// How long a renewal's reply may wait for a run to end. This is also the interval of renewals.
 constexpr Milliseconds RenewalWait {300};
+/// How many renewals fit into the longest lease at least, where targets grant short ones.
+constexpr int RenewalsOfLongestLease = 3;
 /// Used while replies are being lost, because an ended run whose listing is lost becomes known only with the reply to the next renewal.
 constexpr Milliseconds RenewalWaitAfterLostReply {60};
 constexpr Seconds LostReplyPeriod {1};
@@ -299,10 +300,12 @@
 /// How long a renewal's reply may wait: a little beyond the next expected end of a run, since the reply that lists the end may be lost.
 Duration Scheduler::renewalWait(const TargetLedger &target, TimePoint now) const
 {
+    const Duration longestWait = m_limits.maxLease / RenewalsOfLongestLease;
     if (target.hasRunAlone()) {
-        return SuspectRenewalWait;
+        return std::min<Duration>(SuspectRenewalWait, longestWait);
     }
     Duration next = now - m_lastLostAnswerAt < LostReplyPeriod ? RenewalWaitAfterLostReply : RenewalWait;
+    next = std::min(next, longestWait);
     // Once a late grant comes back, a renewal must follow before the leases end.
     next = std::min(next, std::max(target.leaseLimit() - now - RenewalLead, Duration(MinRenewalWait)));
     for (const auto &[name, run] : target.runs()) {
--- a/src/scheduling/targetledger.cpp
+++ b/src/scheduling/targetledger.cpp
@@ -13,6 +13,8 @@
 constexpr int OverrunDivisor = 4;
 /// By an older reading of its clock, a slow target could carry out a start seconds after its deadline.
 constexpr Seconds LongestClockAge {10};
+/// Waits for the end of all leases are this much longer than the longest one.
+constexpr Milliseconds LeaseExpiryMargin {120};
 
 TimePoint timeAfter(TimePoint grantEnd, Duration delay)
 {
@@ -339,6 +341,11 @@
 {
     const auto leaseEndsBy = LeaseBound::endOfRequest(lease, clock.age(now), now);
     const auto firstGrantEnd = std::min(grantEndsBy, firstEndOfGrants());
+    const auto granted = std::min(lease, m_maxLease);
+    if (granted + TargetClock::driftDuring(granted + clock.age(now)) > m_maxLease + LeaseExpiryMargin) {
+        // A late start could act after waits that count the longest lease.
+        return false;
+    }
     return clock.isKnown() && clock.age(now) <= LongestClockAge && leaseEndsBy <= timeAfter(firstGrantEnd, LongestRunAfterGrant)
         && leasesEndBy() <= timeAfter(grantEndsBy, LongestRunAfterGrant);
 }
--- a/tests/unit/scheduling/runsaftergrants.cpp
+++ b/tests/unit/scheduling/runsaftergrants.cpp
@@ -355,6 +355,67 @@
     BOOST_TEST(port.starts.size() == 1);
 }
 
+BOOST_FIXTURE_TEST_CASE(Three_renewals_fit_into_the_leases_of_targets_that_grant_short_ones, OtherLeasesFixture)
+{
+    for (const auto maxLease : {Milliseconds(250), Milliseconds(450), Milliseconds(700), Milliseconds(1000)}) {
+        OtherLeasesFixture fixture;
+        fixture.claimUnder(maxLease);
+        auto submission = fixture.job("j", 1, 14000, Milliseconds(2000));
+        submission.callerDeadline = fixture.now + Seconds(9);
+        fixture.site->submit(submission, fixture.now);
+        BOOST_REQUIRE(fixture.port.starts.size() == 1);
+        fixture.now += Milliseconds(20);
+        fixture.answer({{fixture.port.starts[0].request.name, 10}});
+        BOOST_TEST(fixture.lastRenewal("t9").waitMs * 3 <= maxLease.count());
+    }
+}
+
+// A late start by an old reading of the clock must not act after the waits that count the longest lease.
+BOOST_AUTO_TEST_CASE(A_start_ends_with_the_longest_lease_however_old_the_reading_of_the_clock_is)
+{
+    constexpr Milliseconds MarginOfWaits {120};
+    for (const auto maxLease : {Milliseconds(250), Milliseconds(450), Milliseconds(700), Milliseconds(1000)}) {
+        for (Seconds age {0}; age <= Seconds(10); age += Seconds(1)) {
+            OtherLeasesFixture fixture;
+            fixture.claimUnder(maxLease);
+            fixture.answer({});
+            fixture.now += age;
+            fixture.site->submit(fixture.job("j"), fixture.now);
+            if (fixture.port.starts.empty()) {
+                continue;
+            }
+            const Milliseconds lease(fixture.port.starts[0].request.leaseUntilMs - fixture.clockMs());
+            const auto longest = lease + TargetClock::driftDuring(lease + age);
+            BOOST_TEST_CONTEXT("longest lease " << maxLease.count() << " ms, reading " << age.count() << " s old")
+            {
+                BOOST_TEST((longest <= maxLease + MarginOfWaits));
+            }
+        }
+    }
+}
+
+// The owner before may have granted the longest lease just before the claim.
+BOOST_FIXTURE_TEST_CASE(Where_targets_grant_long_leases_granted_jobs_wait_after_a_claim_until_all_leases_end_with_their_grants,
+                        OtherLeasesFixture)
+{
+    constexpr Seconds LongLease {3};
+    SchedulerLimits limits;
+    limits.maxLease = LongLease;
+    site = std::make_unique<Scheduler>(limits, port, observer);
+    site->addTarget(entry("t9"), Token, now);
+    answer({});
+    const auto claimedAt = now;
+    site->onGrant("e1", 5, {1, now + Milliseconds(900), ClaimCount, 1}, now);
+    site->submit(jobOf("e1", "granted", 4000), now);
+    while (port.starts.empty() && now < claimedAt + Seconds(5)) {
+        now += Milliseconds(25);
+        site->onGrant("e1", 5, {1, now + Milliseconds(900), ClaimCount, 1}, now);
+        site->tick(now);
+    }
+    BOOST_TEST((now + Milliseconds(900) + LongestRunAfterGrant > claimedAt + LongLease));
+    BOOST_TEST((now < claimedAt + LongLease - Milliseconds(1000)));
+}
+
 BOOST_AUTO_TEST_CASE(A_start_needs_a_reading_of_the_clock_of_the_last_ten_seconds)
 {
     for (const auto age : {Milliseconds(9900), Milliseconds(10100)}) {
