A lost claim of a restarted target is repeated at once

A target that has restarted carries out late orders of its earlier life until it is claimed again. One lost claim made it unresponsive: a pause, probes for 0.5 s, and only then the next claim, 660 ms later at least.

Now a host that held the target until its restart repeats the claim at once while the last answer is less than 0.7 s old, as it repeats renewals. After that, and for targets that it claims for the first time, it probes as before, since a cut may have begun.

Test: RestartedTargetsSuite/A_claim_of_a_restarted_target_that_answers_is_repeated_at_once_when_it_is_lost, red before; two more hold what stays.

--- a/src/scheduling/schedulertargets.cpp
+++ b/src/scheduling/schedulertargets.cpp
@@ -53,6 +53,13 @@
 /// Leaving targets are removed when they have not replied for this long.
 constexpr Seconds RemoveUnresponsiveAfter {5};
 
+/// True for a target that restarted while this host held it and has answered since or shortly before: a lost claim is repeated at once, as
+/// a lost renewal is, since the target carries out late orders of its earlier life until then.
+bool isReclaimed(const TargetLedger &target, TimePoint now)
+{
+    return target.listedAt != TimePoint() && !target.needsHigherToken() && now - target.lastAnswerAt < UnresponsiveAfter;
+}
+
 /// True when the next listing decides what became of an unanswered start, or whether the target has restarted.
 bool isListingAwaited(const TargetLedger &target)
 {
@@ -330,7 +337,8 @@
     // After an unanswered claim, the target is only probed, which does not take it over. When a network partition ends, messages from the
     // hosts beyond it thus arrive before this host claims their targets. A restarted target is not taken over under the earlier token.
     const bool isProbePeriod = target.probesAnsweredSince == TimePoint() || now - target.probesAnsweredSince < ProbePeriodBeforeClaim;
-    const bool isProbe = target.needsHigherToken() || (target.ownership == Ownership::Claiming && target.failedProbes > 0 && isProbePeriod);
+    const bool isProbe = target.needsHigherToken()
+        || (target.ownership == Ownership::Claiming && target.failedProbes > 0 && isProbePeriod && !isReclaimed(target, now));
     request.fencingToken = isProbe ? 0 : target.fencingToken();
     request.acknowledgedPosition = target.acknowledgedEnds();
     const bool mayWait =
@@ -391,7 +399,7 @@
         target.replaced = true;
     }
     if (reply.result != RequestResult::Accepted && now - target.lastAnswerAt < UnresponsiveAfter
-        && target.ownership != Ownership::Claiming) {
+        && (target.ownership != Ownership::Claiming || isReclaimed(target, now))) {
         // A single lost reply is not a failure; the renewal is repeated immediately. One that keeps failing at once, as when the target
         // refuses connections, is repeated by the next tick.
         m_lastLostAnswerAt = now;
--- a/tests/unit/scheduling/restartedtargets.cpp
+++ b/tests/unit/scheduling/restartedtargets.cpp
@@ -342,4 +342,47 @@
     BOOST_TEST(port.released.size() == 1);
 }
 
+// Until the claim arrives, the target carries out late orders of its earlier life.
+BOOST_AUTO_TEST_CASE(A_claim_of_a_restarted_target_that_answers_is_repeated_at_once_when_it_is_lost)
+{
+    constexpr Milliseconds ClaimTimeout {60};
+    scheduler.onRenewalReply("restarted", listing({}, Token), now);
+    claimAgain();
+    BOOST_REQUIRE(lastRenewal("restarted").fencingToken == NextToken);
+    for (int lost = 0; lost < 3; ++lost) {
+        const auto sent = port.renewals.size();
+        now += ClaimTimeout;
+        answerRenewal("restarted", {}, {}, RequestResult::Unknown);
+        BOOST_TEST(port.renewals.size() == sent + 1);
+        BOOST_TEST(lastRenewal("restarted").fencingToken == NextToken);
+    }
+    now += Milliseconds(1);
+    scheduler.onRenewalReply("restarted", listing({}, NextToken), now);
+    BOOST_TEST(scheduler.isListed("restarted"));
+}
+
+// A cut may have begun, at whose end the messages of hosts beyond it must arrive before the claim.
+BOOST_AUTO_TEST_CASE(A_restarted_target_that_is_silent_for_long_is_probed_before_it_is_claimed_again)
+{
+    constexpr Milliseconds ClaimTimeout {60};
+    scheduler.onRenewalReply("restarted", listing({}, Token), now);
+    claimAgain();
+    const auto silentSince = now;
+    while (now < silentSince + Milliseconds(700)) {
+        now += ClaimTimeout;
+        answerRenewal("restarted", {}, {}, RequestResult::Unknown);
+    }
+    advance(Seconds(2));
+    BOOST_TEST(lastRenewal("restarted").fencingToken == 0);
+}
+
+BOOST_AUTO_TEST_CASE(The_first_claim_of_a_target_that_is_lost_is_followed_by_probes)
+{
+    scheduler.addTarget(entry("new"), Token, now);
+    now += Milliseconds(60);
+    answerRenewal("new", {}, {}, RequestResult::Unknown);
+    advance(Milliseconds(200));
+    BOOST_TEST(lastRenewal("new").fencingToken == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
