A host that comes back hears of the runs that were named meanwhile

Now a host that sees another one live again tells it the runs that it has named in the last 15 s, in one frame, repeated until it could be sent.

Test: RunNoticesSuite/A_host_that_comes_back_hears_of_the_runs_that_were_named_meanwhile, red without the entry in m_owedRunNotices.

--- a/src/fleet/hostnode.h
+++ b/src/fleet/hostnode.h
@@ -319,6 +319,8 @@
     OwedResults m_owedResults;
     EarlierRuns m_earlierRuns;
     RunNotices m_runNotices;
+    /// Hosts that are live again and have not been told yet of the runs that were named meanwhile.
+    std::set<std::string> m_owedRunNotices;
     ConfigurationRecord m_configuration;
     std::uint64_t m_highestRound = 0;
     /// TimePoint() before the first read.
--- a/src/fleet/hostnodepeers.cpp
+++ b/src/fleet/hostnodepeers.cpp
@@ -352,6 +352,7 @@
         if (m_shortestDelay.contains(report.incarnation)) {
             // It was cut off, and may have dispatched until now.
             m_scheduler.onHistoryLost(now);
+            m_owedRunNotices.insert(report.host);
         }
         m_observer.onHostLivenessChanged(report, true, Duration(0));
         // The host may dispatch again, so the record of its earlier loss must not be used for a later one.
@@ -787,6 +788,11 @@
 
 void HostNode::sendRunNotices(TimePoint now)
 {
+    std::erase_if(m_owedRunNotices, [&](const std::string &host) {
+        FleetFrame frame;
+        frame.abandonedRuns = m_runNotices.recent(now);
+        return frame.abandonedRuns.empty() || !m_view.isLive(host, now) || send(host, std::move(frame), now);
+    });
     const auto perHost = DispatcherReportPeriodPerHost * static_cast<Duration::rep>(m_view.liveCount(now));
     const auto jobs = m_runNotices.takeDue(std::max<Duration>(DispatcherReportPeriod, perHost), now);
     if (jobs.empty()) {
--- a/src/fleet/runnotices.h
+++ b/src/fleet/runnotices.h
@@ -20,9 +20,14 @@
     /// The jobs to name to every host now. Empty until the period since the last ones is over.
     std::vector<std::string> takeDue(Duration period, TimePoint now);
 
+    /// The jobs that were named lately, for a host that could not be told then.
+    std::vector<std::string> recent(TimePoint now) const;
+
 private:
     /// How often each job is still named.
     std::map<std::string, int> m_remaining;
     TimePoint m_nextAt;
+    /// When each job was named last.
+    std::map<std::string, TimePoint> m_namedAt;
 };
 } // namespace Anvilcart::Fleet
--- a/tests/unit/fleet/runnotices.cpp
+++ b/tests/unit/fleet/runnotices.cpp
@@ -187,4 +187,34 @@
     BOOST_TEST(noticeCount("j") == 0);
 }
 
+// fault-series 3077 with connections: a host stood still while a run was named, and refused the job as not run after it had woken.
+BOOST_FIXTURE_TEST_CASE(A_host_that_comes_back_hears_of_the_runs_that_were_named_meanwhile, TwoDispatchersFixture)
+{
+    node.submit(job("j"), now);
+    advance(Seconds(1));
+    node.cancel("j", now);
+    advance(Seconds(1));
+    BOOST_REQUIRE(noticeCount("j") == 0);
+    port.acceptsFrames = false;
+    node.onFrame(report("h2", 2, false), now);
+    advance(Milliseconds(100));
+    port.acceptsFrames = true;
+    for (int part = 0; part < 10; ++part) {
+        node.onFrame(report("h2", 2, false), now);
+        advance(Milliseconds(100));
+    }
+    BOOST_TEST(noticeCount("j") == 1);
+}
+
+BOOST_FIXTURE_TEST_CASE(A_host_that_comes_back_is_not_told_of_old_runs, TwoDispatchersFixture)
+{
+    node.submit(job("j"), now);
+    advance(Seconds(1));
+    node.cancel("j", now);
+    advance(Seconds(17));
+    node.onFrame(report("h2", 2, false), now);
+    advance(Milliseconds(100));
+    BOOST_TEST(noticeCount("j") == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
