--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -392,7 +392,7 @@
     case HeldGrants::Change::Renewed:
         break;
     case HeldGrants::Change::Extended:
-        markRunsWithoutGrant(entryHost, now);
+        resumeLeases(entryHost, now);
         break;
     case HeldGrants::Change::EpochRaised:
         returnJobs(entryHost, "taken back", now);
@@ -404,6 +404,23 @@
     return true;
 }
 
+/// Extends at once the leases that could not be extended without the grant: they may end before the next renewal is due.
+void Scheduler::resumeLeases(const std::string &entryHost, TimePoint now)
+{
+    std::vector<TargetLedger *> paused;
+    for (const auto &[id, target] : m_targets) {
+        if (!target->mayExtendLeases(now) && !target->unresponsive && target->ownership != Ownership::Claiming) {
+            paused.push_back(target.get());
+        }
+    }
+    markRunsWithoutGrant(entryHost, now);
+    for (auto *target : paused) {
+        if (target->mayExtendLeases(now)) {
+            renew(*target, now);
+        }
+    }
+}
+
 /// Must be called before anything is started or renewed at this time.
 void Scheduler::updateGrants(TimePoint now)
 {
@@ -423,6 +440,7 @@
 
 void Scheduler::markRunsWithoutGrant(const ScheduledJob &job, TimePoint now)
 {
+    TimePoint leasesEndBy;
     for (const auto &task : job.tasks) {
         const auto target = task.phase == TaskPhase::Assigned ? m_targets.find(task.target) : m_targets.end();
         auto *run = target == m_targets.end()
@@ -434,8 +452,13 @@
             if (!job.pendingResult) {
                 run->grantEndsBy = grantEndOf(job.submission);
             }
+            leasesEndBy = std::max(leasesEndBy, target->second->leasesEndBy());
         }
     }
+    const auto grantEnd = grantEndOf(job.submission);
+    if (!job.pendingResult && grantEnd != TimePoint::max() && leasesEndBy > std::max(now, grantEnd + LongestRunAfterGrant)) {
+        m_port.onRunsOutlastGrant(job.submission, leasesEndBy);
+    }
 }
 
 /// The number of the last claim of a target under which tasks of the job may be started and their leases extended.
--- a/src/scheduling/schedulertargets.cpp
+++ b/src/scheduling/schedulertargets.cpp
@@ -10,9 +10,10 @@
 {
 namespace
 {
-/// How long a renewal's reply may wait for a run to end. This is also the interval of renewals; three fit into the longest lease of the
-/// sites.
+/// How long a renewal's reply may wait for a run to end. This is also the interval of renewals.
 constexpr Milliseconds RenewalWait {300};
+/// How many renewals fit into the longest lease at least, where targets grant short ones.
+constexpr int RenewalsOfLongestLease = 3;
 /// Used while replies are being lost, because an ended run whose listing is lost becomes known only with the reply to the next renewal.
 constexpr Milliseconds RenewalWaitAfterLostReply {60};
 constexpr Seconds LostReplyPeriod {1};
@@ -52,6 +53,13 @@
 /// Leaving targets are removed when they have not replied for this long.
 constexpr Seconds RemoveUnresponsiveAfter {5};
 
+/// True for a target that restarted while this host held it and has answered since or shortly before: a lost claim is repeated at once, as
+/// a lost renewal is, since the target carries out late orders of its earlier life until then.
+bool isReclaimed(const TargetLedger &target, TimePoint now)
+{
+    return target.listedAt != TimePoint() && !target.needsHigherToken() && now - target.lastAnswerAt < UnresponsiveAfter;
+}
+
 /// True when the next listing decides what became of an unanswered start, or whether the target has restarted.
 bool isListingAwaited(const TargetLedger &target)
 {
@@ -299,10 +307,12 @@
 /// How long a renewal's reply may wait: a little beyond the next expected end of a run, since the reply that lists the end may be lost.
 Duration Scheduler::renewalWait(const TargetLedger &target, TimePoint now) const
 {
+    const Duration longestWait = m_limits.maxLease / RenewalsOfLongestLease;
     if (target.hasRunAlone()) {
-        return SuspectRenewalWait;
+        return std::min<Duration>(SuspectRenewalWait, longestWait);
     }
     Duration next = now - m_lastLostAnswerAt < LostReplyPeriod ? RenewalWaitAfterLostReply : RenewalWait;
+    next = std::min(next, longestWait);
     // Once a late grant comes back, a renewal must follow before the leases end.
     next = std::min(next, std::max(target.leaseLimit() - now - RenewalLead, Duration(MinRenewalWait)));
     for (const auto &[name, run] : target.runs()) {
@@ -327,7 +337,8 @@
     // After an unanswered claim, the target is only probed, which does not take it over. When a network partition ends, messages from the
     // hosts beyond it thus arrive before this host claims their targets. A restarted target is not taken over under the earlier token.
     const bool isProbePeriod = target.probesAnsweredSince == TimePoint() || now - target.probesAnsweredSince < ProbePeriodBeforeClaim;
-    const bool isProbe = target.needsHigherToken() || (target.ownership == Ownership::Claiming && target.failedProbes > 0 && isProbePeriod);
+    const bool isProbe = target.needsHigherToken()
+        || (target.ownership == Ownership::Claiming && target.failedProbes > 0 && isProbePeriod && !isReclaimed(target, now));
     request.fencingToken = isProbe ? 0 : target.fencingToken();
     request.acknowledgedPosition = target.acknowledgedEnds();
     const bool mayWait =
@@ -388,7 +399,7 @@
         target.replaced = true;
     }
     if (reply.result != RequestResult::Accepted && now - target.lastAnswerAt < UnresponsiveAfter
-        && target.ownership != Ownership::Claiming) {
+        && (target.ownership != Ownership::Claiming || isReclaimed(target, now))) {
         // A single lost reply is not a failure; the renewal is repeated immediately. One that keeps failing at once, as when the target
         // refuses connections, is repeated by the next tick.
         m_lastLostAnswerAt = now;
--- a/tests/unit/scheduling/runsaftergrants.cpp
+++ b/tests/unit/scheduling/runsaftergrants.cpp
@@ -177,6 +177,38 @@
     BOOST_TEST((longestLease("t1") == SchedulerLimits().maxLease));
 }
 
+// The next renewal may be due only when the lease has ended or is about to.
+BOOST_AUTO_TEST_CASE(A_grant_that_comes_back_in_its_grace_period_extends_the_leases_at_once)
+{
+    constexpr Milliseconds GrantLength {400};
+    for (Milliseconds backAfter {5}; backAfter < GrantGracePeriod; backAfter += Milliseconds(5)) {
+        GrantsOfTwoHostsFixture fixture;
+        fixture.grant("e1", GrantLength);
+        const auto grantEnd = fixture.now + GrantLength;
+        fixture.submit(fixture.jobOf("e1", "j"));
+        fixture.answerStart(0);
+        const std::vector<ActiveRun> running {{fixture.port.starts[0].request.name, 10}};
+        auto answerAt = fixture.now;
+        while (fixture.now < grantEnd + backAfter) {
+            fixture.advance(Milliseconds(5));
+            if (fixture.now >= answerAt) {
+                fixture.answerRenewal("t1", running);
+                answerAt = fixture.now + Milliseconds(fixture.lastRenewal("t1").waitMs + 5);
+            }
+        }
+        fixture.port.renewals.clear();
+        fixture.grant("e1", Milliseconds(900));
+        BOOST_TEST_CONTEXT("back after " << backAfter.count() << " ms")
+        {
+            const bool isExtended = std::any_of(fixture.port.renewals.begin(), fixture.port.renewals.end(), [&](const auto &renewal) {
+                return Milliseconds(renewal.second.leaseUntilMs - fixture.clockMs()) > GrantGracePeriod;
+            });
+            const bool isNextInTime = answerAt + Milliseconds(100) < grantEnd + GrantGracePeriod;
+            BOOST_TEST((isExtended || isNextInTime));
+        }
+    }
+}
+
 // All that a job's first dispatcher started ends before callers send the job again, 1.3 s after they have lost its entry host, which may
 // have ended as soon as it had confirmed the dispatcher's last report.
 BOOST_AUTO_TEST_CASE(Every_run_ends_before_callers_come_again_whenever_its_dispatcher_is_lost)
@@ -223,6 +255,65 @@
     }
 }
 
+// By its grant, the entry host of a job assumes that its runs have ended sooner, and hands it on then.
+BOOST_AUTO_TEST_CASE(An_entry_host_is_told_that_a_run_which_was_taken_over_outlasts_its_grant)
+{
+    grant("e1", Milliseconds(900));
+    submit(jobOf("e1", "j"));
+    answerStart(0);
+    answerRenewal("t1", {{port.starts[0].request.name, 10}});
+    BOOST_TEST(port.outlasting.empty());
+    const auto leaseEnd = now + longestLease("t1");
+    now += Milliseconds(100);
+    grant("e2", Milliseconds(300));
+    auto again = jobOf("e2", "j");
+    again.number = 7;
+    submit(again);
+    BOOST_REQUIRE(port.outlasting.size() == 1);
+    BOOST_TEST(port.outlasting[0].first.entryHost == "e2");
+    BOOST_TEST(port.outlasting[0].first.number == 7);
+    BOOST_TEST((port.outlasting[0].second >= leaseEnd));
+}
+
+BOOST_AUTO_TEST_CASE(An_entry_host_is_told_that_a_run_which_was_found_outlasts_its_grant)
+{
+    const RunName run {{"j", 0, 0, 0}, 1};
+    for (const bool isJobHereBefore : {true, false}) {
+        GrantsOfTwoHostsFixture fixture;
+        fixture.scheduler.addTarget(fixture.entry("t2"), Token, fixture.now);
+        fixture.grant("e2", Milliseconds(600));
+        // Nothing can be started before the listing.
+        auto submission = fixture.jobOf("e2", "j");
+        submission.request.steps[0].demand.milliCores = 32000;
+        submission.earlierRunsEndBy = fixture.now + Milliseconds(10);
+        if (isJobHereBefore) {
+            fixture.submit(submission);
+        }
+        fixture.answerRenewal("t2", {{run, 10}});
+        if (!isJobHereBefore) {
+            fixture.submit(submission);
+        }
+        BOOST_TEST_CONTEXT("job here before " << isJobHereBefore)
+        {
+            BOOST_TEST(fixture.port.starts.empty());
+            BOOST_REQUIRE(!fixture.port.outlasting.empty());
+            BOOST_TEST((fixture.port.outlasting.back().second >= fixture.now + SchedulerLimits().maxLease));
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(An_entry_host_whose_grant_covers_the_lease_of_a_run_that_was_taken_over_is_not_told_of_it)
+{
+    grant("e1", Milliseconds(900));
+    submit(jobOf("e1", "j"));
+    answerStart(0);
+    now += Milliseconds(50);
+    grant("e2", Milliseconds(900));
+    submit(jobOf("e2", "j"));
+    advance(Seconds(3));
+    BOOST_TEST(port.outlasting.empty());
+}
+
 namespace
 {
 /// A target of a site whose targets grant other leases than those of the users' sites, held for long.
@@ -264,6 +355,67 @@
     BOOST_TEST(port.starts.size() == 1);
 }
 
+BOOST_FIXTURE_TEST_CASE(Three_renewals_fit_into_the_leases_of_targets_that_grant_short_ones, OtherLeasesFixture)
+{
+    for (const auto maxLease : {Milliseconds(250), Milliseconds(450), Milliseconds(700), Milliseconds(1000)}) {
+        OtherLeasesFixture fixture;
+        fixture.claimUnder(maxLease);
+        auto submission = fixture.job("j", 1, 14000, Milliseconds(2000));
+        submission.callerDeadline = fixture.now + Seconds(9);
+        fixture.site->submit(submission, fixture.now);
+        BOOST_REQUIRE(fixture.port.starts.size() == 1);
+        fixture.now += Milliseconds(20);
+        fixture.answer({{fixture.port.starts[0].request.name, 10}});
+        BOOST_TEST(fixture.lastRenewal("t9").waitMs * 3 <= maxLease.count());
+    }
+}
+
+// A late start by an old reading of the clock must not act after the waits that count the longest lease.
+BOOST_AUTO_TEST_CASE(A_start_ends_with_the_longest_lease_however_old_the_reading_of_the_clock_is)
+{
+    constexpr Milliseconds MarginOfWaits {120};
+    for (const auto maxLease : {Milliseconds(250), Milliseconds(450), Milliseconds(700), Milliseconds(1000)}) {
+        for (Seconds age {0}; age <= Seconds(10); age += Seconds(1)) {
+            OtherLeasesFixture fixture;
+            fixture.claimUnder(maxLease);
+            fixture.answer({});
+            fixture.now += age;
+            fixture.site->submit(fixture.job("j"), fixture.now);
+            if (fixture.port.starts.empty()) {
+                continue;
+            }
+            const Milliseconds lease(fixture.port.starts[0].request.leaseUntilMs - fixture.clockMs());
+            const auto longest = lease + TargetClock::driftDuring(lease + age);
+            BOOST_TEST_CONTEXT("longest lease " << maxLease.count() << " ms, reading " << age.count() << " s old")
+            {
+                BOOST_TEST((longest <= maxLease + MarginOfWaits));
+            }
+        }
+    }
+}
+
+// The owner before may have granted the longest lease just before the claim.
+BOOST_FIXTURE_TEST_CASE(Where_targets_grant_long_leases_granted_jobs_wait_after_a_claim_until_all_leases_end_with_their_grants,
+                        OtherLeasesFixture)
+{
+    constexpr Seconds LongLease {3};
+    SchedulerLimits limits;
+    limits.maxLease = LongLease;
+    site = std::make_unique<Scheduler>(limits, port, observer);
+    site->addTarget(entry("t9"), Token, now);
+    answer({});
+    const auto claimedAt = now;
+    site->onGrant("e1", 5, {1, now + Milliseconds(900), ClaimCount, 1}, now);
+    site->submit(jobOf("e1", "granted", 4000), now);
+    while (port.starts.empty() && now < claimedAt + Seconds(5)) {
+        now += Milliseconds(25);
+        site->onGrant("e1", 5, {1, now + Milliseconds(900), ClaimCount, 1}, now);
+        site->tick(now);
+    }
+    BOOST_TEST((now + Milliseconds(900) + LongestRunAfterGrant > claimedAt + LongLease));
+    BOOST_TEST((now < claimedAt + LongLease - Milliseconds(1000)));
+}
+
 BOOST_AUTO_TEST_CASE(A_start_needs_a_reading_of_the_clock_of_the_last_ten_seconds)
 {
     for (const auto age : {Milliseconds(9900), Milliseconds(10100)}) {
