--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -456,7 +456,8 @@
         }
     }
     const auto grantEnd = grantEndOf(job.submission);
-    if (!job.pendingResult && grantEnd != TimePoint::max() && leasesEndBy > std::max(now, grantEnd + LongestRunAfterGrant)) {
+    const bool mayOutlast = !job.pendingResult && grantEnd != TimePoint::max() && isGranted(job.submission, now);
+    if (mayOutlast && leasesEndBy > grantEnd + LongestRunAfterGrant) {
         m_port.onRunsOutlastGrant(job.submission, leasesEndBy);
     }
 }
--- a/tests/unit/fleet/latecancellations.cpp
+++ b/tests/unit/fleet/latecancellations.cpp
@@ -315,4 +315,30 @@
     BOOST_TEST(longest <= targetClockMs(firstGrantEnd + LongestRunAfterGrant));
 }
 
+BOOST_FIXTURE_TEST_CASE(An_entry_host_is_sent_a_notice_of_a_run_that_outlasts_its_grant, CancelledByGrantingFrameFixture)
+{
+    auto first = grantingFrame(now + Milliseconds(900));
+    addSubmission(first, "j", 1);
+    node.onFrame(first, now);
+    BOOST_TEST_REQUIRE(port.starts.size() == 1);
+    const auto request = port.starts.front().second;
+    TargetReply reply;
+    reply.result = RequestResult::Accepted;
+    reply.fencingToken = request.fencingToken;
+    node.onStartReply("t1", request.name, reply, now);
+    answerRenewal("t1", {{request.name}});
+    node.onFrame(report("h3", 3, false), now);
+    auto second = grantingFrame(now + Milliseconds(100));
+    second.host = "h3";
+    second.incarnation = 3;
+    addSubmission(second, "j", 2);
+    second.submissions.back().entryHost = "h3";
+    node.onFrame(second, now);
+    BOOST_TEST(std::any_of(port.frames.begin(), port.frames.end(), [](const auto &sent) {
+        const auto &notices = sent.second.longRuns;
+        return sent.first.address == "10.0.0.3" && notices.size() == 1 && notices.front().jobId == "j"
+            && notices.front().submissionNumber == 2;
+    }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/scheduling/runsaftergrants.cpp
+++ b/tests/unit/scheduling/runsaftergrants.cpp
@@ -302,6 +302,17 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(An_entry_host_that_takes_its_jobs_back_is_not_told_of_their_runs)
+{
+    grant("e1", Milliseconds(900));
+    submit(jobOf("e1", "j"));
+    answerStart(0);
+    answerRenewal("t1", {{port.starts[0].request.name, 10}});
+    scheduler.onGrant("e1", 5, {2, now + Milliseconds(900), ClaimCount, 1}, now);
+    scheduler.onTimeGap(now);
+    BOOST_TEST(port.outlasting.empty());
+}
+
 BOOST_AUTO_TEST_CASE(An_entry_host_whose_grant_covers_the_lease_of_a_run_that_was_taken_over_is_not_told_of_it)
 {
     grant("e1", Milliseconds(900));
