--- a/src/fleet/hostnode.cpp
+++ b/src/fleet/hostnode.cpp
@@ -604,7 +604,7 @@
     send(job.entryHost, std::move(frame), m_now);
 }
 
-/// Lets the job wait for these runs when it is handed on, or if it was taken back just before.
+/// Lets the job wait for these runs when it is handed on.
 void HostNode::onLongRuns(const LongRunsNotice &notice, const std::string &from, std::uint64_t incarnation)
 {
     const auto found = m_jobs.find(notice.jobId);
@@ -612,12 +612,8 @@
         return;
     }
     auto &job = found->second;
-    const auto endBy = notice.endBy + LeaseExpiryMargin;
     if (job.dispatcher == from && job.dispatcherIncarnation == incarnation && job.submission.number == notice.submissionNumber) {
-        job.longRunsEndBy = std::max(job.longRunsEndBy, endBy);
-    } else if (job.previousDispatcher == from && job.previousDispatcherIncarnation == incarnation
-               && job.previousSubmissionNumber == notice.submissionNumber) {
-        job.submission.earlierRunsEndBy = std::max(job.submission.earlierRunsEndBy, endBy);
+        job.longRunsEndBy = std::max(job.longRunsEndBy, notice.endBy + LeaseExpiryMargin);
     }
 }
 
--- a/tests/unit/fleet/departedcallers.cpp
+++ b/tests/unit/fleet/departedcallers.cpp
@@ -80,7 +80,7 @@
 }
 } // namespace
 
-BOOST_FIXTURE_TEST_SUITE(DepartedCallersSuite, DepartedCallersFixture)
+BOOST_FIXTURE_TEST_SUITE(DepartedCallersSuite, DepartedCallersFixture, *boost::unit_test::label("fleet"))
 
 // Issue 51: the caller had sent the job again over another host, which had started it.
 BOOST_AUTO_TEST_CASE(A_job_that_is_read_after_its_caller_has_gone_is_not_started)
--- a/tests/unit/fleet/handedonjobs.cpp
+++ b/tests/unit/fleet/handedonjobs.cpp
@@ -213,4 +213,50 @@
     BOOST_TEST((mayStartAt < heardAt + GrantLength + 2 * LongestRunAfterGrant));
 }
 
+// The dispatcher that comes back names its long runs, stops them, and then says that nothing of the job runs there any more.
+BOOST_FIXTURE_TEST_CASE(A_job_waits_for_no_run_that_its_earlier_dispatcher_has_ended, FoundRunsFixture)
+{
+    BOOST_REQUIRE(number != 0);
+    for (const bool isAnnounced : {false, true}) {
+        FoundRunsFixture f;
+        f.mayStartOnceHandedOn();
+        BOOST_REQUIRE(f.lastSubmissionTo("10.0.0.3") != nullptr);
+        const auto second = f.lastSubmissionTo("10.0.0.3")->number;
+        auto back = f.report("h4", 4, true);
+        back.sentAt = f.now - Begin;
+        f.node.onFrame(back, f.now);
+        if (isAnnounced) {
+            f.announce(f.now + Milliseconds(1000), f.number);
+        }
+        f.hearSecondDispatcher(Milliseconds(100));
+        FleetFrame ended;
+        ended.host = "h4";
+        ended.incarnation = 4;
+        ended.sentAt = f.now - Begin;
+        ended.ended.push_back({"k", {JobEnd::Abandoned, JobEndReason::GrantEnded, Duration(0), {}}, 1, f.number});
+        f.node.onFrame(ended, f.now);
+        f.port.frames.clear();
+        // The next dispatcher sends the job back.
+        FleetFrame refusal;
+        refusal.host = "h3";
+        refusal.incarnation = 3;
+        refusal.ended.push_back({"k", {JobEnd::NotRun, JobEndReason::GrantEnded, Duration(0), {}}, 0, second});
+        f.node.onFrame(refusal, f.now);
+        for (int i = 0; i < 2; ++i) {
+            f.hearSecondDispatcher(Milliseconds(100));
+        }
+        const JobSubmission *last = nullptr;
+        for (const auto &[endpoint, frame] : f.port.frames) {
+            if (!frame.submissions.empty()) {
+                last = &frame.submissions.back();
+            }
+        }
+        BOOST_TEST_CONTEXT("announced " << isAnnounced)
+        {
+            BOOST_REQUIRE(last != nullptr);
+            BOOST_TEST((last->mayStartAt() <= f.now));
+        }
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
