--- /dev/null
+++ b/review/support-2/standins.cmake
@@ -0,0 +1,17 @@
+# Included by the project's CMakeLists.txt through CMAKE_PROJECT_anvilcart_INCLUDE; adds the programs of the second review at its end.
+function(add_review_programs)
+    file(GLOB REVIEW_COMMON ${CMAKE_SOURCE_DIR}/review/support-2/common/*.cpp)
+    add_library(review-2-common STATIC ${REVIEW_COMMON})
+    target_include_directories(review-2-common PUBLIC ${CMAKE_SOURCE_DIR}/review/support-2/common)
+    target_link_libraries(review-2-common PUBLIC service)
+    file(GLOB REVIEW_CASES ${CMAKE_SOURCE_DIR}/review/support-2/*.cpp)
+    foreach(SOURCE ${REVIEW_CASES})
+        get_filename_component(NAME ${SOURCE} NAME_WE)
+        add_executable(review-2-${NAME} ${SOURCE})
+        target_link_libraries(review-2-${NAME} PRIVATE review-2-common)
+        list(APPEND REVIEW_PROGRAMS review-2-${NAME})
+    endforeach()
+    add_custom_target(review-2-programs DEPENDS ${REVIEW_PROGRAMS})
+endfunction()
+
+cmake_language(DEFER CALL add_review_programs)
