--- a/review/support-2/common/site.cpp
+++ b/review/support-2/common/site.cpp
@@ -32,6 +32,7 @@
 } // namespace
 
 Site::Site(const std::string &program,
+           std::size_t hostsPerZone,
            std::size_t workersPerZone,
            const std::vector<std::string> &services,
            const std::vector<Queue> &queues,
@@ -58,19 +59,13 @@
             m_workers.back()->registerEntry();
         }
     }
-    m_hosts.resize(Zones.size());
-    m_startsOfHost.resize(Zones.size());
+    m_hosts.resize(Zones.size() * hostsPerZone);
+    m_startsOfHost.resize(m_hosts.size());
     for (std::size_t index = 0; index < m_hosts.size(); ++index) {
         startHost(index);
     }
-    const auto giveUpAt = Clock::now() + ReadyTimeout;
     for (std::size_t index = 0; index < m_hosts.size(); ++index) {
-        while (!isReady(index)) {
-            if (Clock::now() > giveUpAt) {
-                throw std::runtime_error("the hosts are not ready in time");
-            }
-            std::this_thread::sleep_for(Milliseconds(50));
-        }
+        awaitReady(index);
     }
     m_record.add("all hosts are ready");
 }
@@ -112,14 +107,15 @@
 {
     const auto address = hostAddress(index);
     std::ofstream file(m_folder / ("host-" + std::to_string(index) + ".conf"));
-    file << "node=front-" << Zones[index] << "-1\nrole=entry\nclass=front\nserves=front,control\nip=" << address
-         << "\nzone=" << Zones[index] << "\nregion=here\n";
-    for (const auto &zone : Zones) {
-        file << "zones." << zone << "=here\n";
+    const auto &zone = Zones[index % Zones.size()];
+    file << "node=front-" << zone << '-' << index / Zones.size() + 1 << "\nrole=entry\nclass=front\nserves=front,control\nip=" << address
+         << "\nzone=" << zone << "\nregion=here\n";
+    for (const auto &name : Zones) {
+        file << "zones." << name << "=here\n";
     }
     file << "listen.front=" << address << ':' << CallerPort << "\nlisten.ready=" << address << ':' << ReadinessPort
          << "\nlisten.control=" << address << ':' << PeerPort << "\nseeds=";
-    for (std::size_t host = 0; host < m_hosts.size(); ++host) {
+    for (std::size_t host = 0; host < Zones.size(); ++host) {
         file << (host == 0 ? "" : ",") << hostAddress(host) << ':' << PeerPort;
     }
     file << "\nbootstrap=" << (m_startsOfHost[index] == 1 ? "true" : "false")
@@ -176,6 +172,17 @@
     return runCoroutine(callOnce({hostAddress(host), ReadinessPort}, std::move(call), Seconds(1))).status == 200;
 }
 
+void Site::awaitReady(std::size_t host) const
+{
+    const auto giveUpAt = Clock::now() + ReadyTimeout;
+    while (!isReady(host)) {
+        if (Clock::now() > giveUpAt) {
+            throw std::runtime_error("a host is not ready in time");
+        }
+        std::this_thread::sleep_for(Milliseconds(50));
+    }
+}
+
 std::string Site::jobBody(const std::vector<Step> &steps, Milliseconds runTime)
 {
     json::array rows;
@@ -253,7 +260,7 @@
     try {
         Record record(argv[2]);
         record.add(trouble ? "with the disruption" : "without the disruption");
-        Site site(argv[1], which.workersPerZone, which.services, which.queues, record);
+        Site site(argv[1], which.hostsPerZone, which.workersPerZone, which.services, which.queues, record);
         which.play(site, record, trouble);
         record.add(std::to_string(record.violations()) + " violations");
         std::cout << record.violations() << " violations; see " << argv[2] << '\n';
--- a/review/support-2/common/site.h
+++ b/review/support-2/common/site.h
@@ -42,6 +42,7 @@
     /// Starts the store, the workers and the hosts, publishes a configuration with these queues, and waits until all hosts are ready. The
     /// workers of a zone belong to the services in turn. Throws std::runtime_error when the hosts don't become ready.
     Site(const std::string &program,
+         std::size_t hostsPerZone,
          std::size_t workersPerZone,
          const std::vector<std::string> &services,
          const std::vector<Queue> &queues,
@@ -51,6 +52,9 @@
     std::size_t hostCount() const;
     ChildProcess &host(std::size_t index);
     void startHost(std::size_t index);
+
+    /// Waits until the host reports itself ready. Throws std::runtime_error when it doesn't in time.
+    void awaitReady(std::size_t host) const;
     std::size_t workerCount() const;
     Worker &worker(std::size_t index);
 
@@ -90,6 +94,7 @@
 /// What a case consists of.
 struct Case
 {
+    std::size_t hostsPerZone = 1;
     std::size_t workersPerZone = 3;
     std::vector<std::string> services = {"desk"};
     std::vector<Queue> queues = {{"checks"}};
