--- a/review/support-2/common/site.cpp
+++ b/review/support-2/common/site.cpp
@@ -6,6 +6,7 @@
 #include <boost/json/array.hpp>
 #include <boost/json/serialize.hpp>
 
+#include <algorithm>
 #include <cstdio>
 #include <cstdlib>
 #include <fstream>
@@ -28,16 +29,19 @@
 constexpr int PeerPort = 8166;
 constexpr int WorkerPort = 8080;
 constexpr Seconds ReadyTimeout {20};
+/// The settings name three hosts at most.
+constexpr std::size_t MaxSeeds = 3;
 const std::vector<std::string> Zones {"a", "b", "c"};
 } // namespace
 
 Site::Site(const std::string &program,
-           std::size_t hostsPerZone,
+           const std::vector<std::string> &hostZones,
            std::size_t workersPerZone,
            const std::vector<std::string> &services,
            const std::vector<Queue> &queues,
            Record &record)
     : m_program(program)
+    , m_hostZones(hostZones)
     , m_record(record)
     , m_folder(std::filesystem::temp_directory_path() / ("anvilcart-review-" + std::to_string(::getpid())))
     , m_loops(1)
@@ -59,7 +63,7 @@
             m_workers.back()->registerEntry();
         }
     }
-    m_hosts.resize(Zones.size() * hostsPerZone);
+    m_hosts.resize(hostZones.size());
     m_startsOfHost.resize(m_hosts.size());
     for (std::size_t index = 0; index < m_hosts.size(); ++index) {
         startHost(index);
@@ -107,15 +111,15 @@
 {
     const auto address = hostAddress(index);
     std::ofstream file(m_folder / ("host-" + std::to_string(index) + ".conf"));
-    const auto &zone = Zones[index % Zones.size()];
-    file << "node=front-" << zone << '-' << index / Zones.size() + 1 << "\nrole=entry\nclass=front\nserves=front,control\nip=" << address
+    const auto &zone = m_hostZones[index];
+    file << "node=front-" << zone << '-' << index + 1 << "\nrole=entry\nclass=front\nserves=front,control\nip=" << address
          << "\nzone=" << zone << "\nregion=here\n";
     for (const auto &name : Zones) {
         file << "zones." << name << "=here\n";
     }
     file << "listen.front=" << address << ':' << CallerPort << "\nlisten.ready=" << address << ':' << ReadinessPort
          << "\nlisten.control=" << address << ':' << PeerPort << "\nseeds=";
-    for (std::size_t host = 0; host < Zones.size(); ++host) {
+    for (std::size_t host = 0; host < std::min(m_hosts.size(), MaxSeeds); ++host) {
         file << (host == 0 ? "" : ",") << hostAddress(host) << ':' << PeerPort;
     }
     file << "\nbootstrap=" << (m_startsOfHost[index] == 1 ? "true" : "false")
@@ -260,7 +264,7 @@
     try {
         Record record(argv[2]);
         record.add(trouble ? "with the disruption" : "without the disruption");
-        Site site(argv[1], which.hostsPerZone, which.workersPerZone, which.services, which.queues, record);
+        Site site(argv[1], which.hostZones, which.workersPerZone, which.services, which.queues, record);
         which.play(site, record, trouble);
         record.add(std::to_string(record.violations()) + " violations");
         std::cout << record.violations() << " violations; see " << argv[2] << '\n';
--- a/review/support-2/common/site.h
+++ b/review/support-2/common/site.h
@@ -42,7 +42,7 @@
     /// Starts the store, the workers and the hosts, publishes a configuration with these queues, and waits until all hosts are ready. The
     /// workers of a zone belong to the services in turn. Throws std::runtime_error when the hosts don't become ready.
     Site(const std::string &program,
-         std::size_t hostsPerZone,
+         const std::vector<std::string> &hostZones,
          std::size_t workersPerZone,
          const std::vector<std::string> &services,
          const std::vector<Queue> &queues,
@@ -79,6 +79,7 @@
     bool isReady(std::size_t host) const;
 
     std::string m_program;
+    std::vector<std::string> m_hostZones;
     Record &m_record;
     LoopbackBlock m_block;
     std::filesystem::path m_folder;
@@ -94,7 +95,8 @@
 /// What a case consists of.
 struct Case
 {
-    std::size_t hostsPerZone = 1;
+    /// The zone of each host.
+    std::vector<std::string> hostZones = {"a", "b", "c"};
     std::size_t workersPerZone = 3;
     std::vector<std::string> services = {"desk"};
     std::vector<Queue> queues = {{"checks"}};
