--- a/review/support-2/startinghost.cpp
+++ b/review/support-2/startinghost.cpp
@@ -12,6 +12,8 @@
 {
 constexpr Milliseconds RunTime {900};
 constexpr int Rounds = 5;
+/// bounds.stable_window_ms of the site.
+constexpr Milliseconds RoundPause {3000};
 constexpr int Steps = 9;
 constexpr std::int64_t TaskMilliCores = 9000;
 constexpr Milliseconds CallerTimeout {14000};
@@ -126,6 +128,7 @@
 {
     for (int round = 0; round < Rounds; ++round) {
         playRound(site, record, trouble);
+        std::this_thread::sleep_for(RoundPause);
     }
 }
 } // namespace
