Review cases 8 and 9: cancel no more than the site's share of jobs

Cause: in both scripts every job was cancelled, while the site's give_up takes 0.4 of them.

Done: jobs that are not cancelled run beside the others, so that one of three (case 8) and 16 of 40 (case 9) are.

--- a/review/support-2/cancelledjob.cpp
+++ b/review/support-2/cancelledjob.cpp
@@ -1,6 +1,7 @@
 #include "common/site.h"
 
 #include <thread>
+#include <vector>
 
 // A client cancels a job that another connection waits for; that one gets 504, and its client sends the job again, as the pages say.
 namespace Anvilcart::Review
@@ -9,6 +10,8 @@
 {
 constexpr Milliseconds RunTime {900};
 constexpr int Steps = 5;
+/// Jobs that are not cancelled: one job of three is.
+constexpr int OtherJobs = 2;
 constexpr Milliseconds CallerTimeout {14000};
 /// bounds.resend_ms and bounds.cancel_ms of the site.
 constexpr Milliseconds ResendDelay {1300};
@@ -67,20 +70,30 @@
     std::thread sender([&] {
         handIn(site, id);
     });
+    std::vector<std::thread> others;
+    for (int number = 0; number < OtherJobs; ++number) {
+        others.emplace_back([&site, otherId = site.newId()] {
+            handIn(site, otherId);
+        });
+    }
+    TimePoint acknowledgedAt = TimePoint::max();
     if (trouble) {
         std::this_thread::sleep_for(Milliseconds(400));
         const auto reply = site.request(2, "DELETE", "/checks/" + id, "", Milliseconds(1500));
-        const auto acknowledgedAt = Clock::now();
-        sender.join();
         const bool isAcknowledged = reply.status == 410 || (reply.status >= 200 && reply.status < 300);
         if (isAcknowledged) {
-            judge(site, record, id, acknowledgedAt);
+            acknowledgedAt = Clock::now();
         } else {
             record.add("the cancelling was not acknowledged");
         }
-        return;
     }
     sender.join();
+    for (auto &other : others) {
+        other.join();
+    }
+    if (acknowledgedAt != TimePoint::max()) {
+        judge(site, record, id, acknowledgedAt);
+    }
 }
 } // namespace
 } // namespace Anvilcart::Review
--- a/review/support-2/startinghost.cpp
+++ b/review/support-2/startinghost.cpp
@@ -19,6 +19,9 @@
 constexpr Milliseconds CallerTimeout {14000};
 constexpr Milliseconds RestartDelay {300};
 constexpr std::size_t Jobs = 16;
+/// Jobs that are not cancelled: two of five are.
+constexpr std::size_t OtherJobs = 24;
+constexpr Milliseconds OtherRunTime {200};
 /// The cancellings are spread over the time in which the host is down and starts.
 constexpr Milliseconds CancelSpacing {50};
 /// A client that gets no connection, or a 503, tries again after this time.
@@ -62,11 +65,17 @@
     return TimePoint::max();
 }
 
+/// One of the hosts that are not restarted.
+std::size_t otherHost(const Site &site, std::size_t number)
+{
+    return (Restarted + 1 + number % (site.hostCount() - 1)) % site.hostCount();
+}
+
 /// One client: hands a job in at another host and, at the time, cancels it; returns the job's id and when that was acknowledged.
 std::pair<std::string, TimePoint> playClient(Site &site, std::size_t number, TimePoint cancelAt)
 {
     const auto id = site.newId();
-    const auto host = (Restarted + 1 + number % (site.hostCount() - 1)) % site.hostCount();
+    const auto host = otherHost(site, number);
     std::thread sender([&] {
         site.request(host, "POST", "/checks/" + id, chainBody(), CallerTimeout);
     });
@@ -108,6 +117,13 @@
             cancelled.push_back(one);
         });
     }
+    std::vector<std::thread> others;
+    for (std::size_t number = 0; number < OtherJobs; ++number) {
+        others.emplace_back([&site, number, sendAt = firstCancelAt + CancelSpacing * static_cast<int>(number)] {
+            std::this_thread::sleep_until(sendAt);
+            site.request(otherHost(site, number), "POST", "/checks/" + site.newId(), Site::jobBody({Step()}, OtherRunTime), CallerTimeout);
+        });
+    }
     if (trouble) {
         site.host(Restarted).wait();
         record.add("host 2 has ended");
@@ -119,6 +135,9 @@
     for (auto &client : clients) {
         client.join();
     }
+    for (auto &other : others) {
+        other.join();
+    }
     for (const auto &[id, acknowledgedAt] : cancelled) {
         judge(site, record, id, acknowledgedAt);
     }
