Read evacuations, their bound and cold targets from the platform

Evacuated zones stand in the operator's topic under evacuate/ZONE, the bound in bounds.evac_ms, and cold targets register cold_remaining_ms.

PlatformMessageSuite and PlatformSettingsSuite pass.

--- a/src/workload/targetentry.h
+++ b/src/workload/targetentry.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "kernel/time.h"
 #include "model/endpoint.h"
 #include "workload/resources.h"
 
@@ -22,6 +23,8 @@
     bool draining = false;
     /// Start time in milliseconds since 1970, 0 when unknown. Distinguishes incarnations of a target.
     std::int64_t startedAtMs = 0;
+    /// How much longer the target stays slow after its start, as of its last registration.
+    Milliseconds coldRemaining {0};
 
     bool operator==(const TargetEntry &) const = default;
 };
--- a/tests/unit/platform/messages.cpp
+++ b/tests/unit/platform/messages.cpp
@@ -123,6 +123,51 @@
     BOOST_TEST(isExpired(answeredWith(410, "{}")));
 }
 
+BOOST_AUTO_TEST_CASE(Only_keys_that_name_a_zone_evacuate_one)
+{
+    BOOST_TEST(evacuatedZone("evacuate/zone-1").value() == "zone-1");
+    BOOST_TEST(evacuatedZone("evacuate/%2F a/\"\n").value() == "%2F a/\"\n");
+    BOOST_TEST(!evacuatedZone("evacuate/").has_value());
+    BOOST_TEST(!evacuatedZone("evacuate").has_value());
+    BOOST_TEST(!evacuatedZone("config").has_value());
+}
+
+// Guards against an evacuation that ends because its value cannot be decoded, and against a decoder that writes beyond its buffer.
+BOOST_AUTO_TEST_CASE(A_listed_value_that_cannot_be_decoded_is_not_empty)
+{
+    const auto valueOf = [](const std::string &value) {
+        const auto page = decodeNewestPage(answeredWith(200, R"({"items":[{"key":"k","value":)" + value + R"(}],"end_offset":2})"));
+        return page.value().records.at(0).value;
+    };
+    BOOST_TEST(valueOf(R"("dmFsdWU=")") == "value");
+    BOOST_TEST(valueOf(R"("dmFsdWU")") == "value");
+    for (const std::string unreadable : {R"("*")", R"("=")", "17", "{}", "false"}) {
+        BOOST_TEST(!valueOf(unreadable).empty(), unreadable);
+    }
+    BOOST_TEST(valueOf(R"("")").empty());
+    BOOST_TEST(valueOf("null").empty());
+    BOOST_TEST(valueOf('"' + std::string(4099, 'A') + '"').size() >= 3074U);
+}
+
+// Guards against a record that keeps all later ones from being read.
+BOOST_AUTO_TEST_CASE(A_record_without_a_valid_key_keeps_its_offset)
+{
+    std::string body(16, '\0');
+    body += std::string("\0\0\0\x02\x09k", 6) + appendCall("topic", {"key", "value"}).body;
+    const auto page = decodeLogPage(answeredWith(200, body), 5);
+    BOOST_REQUIRE(page.has_value());
+    BOOST_TEST(page->nextOffset == 7);
+    BOOST_TEST(page->records.at(1).key == "key");
+}
+
+BOOST_AUTO_TEST_CASE(A_cold_target_says_how_much_longer_it_stays_slow)
+{
+    auto entry = Entry;
+    entry.replace(entry.find(R"("sequence")"), 0, R"("cold_remaining_ms":1500,)");
+    BOOST_TEST((decodeTargetEntry("i-1", entry)->coldRemaining == Milliseconds(1500)));
+    BOOST_TEST((decodeTargetEntry("i-1", Entry)->coldRemaining == Milliseconds(0)));
+}
+
 BOOST_AUTO_TEST_CASE(Corrupted_messages_never_crash)
 {
     std::mt19937 random(5);
--- a/tests/unit/platform/settingsfile.cpp
+++ b/tests/unit/platform/settingsfile.cpp
@@ -24,6 +24,13 @@
     BOOST_TEST(result.settings->regionOfZone.at("b") == "south");
 }
 
+BOOST_AUTO_TEST_CASE(The_bound_of_evacuations_is_absent_where_zones_are_not_evacuated)
+{
+    BOOST_TEST(!parseSettings(RequiredSettings).settings->evacuationBound.has_value());
+    BOOST_TEST((parseSettings(RequiredSettings + "bounds.evac_ms=5000\n").settings->evacuationBound == Milliseconds(5000)));
+    BOOST_TEST(parseSettings(RequiredSettings + "bounds.evac_ms=soon\n").error.line == 7);
+}
+
 // A host that takes a restart for the first start would say of jobs that they have not run.
 BOOST_AUTO_TEST_CASE(Only_a_setting_that_says_so_means_the_first_start_of_the_whole_system)
 {
