Start no task in a zone that the operator evacuates

A record evacuate/ZONE in the operator's topic closes the zone until it is removed. Placement, reservations, forecasts and reported loads leave evacuated targets out; their waiting jobs are redirected, started jobs that only the zone could complete go back to the entry host when their runs have ended, and while all zones are evacuated jobs are refused with the reason evacuated. With bounds.evac_ms in the settings, nothing starts before the state is known, nor after a pause before it is confirmed.

--- a/emulator/claimobserver.h
+++ b/emulator/claimobserver.h
@@ -86,6 +86,9 @@
     void onStaleFrame(const std::string &, Duration, std::size_t) override
     {
     }
+    void onEvacuationChanged(const std::string &, bool, bool, std::size_t) override
+    {
+    }
     void onUsage(const Fleet::TargetUsage &) override
     {
     }
--- a/src/fleet/entryjob.h
+++ b/src/fleet/entryjob.h
@@ -2,6 +2,7 @@
 
 #include "scheduling/jobsubmission.h"
 
+#include <set>
 #include <string>
 
 namespace Anvilcart::Fleet
@@ -58,6 +59,8 @@
     std::string crashNoticeSender;
     std::uint64_t crashNoticeIncarnation = 0;
     std::uint64_t crashNoticeNumber = 0;
+    /// The dispatchers that returned or refused the job since they may start its tasks only in evacuated zones.
+    std::set<std::string> evacuatedDispatchers;
     /// How often the job was submitted to a dispatcher.
     int submissionCount = 0;
     /// A dispatcher may have started a task of the job.
--- a/src/fleet/fleetframe.cpp
+++ b/src/fleet/fleetframe.cpp
@@ -159,6 +159,13 @@
         wire.set_longest_run_after_grant_ms(
             static_cast<std::uint32_t>(std::chrono::duration_cast<Milliseconds>(*report.longestRunAfterGrant).count()));
     }
+    if (report.evacuation) {
+        auto &evacuation = *wire.mutable_evacuation();
+        evacuation.set_store_offset(report.evacuation->storeOffset);
+        for (const auto &zone : report.evacuation->zones) {
+            evacuation.add_zones(zone);
+        }
+    }
     wire.set_unheard_ms(static_cast<std::uint32_t>(std::chrono::duration_cast<Milliseconds>(frame.timeSinceLastReport).count()));
     for (const auto &claim : report.claims) {
         auto &row = *wire.add_claims();
@@ -203,6 +210,10 @@
     if (wire.longest_run_after_grant_ms() > 0) {
         report.longestRunAfterGrant = Milliseconds(wire.longest_run_after_grant_ms());
     }
+    if (wire.has_evacuation()) {
+        const auto &zones = wire.evacuation().zones();
+        report.evacuation = EvacuationView {wire.evacuation().store_offset(), {zones.begin(), zones.end()}};
+    }
     for (const auto &row : wire.claims()) {
         PoolClaim claim;
         claim.pool = {row.zone(), row.shard()};
--- a/src/fleet/fleetview.h
+++ b/src/fleet/fleetview.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "fleet/evacuationstate.h"
 #include "kernel/time.h"
 #include "model/endpoint.h"
 #include "scheduling/scheduler.h"
@@ -69,6 +70,8 @@
     Duration period {0};
     /// Runs that the host starts under a grant end this long after it. Nothing from versions whose runs end with the longest lease only.
     std::optional<Duration> longestRunAfterGrant;
+    /// What the host knows of evacuations. Nothing before it knows them, and from earlier versions.
+    std::optional<EvacuationView> evacuation;
 };
 
 /// Another host, as seen from this one.
--- a/src/fleet/hostnode.cpp
+++ b/src/fleet/hostnode.cpp
@@ -22,6 +22,8 @@
 constexpr Milliseconds FindSuccessorTimeout {600};
 /// The most submissions of one job. A refused job is submitted again when the reason may not apply to another dispatcher.
 constexpr int MaxSubmissions = 3;
+/// The same for a job that an evacuation sends on: it goes to each dispatcher once, and others may have sent it on before.
+constexpr int MaxSubmissionsInEvacuation = 6;
 /// The dispatcher's deadline for a job is this much later than the caller's: it stops the runs then, unless it gets a cancellation first.
 constexpr Milliseconds DispatcherDeadlineMargin {40};
 /// All runs of a lost dispatcher have ended after the longest lease plus this margin, which covers clock drift and the time until the
@@ -36,7 +38,7 @@
 bool mayRetryElsewhere(JobEndReason reason)
 {
     return reason == JobEndReason::Stopping || reason == JobEndReason::NoTargets || reason == JobEndReason::TargetsLost
-        || reason == JobEndReason::BetterElsewhere || reason == JobEndReason::GrantEnded;
+        || reason == JobEndReason::BetterElsewhere || reason == JobEndReason::GrantEnded || reason == JobEndReason::Evacuated;
 }
 } // namespace
 
@@ -48,6 +50,7 @@
     , m_peerProcesses(m_identity.incarnation)
     , m_assignment({m_identity.host, m_identity.zone, m_identity.processorPercent, false, {}, {}, m_identity.targetListExpiry})
     , m_lastSubmissionNumber(submissionNumber(m_identity.incarnation, 0))
+    , m_evacuation(m_identity.limits.evacuationBound)
 {
 }
 
@@ -178,7 +181,7 @@
             }
         }
     };
-    if (!m_leaving && isDispatcher()) {
+    if (!m_leaving && isDispatcher() && !isEvacuated(ownClaims())) {
         add(m_identity.host, m_identity.incarnation, m_identity.zone, m_scheduler.loads(now), Duration(0));
     }
     for (const auto *member : m_view.liveMembers(now)) {
@@ -186,7 +189,7 @@
         const bool dispatches = std::any_of(report.claims.begin(), report.claims.end(), [](const PoolClaim &claim) {
             return !claim.yielding;
         });
-        if (dispatches && !report.leaving) {
+        if (dispatches && !report.leaving && !isEvacuated(report.claims)) {
             add(report.host, report.incarnation, report.zone, report.loads, now - member->lastReportAt);
         }
     }
@@ -216,8 +219,11 @@
     if (placeWithSuccessor(job, now)) {
         return;
     }
+    if (refuseIfEvacuated(job, now)) {
+        return;
+    }
     for (const auto &dispatcher : dispatchersFor(job.submission.service, now)) {
-        if (submitTo(job, dispatcher, now)) {
+        if (!job.evacuatedDispatchers.contains(dispatcher.host) && submitTo(job, dispatcher, now)) {
             return;
         }
     }
@@ -228,7 +234,7 @@
     if (now - job.submission.arrivedAt > FindDispatcherTimeout) {
         CallerReply reply;
         reply.answer = answerForUnstarted(job, now);
-        reply.reason = "no_dispatcher";
+        reply.reason = job.evacuatedDispatchers.empty() ? "no_dispatcher" : toName(JobEndReason::Evacuated);
         reply.retryAfter = Seconds(1);
         cancelAtDispatcher(job, now);
         answer(id, reply, now);
@@ -407,6 +413,9 @@
         return;
     }
     job.dispatcherIsLost = false;
+    if (result.reason == JobEndReason::Evacuated) {
+        job.evacuatedDispatchers.insert(from);
+    }
     CallerReply reply;
     reply.reason = toName(result.reason);
     reply.retryAfter = result.retryAfter;
@@ -435,7 +444,8 @@
             job.nextTryAt = now + PlacementRetryPeriod;
             return;
         }
-        // With the other reasons the dispatcher has started nothing; it only cannot exclude that an earlier submission has run.
+        // With the other reasons the dispatcher has started nothing, or all of it has ended; it cannot exclude that an earlier submission
+        // has run.
         if (result.reason != JobEndReason::TargetsLost && retryElsewhere(job, result.reason, now)) {
             return;
         }
@@ -480,12 +490,14 @@
 /// before its successor is known.
 bool HostNode::retryElsewhere(EntryJob &job, JobEndReason reason, TimePoint now)
 {
-    const bool mayRetry = job.submissionCount < MaxSubmissions || now - job.submission.arrivedAt < FindDispatcherTimeout;
+    const bool isEvacuation = reason == JobEndReason::Evacuated;
+    const auto maxSubmissions = isEvacuation ? MaxSubmissionsInEvacuation : MaxSubmissions;
+    const bool mayRetry = job.submissionCount < maxSubmissions || now - job.submission.arrivedAt < FindDispatcherTimeout;
     if (!mayRetryElsewhere(reason) || !mayRetry) {
         return false;
     }
     job.dispatcher.clear();
-    job.nextTryAt = now + PlacementRetryPeriod * job.submissionCount;
+    job.nextTryAt = isEvacuation ? now : now + PlacementRetryPeriod * job.submissionCount;
     return true;
 }
 
@@ -555,6 +567,7 @@
         return;
     }
     JobEndNotice notice {job.request.id, result, job.grantEpoch, job.number};
+    notice.result.reason = reasonFor(job.entryHost, result.reason);
     FleetFrame frame;
     frame.ended.push_back(notice);
     if (!send(job.entryHost, std::move(frame), m_now) && result.end == JobEnd::Completed) {
--- a/src/fleet/hostnode.h
+++ b/src/fleet/hostnode.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "fleet/earlierruns.h"
+#include "fleet/evacuationstate.h"
 #include "fleet/fleetview.h"
 #include "fleet/interfaces/hostobserver.h"
 #include "fleet/interfaces/hostport.h"
@@ -93,6 +94,12 @@
     /// Sets the operator's configuration record, which is sent to peers on request.
     void setConfiguration(ConfigurationRecord record);
 
+    /// The operator's topic in the store was read up to this view's offset.
+    void onEvacuations(EvacuationView view, TimePoint now);
+
+    /// The operator's topic could not be read.
+    void onEvacuationsLost(TimePoint now);
+
     /// Performs all periodic work. Call every few tens of milliseconds.
     void tick(TimePoint now);
 
@@ -169,6 +176,15 @@
     void onTargetRestarted(const std::string &target) override;
     void onTargetReleased(const std::string &target) override;
 
+    void onPeerEvacuation(const EvacuationView &view, TimePoint now);
+    void applyEvacuation(const std::set<std::string> &zonesBefore, bool byStore, TimePoint now);
+    bool isEvacuated(const std::string &zone) const;
+    bool isEvacuated(const std::vector<PoolClaim> &claims) const;
+    bool isServiceEvacuated(const std::string &service) const;
+    std::vector<PoolClaim> ownClaims() const;
+    bool refuseIfEvacuated(EntryJob &job, TimePoint now);
+    JobEndReason reasonFor(const std::string &entryHost, JobEndReason reason) const;
+
     /// Begins the handling of an event: detects a pause of the process before anything is decided on what was true before it.
     void beginEvent(TimePoint now);
 
@@ -325,6 +341,7 @@
     /// Hosts that are live again and have not been told yet of the runs that were named meanwhile.
     std::set<std::string> m_owedRunNotices;
     ConfigurationRecord m_configuration;
+    EvacuationState m_evacuation;
     std::uint64_t m_highestRound = 0;
     /// TimePoint() before the first read.
     TimePoint m_targetListReadAt;
--- a/src/fleet/hostnodepeers.cpp
+++ b/src/fleet/hostnodepeers.cpp
@@ -342,6 +342,9 @@
         return;
     }
     m_issuedGrants.setLongestRunAfterGrant(report.host, report.incarnation, report.longestRunAfterGrant);
+    if (report.evacuation) {
+        onPeerEvacuation(*report.evacuation, now);
+    }
     const auto *known = m_view.find(report.host);
     const bool assignmentChanged = known == nullptr || affectsAssignment(known->report, report);
     const bool loadsChanged = !report.loads.empty() || (known != nullptr && !known->report.loads.empty());
@@ -457,7 +460,7 @@
 {
     std::vector<PeerDispatcher> peers;
     for (const auto *member : m_view.liveMembers(now)) {
-        if (!member->report.leaving && !member->report.loads.empty()) {
+        if (!member->report.leaving && !member->report.loads.empty() && !isEvacuated(member->report.claims)) {
             peers.push_back({member->report.host, member->report.loads});
         }
     }
@@ -517,6 +520,8 @@
 {
     m_now = now;
     m_observer.onTimeGap(pause);
+    m_evacuation.onPause(now);
+    m_scheduler.setEvacuationKnown(m_evacuation.isKnown(now), now);
     m_scheduler.onTimeGap(now);
     m_ownGrantRenewedAt = TimePoint();
     if (!m_assignment.self().claims.empty()) {
@@ -570,6 +575,7 @@
     if (!lost.empty() || !m_assignment.self().claims.empty() || now - m_poolsUpdatedAt >= StandbyPoolCheckPeriod) {
         updatePools(now);
     }
+    m_scheduler.setEvacuationKnown(m_evacuation.isKnown(now), now);
     m_scheduler.tick(now);
     processSchedulerEvents(now);
     finishYields(now);
@@ -644,6 +650,7 @@
     report.claimCount = m_scheduler.claimCount();
     report.targetsDigest = m_scheduler.ownedTargetsDigest();
     report.longestRunAfterGrant = LongestRunAfterGrant;
+    report.evacuation = m_evacuation.view();
     for (auto &[pool, claim] : m_assignment.self().claims) {
         auto row = claim;
         if (claim.yielding) {
--- a/src/fleet/interfaces/hostobserver.h
+++ b/src/fleet/interfaces/hostobserver.h
@@ -44,6 +44,9 @@
     /// A message was delayed for too long to accept the jobs in it.
     virtual void onStaleFrame(const std::string &host, Duration delay, std::size_t jobs) = 0;
 
+    /// The evacuation of a zone has begun or ended, by the store or by a peer; this many zones are evacuated now.
+    virtual void onEvacuationChanged(const std::string &zone, bool begun, bool byStore, std::size_t evacuatedZones) = 0;
+
     /// Called once a second on a dispatcher.
     virtual void onUsage(const TargetUsage &usage) = 0;
 
--- a/src/hostruntime/hostprocess.cpp
+++ b/src/hostruntime/hostprocess.cpp
@@ -81,6 +81,7 @@
     identity.limits.maxLease = settings.maxLease;
     identity.targetListExpiry = settings.targetHeartbeat;
     identity.limits.stopTime = settings.maxStopTime;
+    identity.limits.evacuationBound = settings.evacuationBound;
     if (settings.memoryMb > 0) {
         identity.limits.maxTasks = maxTasksForMemory(settings.memoryMb);
     }
@@ -168,8 +169,19 @@
                                      .add("store", toString(settings.store))
                                      .add("policy", options.queuePolicy));
         configurationFollower = std::make_shared<ConfigurationFollower>(
-            executor, settings.store, settings.maxConfigurationDelay, telemetry, [this](const std::string &record) {
+            executor,
+            settings.store,
+            settings.maxConfigurationDelay,
+            telemetry,
+            [this](const std::string &record) {
                 applyConfiguration(record, "store");
+            },
+            [this](const std::optional<EvacuationView> &view) {
+                if (view) {
+                    node.onEvacuations(*view, Clock::now());
+                } else {
+                    node.onEvacuationsLost(Clock::now());
+                }
             });
         configurationFollower->start();
         targetListFollower = std::make_shared<TargetListFollower>(
--- a/src/hostruntime/hosttelemetry.cpp
+++ b/src/hostruntime/hosttelemetry.cpp
@@ -1,6 +1,7 @@
 #include "hostruntime/hosttelemetry.h"
 
 #include <prometheus/counter.h>
+#include <prometheus/gauge.h>
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
@@ -30,6 +31,11 @@
         , runTime(histogram("anvilcart_run_time_ms", "Time that runs took on their targets."))
         , forecastError(histogram("anvilcart_run_forecast_error_ms", "Difference between expected and actual run time."))
         , storeCall(histogram("anvilcart_store_call_ms", "Time of calls to the platform's store."))
+        , evacuatedZones(prometheus::BuildGauge()
+                             .Name("anvilcart_evacuated_zones")
+                             .Help("The number of zones that are evacuated.")
+                             .Register(registry)
+                             .Add({}))
     {
     }
 
@@ -45,6 +51,7 @@
     prometheus::Histogram &runTime;
     prometheus::Histogram &forecastError;
     prometheus::Histogram &storeCall;
+    prometheus::Gauge &evacuatedZones;
     std::map<std::pair<std::string, std::string>, prometheus::Counter *> counters;
 };
 
@@ -332,6 +339,14 @@
     write(LogLine("target_taken").add("target", target).add("token_below", fencingToken), LogPriority::Important);
 }
 
+void HostTelemetry::onEvacuationChanged(const std::string &zone, bool begun, bool byStore, std::size_t evacuatedZones)
+{
+    const auto *change = begun ? "begun" : "ended";
+    d->evacuatedZones.Set(static_cast<double>(evacuatedZones));
+    count("anvilcart_evacuations_total", "change", change);
+    write(LogLine("evacuation").add("zone", zone).add("change", change).add("source", byStore ? "store" : "peer"), LogPriority::Important);
+}
+
 void HostTelemetry::onUsage(const TargetUsage &usage)
 {
     write(LogLine("usage")
@@ -339,6 +354,7 @@
               .add("ejected", std::uint64_t(usage.ejected))
               .add("silent", std::uint64_t(usage.unresponsive))
               .add("leaving", std::uint64_t(usage.leaving))
+              .add("evacuated", std::uint64_t(usage.evacuated))
               .add("runs", std::uint64_t(usage.runs))
               .add("unidentified", std::uint64_t(usage.unidentifiedRuns))
               .add("queued_jobs", std::uint64_t(usage.queuedJobs))
--- a/src/hostruntime/hosttelemetry.h
+++ b/src/hostruntime/hosttelemetry.h
@@ -68,6 +68,7 @@
     void onUnprovenFrame(const std::string &host, std::uint64_t incarnation) override;
     void onPoolChanged(const PoolName &pool, const char *change, std::uint64_t round, std::size_t targets) override;
     void onTargetTakenOver(const std::string &target, std::uint64_t fencingToken) override;
+    void onEvacuationChanged(const std::string &zone, bool begun, bool byStore, std::size_t evacuatedZones) override;
     void onUsage(const TargetUsage &usage) override;
     void onOverloadChanged(bool overloaded, Duration delay) override;
     void onTimeGap(Duration gap) override;
--- a/src/hostruntime/storefollower.cpp
+++ b/src/hostruntime/storefollower.cpp
@@ -37,13 +37,18 @@
 }
 } // namespace
 
-ConfigurationFollower::ConfigurationFollower(
-    const asio::any_io_executor &executor, const Endpoint &store, Duration maxDelay, HostTelemetry &telemetry, Handler handler)
+ConfigurationFollower::ConfigurationFollower(const asio::any_io_executor &executor,
+                                             const Endpoint &store,
+                                             Duration maxDelay,
+                                             HostTelemetry &telemetry,
+                                             Handler handler,
+                                             EvacuationHandler evacuationHandler)
     : m_executor(executor)
     , m_client(executor, store)
     , m_longPollWait(std::chrono::duration_cast<Milliseconds>(maxDelay * LongPollShare))
     , m_telemetry(telemetry)
     , m_handler(std::move(handler))
+    , m_evacuationHandler(std::move(evacuationHandler))
 {
 }
 
@@ -82,16 +87,40 @@
     if (!succeeded) {
         co_return false;
     }
+    m_evacuatedZones.clear();
     for (const auto &record : answer.page.records) {
-        if (record.key == Platform::Names::ConfigurationKey) {
-            m_handler(record.value);
-        }
+        apply(record);
     }
     m_nextOffset = answer.page.endOffset;
     m_synchronised = true;
+    reportEvacuations(true);
     co_return true;
 }
 
+void ConfigurationFollower::apply(const Platform::KeyedRecord &record)
+{
+    if (record.key == Platform::Names::ConfigurationKey) {
+        m_handler(record.value);
+    } else if (const auto zone = Platform::evacuatedZone(record.key)) {
+        if (record.value.empty()) {
+            m_evacuatedZones.erase(*zone);
+        } else {
+            m_evacuatedZones.insert(*zone);
+        }
+    }
+}
+
+/// Until all records are read, no evacuation ends: after a listing, records are read again that are older than parts of it.
+void ConfigurationFollower::reportEvacuations(bool isCaughtUp)
+{
+    auto zones = m_evacuatedZones;
+    if (!isCaughtUp) {
+        zones.insert(m_reportedZones.begin(), m_reportedZones.end());
+    }
+    m_reportedZones = zones;
+    m_evacuationHandler(EvacuationView {m_nextOffset, std::move(zones)});
+}
+
 asio::awaitable<bool> ConfigurationFollower::readNext()
 {
     const auto startedAt = Clock::now();
@@ -103,19 +132,24 @@
         m_synchronised = m_synchronised && answer.outcome != StoreOutcome::Expired;
         co_return answer.outcome == StoreOutcome::Expired;
     }
-    for (const auto &record : answer.page.records) {
-        if (record.key == Platform::Names::ConfigurationKey) {
-            m_handler(record.value);
-        }
-    }
     // An end offset below the offset already read means that the store has dropped its history.
     m_synchronised = answer.page.endOffset >= m_nextOffset;
+    if (!m_synchronised) {
+        co_return true;
+    }
+    for (const auto &record : answer.page.records) {
+        apply(record);
+    }
     m_nextOffset = answer.page.nextOffset;
+    reportEvacuations(m_nextOffset >= answer.page.endOffset);
     co_return true;
 }
 
 void ConfigurationFollower::setReachable(bool reachable, const std::string &error)
 {
+    if (!reachable) {
+        m_evacuationHandler(std::nullopt);
+    }
     if (reachable != m_reachable) {
         m_reachable = reachable;
         m_telemetry.onDependencyChanged("store_configuration", reachable, error);
--- a/src/hostruntime/storefollower.h
+++ b/src/hostruntime/storefollower.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "fleet/evacuationstate.h"
 #include "fleet/fleetframe.h"
 #include "hostruntime/hosttelemetry.h"
 #include "platform/storeclient.h"
@@ -11,20 +12,29 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
+#include <set>
 #include <string>
 
 namespace Anvilcart::Fleet
 {
-/// Follows the operator's configuration in the store with long-poll reads. Belongs to one executor.
+/// Follows the operator's topic in the store with long-poll reads: the configuration and the zones that are evacuated. Belongs to one
+/// executor.
 class ConfigurationFollower : public std::enable_shared_from_this<ConfigurationFollower>
 {
 public:
     /// Called with each record of the operator's configuration, regardless of its version.
     using Handler = std::function<void(const std::string &record)>;
+    /// Called after each read with the evacuated zones and the offset up to which they were read; with nothing when the read failed.
+    using EvacuationHandler = std::function<void(const std::optional<EvacuationView> &view)>;
 
     /// The telemetry must outlive the follower. A configuration must be in force within maxDelay of its publication.
-    ConfigurationFollower(
-        const boost::asio::any_io_executor &executor, const Endpoint &store, Duration maxDelay, HostTelemetry &telemetry, Handler handler);
+    ConfigurationFollower(const boost::asio::any_io_executor &executor,
+                          const Endpoint &store,
+                          Duration maxDelay,
+                          HostTelemetry &telemetry,
+                          Handler handler,
+                          EvacuationHandler evacuationHandler);
 
     /// Starts the reads, which continue until stop().
     void start();
@@ -34,6 +44,8 @@
     boost::asio::awaitable<void> run();
     boost::asio::awaitable<bool> readNewest();
     boost::asio::awaitable<bool> readNext();
+    void apply(const Platform::KeyedRecord &record);
+    void reportEvacuations(bool isCaughtUp);
     void setReachable(bool reachable, const std::string &error);
 
     boost::asio::any_io_executor m_executor;
@@ -41,6 +53,9 @@
     Milliseconds m_longPollWait;
     HostTelemetry &m_telemetry;
     Handler m_handler;
+    EvacuationHandler m_evacuationHandler;
+    std::set<std::string> m_evacuatedZones;
+    std::set<std::string> m_reportedZones;
     std::uint64_t m_nextOffset = 0;
     bool m_synchronised = false;
     bool m_reachable = true;
--- a/src/scheduling/jobsubmission.h
+++ b/src/scheduling/jobsubmission.h
@@ -96,8 +96,10 @@
     CrashesTargets,
     /// The entry host has taken the job back, or was not heard for too long.
     GrantEnded,
+    /// The zones of all targets that could run its remaining tasks are evacuated.
+    Evacuated,
 };
-constexpr std::size_t JobEndReasonCount = 13;
+constexpr std::size_t JobEndReasonCount = 14;
 
 /// The name in logs and metrics. Thread-safe.
 constexpr const char *toName(JobEndReason reason)
@@ -114,7 +116,8 @@
                                                       "no_targets",
                                                       "better_elsewhere",
                                                       "crashes_targets",
-                                                      "grant_ended"};
+                                                      "grant_ended",
+                                                      "evacuated"};
     return Names[static_cast<std::size_t>(reason)];
 }
 
--- a/src/scheduling/placementchoice.cpp
+++ b/src/scheduling/placementchoice.cpp
@@ -24,6 +24,8 @@
 /// A task that runs outside its data rack is assumed to be slower by this factor; the factor in the settings of every site is at least as
 /// high.
 constexpr double RemoteDataSlowdown = 1.5;
+/// Added to the cost of a target in an evacuated zone, which is taken only where no other one has capacity.
+constexpr double EvacuatedZoneCost = 1000;
 /// A target slower than this is skipped when the task would miss its caller's deadline there.
 constexpr double SlowTargetRatio = 1.5;
 
@@ -53,7 +55,7 @@
     if (!target.mayStartUnder(request.grantEndsBy, request.startLease, now)) {
         return false;
     }
-    if (target.ownership == Ownership::Retiring && !request.jobHasStarted) {
+    if (!target.zoneAccess.admits(request.jobHasStarted, now) || (target.ownership == Ownership::Retiring && !request.jobHasStarted)) {
         return false;
     }
     if (isSilentSinceStart(target)) {
@@ -109,6 +111,7 @@
         if (!request.dataRack->empty() && !hasLabel(target->entry(), *request.dataRack)) {
             cost = MissedObjectiveCost + timeCost(request, slowness * RemoteDataSlowdown, now);
         }
+        cost += target->zoneAccess.admitsNewJobs ? 0 : EvacuatedZoneCost;
         if (cost < bestCost) {
             bestCost = cost;
             best = target;
@@ -122,7 +125,8 @@
     TargetLedger *best = nullptr;
     auto earliest = TimePoint::max();
     for (auto *target : targets) {
-        if (!isAllowed(*target, request, now)) {
+        // Capacity that an evacuation closes, or opens only by and by, is of no use to a task that waits for it.
+        if (!target->zoneAccess.admitsNewJobs || target->zoneAccess.capacityShare < 1 || !isAllowed(*target, request, now)) {
             continue;
         }
         const auto expectedAt = target->capacityExpectedAt(request.demand, now);
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -23,6 +23,8 @@
 /// A peer is preferred only when it is expected to start the job this much sooner, which covers a network hop and the age of the peer's
 /// reported load.
 constexpr Milliseconds MinTransferGain {50};
+/// The bound of an evacuation where the settings have none.
+constexpr Seconds DefaultEvacuationBound {5};
 
 const JobResult CancelledResult {JobEnd::Abandoned, JobEndReason::Cancelled, Duration(0), {}};
 
@@ -58,6 +60,8 @@
     : m_limits(limits)
     , m_port(port)
     , m_observer(observer)
+    , m_zoneEvacuation(limits.evacuationBound.value_or(DefaultEvacuationBound))
+    , m_isEvacuationKnown(!limits.evacuationBound)
 {
 }
 
@@ -116,6 +120,10 @@
         schedule(job.submission.service, now);
         return;
     }
+    if (isBlockedByEvacuation(job, now)) {
+        endEvacuatedJob(job, now);
+        return;
+    }
     auto &service = m_services[job.submission.service];
     const auto wait = forecastWait(service, job, now);
     if (wait > Duration(0)) {
@@ -315,7 +323,8 @@
     double slowness = 0;
     const auto &step = job.submission.request.steps.front();
     for (const auto *target : m_services.at(job.submission.service).targets) {
-        const bool usable = !target->leaving && !target->unresponsive && !target->health.isEjected(now);
+        const bool usable =
+            !target->leaving && !target->unresponsive && !target->health.isEjected(now) && target->zoneAccess.admits(job.hasStarted(), now);
         if (usable && fitsWhenEmpty(target->entry(), step.demand, step.requiredLabel)) {
             const auto targetSlowness = target->health.slowness(now);
             slowness = slowness == 0 ? targetSlowness : std::min(slowness, targetSlowness);
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -14,6 +14,7 @@
 #include "scheduling/scheduledjob.h"
 #include "scheduling/targetledger.h"
 #include "scheduling/targetloss.h"
+#include "scheduling/zoneevacuation.h"
 
 #include <map>
 #include <memory>
@@ -38,6 +39,8 @@
     std::size_t maxQueuedJobs = 4000;
     /// New jobs are refused when all jobs together would have more tasks than this, which bounds the memory that they take.
     std::size_t maxTasks = 200'000;
+    /// No task may start in a zone this long after the operator has evacuated it. With it, nothing starts before setEvacuationKnown().
+    std::optional<Duration> evacuationBound;
     QueuePolicy policy = FairShareFirst {};
     /// Refuses jobs that are forecast to miss their caller's deadline. Disabled only in baseline measurements.
     bool refuseInfeasible = true;
@@ -64,6 +67,8 @@
     std::size_t ejected = 0;
     std::size_t unresponsive = 0;
     std::size_t leaving = 0;
+    /// Targets in evacuated zones.
+    std::size_t evacuated = 0;
     std::size_t runs = 0;
     std::size_t unidentifiedRuns = 0;
     std::size_t queuedJobs = 0;
@@ -133,6 +138,13 @@
     /// Starts no task before this time, as the targets' entries are too old to place by.
     void holdStartsUntil(TimePoint time);
 
+    /// Replaces the set of evacuated zones. Jobs that fit only there are redirected, returned or refused, also later when their grace
+    /// period is over.
+    void setEvacuatedZones(const std::set<std::string> &zones, TimePoint now);
+
+    /// Whether the set of evacuated zones is known; while it is not, nothing is started.
+    void setEvacuationKnown(bool known, TimePoint now);
+
     /// True from addTarget() on.
     bool ownsTarget(const std::string &target) const;
 
@@ -299,6 +311,10 @@
     void releaseUnconfirmedStarts(TargetLedger &target, TimePoint now);
     void releaseIdleTargets(TimePoint now);
     void endInfeasibleJobs(TimePoint now);
+    void updateZoneAccess(TargetLedger &target, TimePoint now);
+    void updateEvacuation(TimePoint now);
+    bool isBlockedByEvacuation(const ScheduledJob &job, TimePoint now) const;
+    void endEvacuatedJob(ScheduledJob &job, TimePoint now);
 
     SchedulerLimits m_limits;
     SchedulerPort &m_port;
@@ -315,6 +331,8 @@
     HeldGrants m_grants;
     std::uint64_t m_claimCount = 0;
     TimePoint m_startsHeldUntil;
+    ZoneEvacuation m_zoneEvacuation;
+    bool m_isEvacuationKnown;
     RepeatBudget m_repeatBudget;
     std::unordered_map<std::string, std::unique_ptr<TargetLedger>> m_targets;
     /// Targets that were taken away while they had runs, and when the leases of these have ended.
--- a/src/scheduling/schedulerqueue.cpp
+++ b/src/scheduling/schedulerqueue.cpp
@@ -37,7 +37,7 @@
 bool isUsable(const TargetLedger &target, TimePoint now)
 {
     return target.ownership == Ownership::Owned && !target.leaving && !target.unresponsive && !target.isEntryOfEarlierLife()
-        && !target.health.isEjected(now);
+        && !target.health.isEjected(now) && target.zoneAccess.admitsNewJobs;
 }
 
 /// The number of tasks of this many thousandths of a core that fit into the capacity.
@@ -46,16 +46,34 @@
     return static_cast<std::uint32_t>(std::max(0.0, static_cast<double>(capacity.milliCores) / std::max(1.0, milliCores)));
 }
 
-/// The largest free capacity of a single target, in thousandths of a core.
-std::int64_t largestFreeMilliCores(const std::vector<TargetLedger *> &targets)
+/// The number of tasks of this many thousandths of a core that the target could start now.
+std::uint32_t startableTasks(const TargetLedger &target, double milliCores)
+{
+    auto free = target.freeCapacity();
+    if (target.zoneAccess.capacityShare < 1) {
+        const auto closed = (1 - target.zoneAccess.capacityShare) * static_cast<double>(target.entry().capacity.milliCores);
+        free.milliCores -= static_cast<std::int64_t>(closed - target.zoneAccess.shareRounding * milliCores);
+    }
+    return tasksIn(free, milliCores);
+}
+
+/// The largest free capacity of a single target, in thousandths of a core, for jobs that have started or for others.
+std::int64_t largestFreeMilliCores(const std::vector<TargetLedger *> &targets, bool jobHasStarted, TimePoint now)
 {
     std::int64_t largest = 0;
     for (const auto *target : targets) {
-        largest = std::max(largest, target->hasUnidentifiedRuns() ? 0 : target->freeCapacity().milliCores);
+        const bool isFull = target->hasUnidentifiedRuns() || !target->zoneAccess.admits(jobHasStarted, now);
+        largest = std::max(largest, isFull ? 0 : target->freeCapacity().milliCores);
     }
     return largest;
 }
 
+/// The cores that the target offers, weighted by its speed and by its share while it returns from an evacuation.
+double effectiveCores(const TargetLedger &target, double milliCores, TimePoint now)
+{
+    return milliCores / 1000.0 * target.zoneAccess.capacityShare / target.health.slowness(now);
+}
+
 Duration fromMilliseconds(double milliseconds)
 {
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(milliseconds));
@@ -179,13 +197,13 @@
     double cores = 0;
     std::uint32_t freeNow = 0;
     for (const auto *target : service.targets) {
-        const bool isUsableSoon =
-            (target->ownership == Ownership::Claiming || target->isEntryOfEarlierLife()) && target->failedProbes == 0 && !target->leaving;
+        const bool isUsableSoon = (target->ownership == Ownership::Claiming || target->isEntryOfEarlierLife()) && target->failedProbes == 0
+            && !target->leaving && target->zoneAccess.admitsNewJobs;
         if (isUsable(*target, now) || isUsableSoon) {
-            cores += tasksIn(target->entry().capacity, demand) * demand / 1000.0 / target->health.slowness(now);
+            cores += effectiveCores(*target, tasksIn(target->entry().capacity, demand) * demand, now);
         }
         if (isUsable(*target, now)) {
-            freeNow += target->hasUnidentifiedRuns() ? 0 : tasksIn(target->freeCapacity(), demand);
+            freeNow += target->hasUnidentifiedRuns() ? 0 : startableTasks(*target, demand);
         }
     }
     const auto inputs = rankInputsOf(job);
@@ -215,9 +233,12 @@
 {
     const double typical = service.typicalMilliCores > 0 ? service.typicalMilliCores : DefaultTaskMilliCores;
     std::uint32_t free = 0;
+    if (!m_isEvacuationKnown) {
+        return free;
+    }
     for (const auto *target : service.targets) {
         if (isUsable(*target, now) && !target->hasUnidentifiedRuns() && !target->health.isOnProbation()) {
-            free += tasksIn(target->freeCapacity(), typical);
+            free += startableTasks(*target, typical);
         }
     }
     return free;
@@ -241,18 +262,22 @@
 void Scheduler::schedule(const std::string &serviceName, TimePoint now)
 {
     auto &service = m_services[serviceName];
-    auto largest = largestFreeMilliCores(service.targets);
+    auto largestForNew = largestFreeMilliCores(service.targets, false, now);
+    auto largestForStarted = largestFreeMilliCores(service.targets, true, now);
+    const auto fits = [&](const ScheduledJob &job) {
+        return job.submission.request.steps.front().demand.milliCores <= (job.hasStarted() ? largestForStarted : largestForNew);
+    };
     std::vector<ScheduledJob *> fitting;
     for (const auto &[rank, id] : service.queue) {
         auto *job = findJob(id);
-        if (!job->pendingResult && job->submission.request.steps.front().demand.milliCores <= largest) {
+        if (!job->pendingResult && fits(*job)) {
             fitting.push_back(job);
         }
     }
     for (auto *job : fitting) {
-        const bool fits = job->submission.request.steps.front().demand.milliCores <= largest;
-        if (fits && startTasks(*job, service, now)) {
-            largest = largestFreeMilliCores(service.targets);
+        if (fits(*job) && startTasks(*job, service, now)) {
+            largestForNew = largestFreeMilliCores(service.targets, false, now);
+            largestForStarted = largestFreeMilliCores(service.targets, true, now);
         }
     }
 }
@@ -346,7 +371,7 @@
 /// Starts the waiting tasks for which there is capacity; true when at least one was started.
 bool Scheduler::startTasks(ScheduledJob &job, Service &service, TimePoint now)
 {
-    if (now < m_startsHeldUntil || now < job.submission.mayStartAt() || !isGranted(job.submission, now)) {
+    if (!m_isEvacuationKnown || now < m_startsHeldUntil || now < job.submission.mayStartAt() || !isGranted(job.submission, now)) {
         return false;
     }
     bool any = false;
@@ -414,8 +439,7 @@
 {
     double cores = 0;
     for (const auto *target : service.targets) {
-        cores +=
-            isUsable(*target, now) ? static_cast<double>(target->entry().capacity.milliCores) / 1000.0 / target->health.slowness(now) : 0;
+        cores += isUsable(*target, now) ? effectiveCores(*target, static_cast<double>(target->entry().capacity.milliCores), now) : 0;
     }
     return cores;
 }
--- a/src/scheduling/schedulerruns.cpp
+++ b/src/scheduling/schedulerruns.cpp
@@ -68,7 +68,8 @@
 {
     const auto *job = findJob(run.name.task.jobId);
     const bool mayRepeat = job != nullptr && !run.stopRequested && target.mayExtendLeases(now) && !target.unresponsive
-        && run.fencingToken == target.fencingToken() && target.ownership != Ownership::Claiming;
+        && run.fencingToken == target.fencingToken() && target.ownership != Ownership::Claiming && m_isEvacuationKnown
+        && target.zoneAccess.admits(true, now);
     if (!mayRepeat || run.startRepetitions >= MaxRepetitions || !m_repeatBudget.takeRepeat()) {
         return false;
     }
--- a/src/scheduling/schedulertargets.cpp
+++ b/src/scheduling/schedulertargets.cpp
@@ -97,6 +97,7 @@
     target.lastAnswerAt = now;
     target.claimNumber = ++m_claimCount;
     target.claimedAt = now;
+    updateZoneAccess(target, now);
     m_targets[entry.id] = std::move(owned);
     m_services[entry.service].targets.push_back(&target);
     renew(target, now);
@@ -293,6 +294,7 @@
         usage.ejected += target->health.isEjected(now) ? 1 : 0;
         usage.unresponsive += target->unresponsive ? 1 : 0;
         usage.leaving += target->leaving ? 1 : 0;
+        usage.evacuated += target->zoneAccess.admitsNewJobs ? 0 : 1;
         usage.runs += target->runs().size();
         usage.unidentifiedRuns += target->hasUnidentifiedRuns() ? 1 : 0;
         usage.milliCores += target->entry().capacity.milliCores;
@@ -527,6 +529,7 @@
         checkRuns(*found->second, now);
     }
     releaseIdleTargets(now);
+    updateEvacuation(now);
     updateTimeliness(now);
     endInfeasibleJobs(now);
     for (auto &[name, service] : m_services) {
--- a/src/scheduling/targetledger.cpp
+++ b/src/scheduling/targetledger.cpp
@@ -272,7 +272,8 @@
 
 bool TargetLedger::hasCapacityFor(const Resources &demand) const
 {
-    return m_unidentifiedRuns == 0 && !hasRunAlone() && m_entry.capacity.hasCapacityFor(demand, m_used);
+    return m_unidentifiedRuns == 0 && !hasRunAlone() && m_entry.capacity.hasCapacityFor(demand, m_used)
+        && zoneAccess.hasShareFor(demand.milliCores, m_used.milliCores, m_entry.capacity.milliCores);
 }
 
 Resources TargetLedger::freeCapacity() const
--- a/src/scheduling/targetledger.h
+++ b/src/scheduling/targetledger.h
@@ -3,6 +3,7 @@
 #include "scheduling/leasebound.h"
 #include "scheduling/targetclock.h"
 #include "scheduling/targethealthrecord.h"
+#include "scheduling/zoneevacuation.h"
 #include "workload/targetcalls.h"
 #include "workload/targetentry.h"
 
@@ -250,6 +251,11 @@
     TimePoint nextProbeAt;
     /// The job for which the target is reserved until the queue is next evaluated; empty when there is none.
     std::string reservedForJob;
+    /// What the evacuation of the target's zone allows; the scheduler keeps it current.
+    ZoneAccess zoneAccess;
+    /// The target stays slow until then, by the registration with this remaining time.
+    TimePoint coldUntil;
+    Duration registeredColdTime {0};
     int failedProbes = 0;
     /// Since when the target has answered probes; only used while it is being claimed.
     TimePoint probesAnsweredSince;
--- a/tests/support/hostnodefixture.h
+++ b/tests/support/hostnodefixture.h
@@ -155,6 +155,10 @@
     void onStaleFrame(const std::string &, Duration, std::size_t) override
     {
     }
+    void onEvacuationChanged(const std::string &zone, bool begun, bool byStore, std::size_t) override
+    {
+        evacuations.push_back(zone + (begun ? " begun " : " ended ") + (byStore ? "store" : "peer"));
+    }
     void onUsage(const TargetUsage &) override
     {
     }
@@ -164,6 +168,8 @@
     void onTimeGap(Duration) override
     {
     }
+
+    std::vector<std::string> evacuations;
 };
 
 /// A host node with a clock, peers and target replies that the test controls.
--- /dev/null
+++ b/tests/unit/fleet/evacuationstate.cpp
@@ -0,0 +1,72 @@
+#include "fleet/evacuationstate.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace Anvilcart;
+using namespace Anvilcart::Fleet;
+
+namespace
+{
+constexpr TimePoint Now {std::chrono::hours(1)};
+constexpr Milliseconds Bound {5000};
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(EvacuationStateSuite, *boost::unit_test::label("fleet"))
+
+BOOST_AUTO_TEST_CASE(With_a_bound_nothing_may_start_before_the_first_view)
+{
+    EvacuationState state(Bound);
+    BOOST_TEST(!state.isKnown(Now));
+    state.onStoreLost();
+    BOOST_TEST(!state.isKnown(Now));
+    BOOST_TEST(state.onPeerView({0, {}}));
+    BOOST_TEST(state.isKnown(Now));
+    BOOST_TEST(EvacuationState(std::nullopt).isKnown(Now));
+}
+
+// Guards against a peer that has not yet read a change, or a stale one that returns, undoing what the store says.
+BOOST_AUTO_TEST_CASE(A_peer_counts_only_while_the_store_is_not_read_and_only_if_it_knows_more)
+{
+    EvacuationState state(Bound);
+    state.onStoreView({10, {"b"}});
+    BOOST_TEST(!state.onPeerView({11, {}}));
+    state.onStoreLost();
+    BOOST_TEST(!state.onPeerView({10, {}}));
+    BOOST_TEST(!state.onPeerView({9, {}}));
+    BOOST_TEST(state.onPeerView({11, {"b", "c"}}));
+    BOOST_TEST(state.view()->zones.size() == 2);
+}
+
+BOOST_AUTO_TEST_CASE(The_store_counts_also_at_a_lower_offset_since_it_may_have_lost_its_history)
+{
+    EvacuationState state(Bound);
+    state.onStoreView({10, {"b"}});
+    state.onStoreView({2, {}});
+    BOOST_TEST(state.view()->zones.empty());
+    BOOST_TEST(state.view()->storeOffset == 2);
+}
+
+// Guards against starts by what a process knew before it stood still.
+BOOST_AUTO_TEST_CASE(After_a_pause_the_state_must_be_confirmed)
+{
+    EvacuationState state(Bound);
+    state.onStoreView({10, {}});
+    state.onPause(Now);
+    BOOST_TEST(!state.isKnown(Now));
+    state.onPeerView({9, {}});
+    BOOST_TEST(!state.isKnown(Now));
+    state.onPeerView({10, {}});
+    BOOST_TEST(state.isKnown(Now));
+
+    state.onPause(Now);
+    state.onStoreView({10, {}});
+    BOOST_TEST(state.isKnown(Now));
+
+    // A host that is cut off from the store and all peers keeps its state.
+    state.onPause(Now);
+    state.onStoreLost();
+    BOOST_TEST(!state.isKnown(Now + Milliseconds(1249)));
+    BOOST_TEST(state.isKnown(Now + Milliseconds(1250)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
