Keep the bound of an evacuation on hosts that learn of it late

The emulator evacuates a zone under load while one host restarts and another one is cut off from the store and all hosts (anvilcart-emulate -t evacuation).

The grace period now ends a quarter of the bound before the earliest time at which the bound can be over, counted from the last read of the store that lacked the zone. A host that has had peers starts nothing once neither the store nor a peer has confirmed its state for most of the bound; a report that was held up on its way confirms nothing.

--- a/emulator/emulatedfleet.cpp
+++ b/emulator/emulatedfleet.cpp
@@ -62,6 +62,7 @@
                                                  m_options.hasConnections ? &m_connections : nullptr,
                                                  m_hosts,
                                                  m_targets,
+                                                 m_evacuations,
                                                  isCallerConnected,
                                                  onAnswer,
                                                  onClaim};
@@ -248,7 +249,47 @@
 {
     scheduleFault(at, length, [this](bool isActive) {
         for (const auto &host : m_hosts) {
-            host->setTargetListFailing(isActive);
+            host->setStoreFailing(isActive);
+        }
+    });
+}
+
+void EmulatedFleet::cutHostFromStore(std::size_t host, Duration at, Duration length)
+{
+    scheduleFault(at, length, [this, host](bool isActive) {
+        m_hosts[host]->setStoreFailing(isActive);
+    });
+}
+
+void EmulatedFleet::evacuateZone(const std::string &zone, Duration at, Duration length, Duration coldFor)
+{
+    const auto setCold = [this, zone](Duration remaining) {
+        constexpr double ColdRunTimeFactor = 4;
+        for (const auto &target : m_targets) {
+            if (target->entry().zone == zone) {
+                target->setRunTimeFactor(remaining > Duration(0) ? ColdRunTimeFactor : 1);
+                target->entry().coldRemaining = std::chrono::duration_cast<Milliseconds>(remaining);
+            }
+        }
+    };
+    scheduleFault(at, length, [this, zone, coldFor, setCold](bool isActive) {
+        ++m_evacuations.storeOffset;
+        const auto closedFrom = m_clock.now() + m_options.limits.evacuationBound.value_or(Seconds(5));
+        for (const auto &target : m_targets) {
+            if (target->entry().zone == zone) {
+                target->setClosedFrom(isActive ? std::optional(closedFrom) : std::nullopt);
+            }
+        }
+        if (isActive) {
+            m_evacuations.zones.insert(zone);
+            return;
+        }
+        m_evacuations.zones.erase(zone);
+        if (coldFor > Duration(0)) {
+            setCold(coldFor);
+            m_clock.callAfter(coldFor, [setCold] {
+                setCold(Duration(0));
+            });
         }
     });
 }
--- a/emulator/emulatedfleet.h
+++ b/emulator/emulatedfleet.h
@@ -68,7 +68,12 @@
     void cutTargets(std::size_t count, Duration restartAfter, Duration at, Duration length);
     /// A share of the requests to targets takes effect seconds late and gets no reply.
     void delayTargetRequests(double share, Duration at, Duration length);
-    /// No host can read the list of targets.
+    /// The operator evacuates a zone for this time. Its targets are cold for coldFor from the end on: they register that, and run tasks
+    /// several times slower.
+    void evacuateZone(const std::string &zone, Duration at, Duration length, Duration coldFor);
+    /// A host cannot read the store.
+    void cutHostFromStore(std::size_t host, Duration at, Duration length);
+    /// No host can read the store.
     void failTargetListReads(Duration at, Duration length);
     /// Callers cancel a share of the jobs that they submit in this time, halfway through the run time.
     void cancelJobs(double share, Duration at, Duration length);
@@ -123,6 +128,7 @@
     std::mt19937_64 m_random;
     EmulatedNetwork m_network;
     EmulatedConnections m_connections;
+    Fleet::EvacuationView m_evacuations;
     std::vector<std::unique_ptr<SimulatedTarget>> m_targets;
     std::vector<std::unique_ptr<EmulatedHost>> m_hosts;
     EmulatedCallers m_callers;
--- a/emulator/emulatedhost.cpp
+++ b/emulator/emulatedhost.cpp
@@ -174,9 +174,9 @@
     m_readDelay = delay;
 }
 
-void EmulatedHost::setTargetListFailing(bool failing)
+void EmulatedHost::setStoreFailing(bool failing)
 {
-    m_isTargetListFailing = failing;
+    m_isStoreFailing = failing;
 }
 
 void EmulatedHost::reportClosedLink(std::uint64_t generation, const std::string &peer, std::uint64_t peerIncarnation)
@@ -220,7 +220,7 @@
         const auto now = m_environment.clock.now();
         if (now - m_targetListReadAt > TargetListPeriod) {
             m_targetListReadAt = now;
-            readTargetList();
+            readStore();
         }
         node.tick(now);
         for (const auto &target : m_environment.targets) {
@@ -248,13 +248,15 @@
     }
 }
 
-void EmulatedHost::readTargetList()
+void EmulatedHost::readStore()
 {
     const auto now = m_environment.clock.now();
-    if (m_isTargetListFailing) {
+    if (m_isStoreFailing) {
+        m_node->onEvacuationsLost(now);
         m_node->onTargetListFailure(now);
         return;
     }
+    m_node->onEvacuations(m_environment.evacuations, now);
     std::map<std::string, TargetEntry> entries;
     for (const auto &target : m_environment.targets) {
         entries[target->entry().id] = target->entry();
--- a/emulator/emulatedhost.h
+++ b/emulator/emulatedhost.h
@@ -32,6 +32,8 @@
         /// All hosts, by their indexes.
         const std::vector<std::unique_ptr<EmulatedHost>> &hosts;
         const std::vector<std::unique_ptr<SimulatedTarget>> &targets;
+        /// The operator's evacuations as they stand in the store.
+        const Fleet::EvacuationView &evacuations;
         /// True if a caller of the job is connected to the host, by what the host's system knows.
         std::function<bool(std::size_t host, const std::string &jobId)> isCallerConnected;
         /// Receives the hosts' answers to callers.
@@ -75,8 +77,8 @@
     /// The process reads what arrives from now on this much later, in the order of arrival. Its timers stay on time.
     void setReadDelay(Duration delay);
 
-    /// Whether reads of the list of targets fail.
-    void setTargetListFailing(bool failing);
+    /// Whether reads of the store fail: those of the list of targets and of evacuations.
+    void setStoreFailing(bool failing);
 
     /// Notifies the node, if it is still of that generation, that the connection to a peer has closed.
     void reportClosedLink(std::uint64_t generation, const std::string &peer, std::uint64_t peerIncarnation);
@@ -112,7 +114,7 @@
     /// Calls action with the node unless the process has stopped since that generation; while the process is paused, after it resumes.
     void callWhenRunning(std::uint64_t generation, std::function<void(Fleet::HostNode &node)> action);
     void tick(std::uint64_t generation);
-    void readTargetList();
+    void readStore();
 
     /// Compares what the node believes of the leases on a target that it holds with those that the target has granted. A restarted target
     /// is not compared before the node knows of the restart.
@@ -142,6 +144,6 @@
     TimePoint m_lastReadAt;
     std::set<std::string> m_connectedEndpoints;
     TimePoint m_targetListReadAt;
-    bool m_isTargetListFailing = false;
+    bool m_isStoreFailing = false;
 };
 } // namespace Anvilcart::Emulation
--- a/emulator/faultscenarios.cpp
+++ b/emulator/faultscenarios.cpp
@@ -13,6 +13,26 @@
     return "burst and slow targets from 4 s to 12 s";
 }
 
+std::string addEvacuation(EmulatedFleet &fleet, const FleetOptions &options, std::uint64_t seed)
+{
+    std::mt19937_64 random(seed * 5153 + 17);
+    const auto zone = options.targetZones[random() % options.targetZones.size()];
+    const auto at = Milliseconds(5000 + random() % 1000);
+    const auto coldFor = seed % 2 == 0 ? Duration(Seconds(4)) : Duration(0);
+    fleet.evacuateZone(zone, at, Seconds(9), coldFor);
+    const auto restarted = random() % options.hostZones.size();
+    const auto cut = drawOtherHost(random, options.hostZones.size(), restarted);
+    const auto restartAt = at + Milliseconds(random() % 5000);
+    fleet.killHost(restarted, restartAt, Milliseconds(500 + random() % 1000));
+    const auto cutAt = at - Milliseconds(random() % 500);
+    const auto cutLength = Milliseconds(1000 + random() % 6500);
+    fleet.partitionHost(cut, cutAt, cutLength);
+    fleet.cutHostFromStore(cut, cutAt, cutLength);
+    return "zone " + zone + " evacuated from " + std::to_string(at.count()) + " ms for 9 s" + (seed % 2 == 0 ? ", then cold" : "")
+        + ", host " + std::to_string(restarted) + " killed at " + std::to_string(restartAt.count()) + " ms, host " + std::to_string(cut)
+        + " cut off " + describeSpan(cutAt, cutLength);
+}
+
 std::string addUnansweredOrders(EmulatedFleet &fleet)
 {
     fleet.delayTargetRequests(0.3, Seconds(6), Seconds(12));
--- a/emulator/faultscenarios.h
+++ b/emulator/faultscenarios.h
@@ -14,6 +14,10 @@
 /// description with times.
 std::string addLoadBurst(EmulatedFleet &fleet);
 
+/// The operator evacuates one zone under load for 9 s. Meanwhile one host restarts, and another one returns from a cut from the store and
+/// all other hosts that began before. For every other seed the targets are cold afterwards. Returns a description with times.
+std::string addEvacuation(EmulatedFleet &fleet, const FleetOptions &options, std::uint64_t seed);
+
 /// For 12 s, three requests to targets in ten get no answer and act 2 to 12 s later. Returns a description with times.
 std::string addUnansweredOrders(EmulatedFleet &fleet);
 
--- a/emulator/fleetpresets.cpp
+++ b/emulator/fleetpresets.cpp
@@ -64,6 +64,13 @@
     return options;
 }
 
+FleetOptions optionsOfEvacuation(std::uint64_t seed)
+{
+    auto options = seed % 4 < 2 ? optionsOfOnePool(seed) : optionsOfSeveralPools(seed);
+    options.limits.evacuationBound = Seconds(5);
+    return options;
+}
+
 FleetOptions optionsOfLongRuns(std::uint64_t seed)
 {
     auto options = optionsOfSeveralPools(seed);
--- a/emulator/fleetpresets.h
+++ b/emulator/fleetpresets.h
@@ -23,7 +23,10 @@
 /// A fleet with so many targets that each zone's are a pool of their own, so that several hosts dispatch.
 FleetOptions optionsOfSeveralPools(std::uint64_t seed);
 
-/// The same, where the runs of some jobs take longer than their callers wait before they send a job again.
+/// A fleet with one pool for all zones, or of several pools for every other pair of seeds, whose settings have a bound for evacuations.
+FleetOptions optionsOfEvacuation(std::uint64_t seed);
+
+/// A fleet of several pools, where the runs of some jobs take longer than their callers wait before they send a job again.
 FleetOptions optionsOfLongRuns(std::uint64_t seed);
 
 /// An ordinary fleet for half of the seeds, and one of several pools for the others, for half of these with long runs. All callers wait
--- a/emulator/invariantchecker.cpp
+++ b/emulator/invariantchecker.cpp
@@ -29,6 +29,11 @@
     }
 }
 
+void InvariantChecker::onStartInEvacuatedZone(const std::string &target, const Fleet::RunName &run, Duration at)
+{
+    recordViolation("evacuation", textOf(run) + " starts on " + target, at);
+}
+
 void InvariantChecker::onCrash(const Fleet::RunName &run)
 {
     ++m_crashesOfTask[run.task];
--- a/emulator/invariantchecker.h
+++ b/emulator/invariantchecker.h
@@ -20,6 +20,9 @@
     void onRunStarted(const std::string &target, const Fleet::RunName &run, bool exceedsCapacity, Duration at);
     void onRunEnded(const std::string &target, const Fleet::RunName &run);
 
+    /// A target has started a run though its zone has been evacuated for longer than the bound.
+    void onStartInEvacuatedZone(const std::string &target, const Fleet::RunName &run, Duration at);
+
     /// The run crashed its target.
     void onCrash(const Fleet::RunName &run);
 
--- a/emulator/main.cpp
+++ b/emulator/main.cpp
@@ -37,6 +37,7 @@
 
 constexpr Scenario Scenarios[] = {
     {"mixed", optionsOfOrdinaryFleet, addRandomFaults},
+    {"evacuation", optionsOfEvacuation, addEvacuation},
     {"worst-load", optionsOfOrdinaryFleet, addFixed<addWorstLoad>},
     {"burst", optionsOfOrdinaryFleet, addFixed<addLoadBurst>},
     {"crashing-jobs",
--- a/emulator/simulatedtarget.cpp
+++ b/emulator/simulatedtarget.cpp
@@ -109,6 +109,9 @@
     const auto incarnation = m_incarnation;
     m_runs[request.name] = {profile.demand, m_clock.now(), m_clock.now() + runTime, incarnation};
     m_invariants.onRunStarted(m_entry.id, request.name, exceedsCapacity, m_clock.elapsed());
+    if (m_closedFrom && m_clock.now() > *m_closedFrom) {
+        m_invariants.onStartInEvacuatedZone(m_entry.id, request.name, m_clock.elapsed());
+    }
     if (!m_hanging) {
         const bool fails = profile.fails || m_failing;
         m_clock.callAfter(runTime, [this, name = request.name, incarnation, fails] {
@@ -298,6 +301,11 @@
     m_runTimeFactor = factor;
 }
 
+void SimulatedTarget::setClosedFrom(std::optional<TimePoint> time)
+{
+    m_closedFrom = time;
+}
+
 void SimulatedTarget::setFailing(bool failing)
 {
     m_failing = failing;
--- a/emulator/simulatedtarget.h
+++ b/emulator/simulatedtarget.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -68,6 +69,9 @@
     /// Multiplies the run time of runs that start from now on.
     void setRunTimeFactor(double factor);
 
+    /// Starts after this time are reported to the invariant checker.
+    void setClosedFrom(std::optional<TimePoint> time);
+
     /// Makes runs that start from now on fail when their run time is over.
     void setFailing(bool failing);
 
@@ -124,6 +128,7 @@
     std::uint64_t m_lastPosition = 0;
     std::vector<std::shared_ptr<PendingRenewal>> m_pendingRenewals;
     double m_runTimeFactor = 1;
+    std::optional<TimePoint> m_closedFrom;
     bool m_failing = false;
     bool m_hanging = false;
     bool m_down = false;
--- a/src/fleet/evacuationstate.cpp
+++ b/src/fleet/evacuationstate.cpp
@@ -1,5 +1,6 @@
 #include "fleet/evacuationstate.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace Anvilcart::Fleet
@@ -9,6 +10,15 @@
 /// The part of the bound for which a host waits for a confirmation after a pause: longer than a read of a slow store and its repetition
 /// take.
 constexpr int ConfirmationDivisor = 4;
+/// A host that hears nothing more may start tasks for this part of the bound after it read the store, and after it heard a peer, which may
+/// have read the store 2 s before that. A start that was sent last takes effect up to 0.45 s later.
+constexpr double LastStoreReadShare = 0.75;
+constexpr double LastPeerReportShare = 0.5;
+
+Duration shareOf(Duration bound, double share)
+{
+    return std::chrono::duration_cast<Duration>(bound * share);
+}
 } // namespace
 
 EvacuationState::EvacuationState(std::optional<Duration> bound)
@@ -16,9 +26,10 @@
 {
 }
 
-void EvacuationState::onStoreView(EvacuationView view)
+void EvacuationState::onStoreView(EvacuationView view, TimePoint now)
 {
     m_view = std::move(view);
+    m_storeReadAt = now;
     m_isStoreCurrent = true;
     m_awaitsConfirmationUntil = TimePoint();
 }
@@ -28,10 +39,13 @@
     m_isStoreCurrent = false;
 }
 
-bool EvacuationState::onPeerView(const EvacuationView &view)
+bool EvacuationState::onPeerView(const EvacuationView &view, bool wasHeldUp, TimePoint now)
 {
-    if (m_view && view.storeOffset >= m_view->storeOffset) {
-        m_awaitsConfirmationUntil = TimePoint();
+    if (!wasHeldUp) {
+        m_peerHeardAt = now;
+        if (m_view && view.storeOffset >= m_view->storeOffset) {
+            m_awaitsConfirmationUntil = TimePoint();
+        }
     }
     if (m_isStoreCurrent || (m_view && view.storeOffset <= m_view->storeOffset)) {
         return false;
@@ -50,7 +64,18 @@
 
 bool EvacuationState::isKnown(TimePoint now) const
 {
-    return !m_bound || (m_view && now >= m_awaitsConfirmationUntil);
+    if (!m_bound) {
+        return true;
+    }
+    const bool hasHadPeers = m_peerHeardAt != TimePoint();
+    const auto relyUntil =
+        std::max(m_storeReadAt + shareOf(*m_bound, LastStoreReadShare), m_peerHeardAt + shareOf(*m_bound, LastPeerReportShare));
+    return m_view && now >= m_awaitsConfirmationUntil && (!hasHadPeers || now < relyUntil);
+}
+
+TimePoint EvacuationState::storeReadAt() const
+{
+    return m_storeReadAt;
 }
 
 const std::optional<EvacuationView> &EvacuationState::view() const
--- a/src/fleet/hostnode.h
+++ b/src/fleet/hostnode.h
@@ -176,8 +176,8 @@
     void onTargetRestarted(const std::string &target) override;
     void onTargetReleased(const std::string &target) override;
 
-    void onPeerEvacuation(const EvacuationView &view, TimePoint now);
-    void applyEvacuation(const std::set<std::string> &zonesBefore, bool byStore, TimePoint now);
+    void onPeerEvacuation(const EvacuationView &view, bool wasHeldUp, TimePoint now);
+    void applyEvacuation(const EvacuationState &before, bool byStore, TimePoint now);
     bool isEvacuated(const std::string &zone) const;
     bool isEvacuated(const std::vector<PoolClaim> &claims) const;
     bool isServiceEvacuated(const std::string &service) const;
--- a/src/fleet/hostnodeevacuation.cpp
+++ b/src/fleet/hostnodeevacuation.cpp
@@ -15,8 +15,8 @@
 void HostNode::onEvacuations(EvacuationView view, TimePoint now)
 {
     beginEvent(now);
-    const auto before = m_evacuation.view().value_or(EvacuationView()).zones;
-    m_evacuation.onStoreView(std::move(view));
+    const auto before = m_evacuation;
+    m_evacuation.onStoreView(std::move(view), now);
     applyEvacuation(before, true, now);
 }
 
@@ -26,18 +26,19 @@
     m_evacuation.onStoreLost();
 }
 
-void HostNode::onPeerEvacuation(const EvacuationView &view, TimePoint now)
+void HostNode::onPeerEvacuation(const EvacuationView &view, bool wasHeldUp, TimePoint now)
 {
-    const auto before = m_evacuation.view().value_or(EvacuationView()).zones;
-    if (m_evacuation.onPeerView(view)) {
+    const auto before = m_evacuation;
+    if (m_evacuation.onPeerView(view, wasHeldUp, now)) {
         applyEvacuation(before, false, now);
     } else {
         m_scheduler.setEvacuationKnown(m_evacuation.isKnown(now), now);
     }
 }
 
-void HostNode::applyEvacuation(const std::set<std::string> &zonesBefore, bool byStore, TimePoint now)
+void HostNode::applyEvacuation(const EvacuationState &before, bool byStore, TimePoint now)
 {
+    const auto zonesBefore = before.view().value_or(EvacuationView()).zones;
     const auto zones = m_evacuation.view().value_or(EvacuationView()).zones;
     if (zones != zonesBefore) {
         for (const auto &zone : zones) {
@@ -52,7 +53,7 @@
         }
         // Jobs are redirected by the loads of the others.
         updatePeerLoads(now);
-        m_scheduler.setEvacuatedZones(zones, now);
+        m_scheduler.setEvacuatedZones(zones, before.storeReadAt(), now);
         // Peers that cannot read the store learn of it, and of the changed load.
         m_reportsDue = true;
     }
--- a/src/fleet/hostnodepeers.cpp
+++ b/src/fleet/hostnodepeers.cpp
@@ -343,7 +343,7 @@
     }
     m_issuedGrants.setLongestRunAfterGrant(report.host, report.incarnation, report.longestRunAfterGrant);
     if (report.evacuation) {
-        onPeerEvacuation(*report.evacuation, now);
+        onPeerEvacuation(*report.evacuation, excessDelay(frame, now) > StaleFrameDelay, now);
     }
     const auto *known = m_view.find(report.host);
     const bool assignmentChanged = known == nullptr || affectsAssignment(known->report, report);
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -138,9 +138,9 @@
     /// Starts no task before this time, as the targets' entries are too old to place by.
     void holdStartsUntil(TimePoint time);
 
-    /// Replaces the set of evacuated zones. Jobs that fit only there are redirected, returned or refused, also later when their grace
-    /// period is over.
-    void setEvacuatedZones(const std::set<std::string> &zones, TimePoint now);
+    /// Replaces the set of evacuated zones; see ZoneEvacuation::setZones(). Jobs that fit only there are redirected, returned or refused,
+    /// also later when their grace period is over.
+    void setEvacuatedZones(const std::set<std::string> &zones, TimePoint checkedAt, TimePoint now);
 
     /// Whether the set of evacuated zones is known; while it is not, nothing is started.
     void setEvacuationKnown(bool known, TimePoint now);
--- a/src/scheduling/schedulerevacuation.cpp
+++ b/src/scheduling/schedulerevacuation.cpp
@@ -16,10 +16,10 @@
 }
 } // namespace
 
-void Scheduler::setEvacuatedZones(const std::set<std::string> &zones, TimePoint now)
+void Scheduler::setEvacuatedZones(const std::set<std::string> &zones, TimePoint checkedAt, TimePoint now)
 {
     updateGrants(now);
-    m_zoneEvacuation.setZones(zones, now);
+    m_zoneEvacuation.setZones(zones, checkedAt, now);
     updateEvacuation(now);
     for (auto &[name, service] : m_services) {
         updateReservedTargets(service, now);
--- a/src/scheduling/zoneevacuation.cpp
+++ b/src/scheduling/zoneevacuation.cpp
@@ -8,8 +8,8 @@
 {
 namespace
 {
-/// The grace period is the bound divided by this. Most of the rest is for the time in which hosts learn of the evacuation; a start that was
-/// sent at the end of the grace period takes effect up to 0.45 s later.
+/// The grace period is the bound divided by this, and ends at least as long before the bound. Most of the rest is for the time in which
+/// hosts learn of the evacuation; a start that was sent at the end of the grace period takes effect up to 0.45 s later.
 constexpr int GraceDivisor = 4;
 /// A cold target begins with this share of its capacity, so that its speed is measured.
 constexpr double MinCapacityShare = 0.1;
@@ -32,37 +32,38 @@
 }
 
 ZoneEvacuation::ZoneEvacuation(Duration bound)
-    : m_gracePeriod(bound / GraceDivisor)
+    : m_bound(bound)
 {
 }
 
-void ZoneEvacuation::setZones(const std::set<std::string> &zones, TimePoint now)
+void ZoneEvacuation::setZones(const std::set<std::string> &zones, TimePoint checkedAt, TimePoint now)
 {
     std::erase_if(m_endedAt, [now](const auto &entry) {
         return now - entry.second > ReturnRetention;
     });
-    for (auto it = m_begunAt.begin(); it != m_begunAt.end();) {
+    for (auto it = m_graceEnds.begin(); it != m_graceEnds.end();) {
         if (zones.contains(it->first)) {
             ++it;
         } else {
             m_endedAt[it->first] = now;
-            it = m_begunAt.erase(it);
+            it = m_graceEnds.erase(it);
         }
     }
+    const auto gracePeriod = m_bound / GraceDivisor;
     for (const auto &zone : zones) {
-        m_begunAt.try_emplace(zone, now);
+        m_graceEnds.try_emplace(zone, std::min(now + gracePeriod, checkedAt + m_bound - gracePeriod));
         m_endedAt.erase(zone);
     }
 }
 
 bool ZoneEvacuation::isEvacuated(const std::string &zone) const
 {
-    return m_begunAt.contains(zone);
+    return m_graceEnds.contains(zone);
 }
 
 bool ZoneEvacuation::isActive() const
 {
-    return !m_begunAt.empty();
+    return !m_graceEnds.empty();
 }
 
 bool ZoneEvacuation::isChanging(TimePoint now) const
@@ -75,9 +76,9 @@
 ZoneAccess ZoneEvacuation::accessTo(const std::string &zone, const std::string &target, TimePoint coldUntil, TimePoint now) const
 {
     ZoneAccess access;
-    if (const auto begun = m_begunAt.find(zone); begun != m_begunAt.end()) {
+    if (const auto graceEnd = m_graceEnds.find(zone); graceEnd != m_graceEnds.end()) {
         access.admitsNewJobs = false;
-        access.admitsStartedJobsUntil = begun->second + m_gracePeriod;
+        access.admitsStartedJobsUntil = graceEnd->second;
         return access;
     }
     const auto ended = m_endedAt.find(zone);
--- a/src/scheduling/zoneevacuation.h
+++ b/src/scheduling/zoneevacuation.h
@@ -36,12 +36,13 @@
 class ZoneEvacuation
 {
 public:
-    /// Jobs of which a task has started may start their other tasks in an evacuated zone for a quarter of this bound, in which every start
-    /// there must have ended.
+    /// Jobs of which a task has started may start their other tasks in an evacuated zone for a quarter of this bound, by whose end the last
+    /// start there must have taken effect.
     explicit ZoneEvacuation(Duration bound);
 
-    /// Replaces the set of evacuated zones. A zone that stays in the set keeps the begin of its evacuation.
-    void setZones(const std::set<std::string> &zones, TimePoint now);
+    /// Replaces the set of evacuated zones. A zone that stays in the set keeps the end of its grace period. The evacuation of one that is
+    /// new may have been acknowledged right after checkedAt: a host that learns of it late has less of the grace period, or nothing.
+    void setZones(const std::set<std::string> &zones, TimePoint checkedAt, TimePoint now);
 
     bool isEvacuated(const std::string &zone) const;
 
@@ -55,9 +56,9 @@
     ZoneAccess accessTo(const std::string &zone, const std::string &target, TimePoint coldUntil, TimePoint now) const;
 
 private:
-    Duration m_gracePeriod;
-    /// When the evacuation of each evacuated zone became known.
-    std::map<std::string, TimePoint> m_begunAt;
+    Duration m_bound;
+    /// The end of the grace period of each evacuated zone.
+    std::map<std::string, TimePoint> m_graceEnds;
     /// When that of each zone that returned last ended.
     std::map<std::string, TimePoint> m_endedAt;
 };
--- a/tests/unit/fleet/evacuationstate.cpp
+++ b/tests/unit/fleet/evacuationstate.cpp
@@ -19,7 +19,7 @@
     BOOST_TEST(!state.isKnown(Now));
     state.onStoreLost();
     BOOST_TEST(!state.isKnown(Now));
-    BOOST_TEST(state.onPeerView({0, {}}));
+    BOOST_TEST(state.onPeerView({0, {}}, false, Now));
     BOOST_TEST(state.isKnown(Now));
     BOOST_TEST(EvacuationState(std::nullopt).isKnown(Now));
 }
@@ -28,20 +28,20 @@
 BOOST_AUTO_TEST_CASE(A_peer_counts_only_while_the_store_is_not_read_and_only_if_it_knows_more)
 {
     EvacuationState state(Bound);
-    state.onStoreView({10, {"b"}});
-    BOOST_TEST(!state.onPeerView({11, {}}));
+    state.onStoreView({10, {"b"}}, Now);
+    BOOST_TEST(!state.onPeerView({11, {}}, false, Now));
     state.onStoreLost();
-    BOOST_TEST(!state.onPeerView({10, {}}));
-    BOOST_TEST(!state.onPeerView({9, {}}));
-    BOOST_TEST(state.onPeerView({11, {"b", "c"}}));
+    BOOST_TEST(!state.onPeerView({10, {}}, false, Now));
+    BOOST_TEST(!state.onPeerView({9, {}}, false, Now));
+    BOOST_TEST(state.onPeerView({11, {"b", "c"}}, false, Now));
     BOOST_TEST(state.view()->zones.size() == 2);
 }
 
 BOOST_AUTO_TEST_CASE(The_store_counts_also_at_a_lower_offset_since_it_may_have_lost_its_history)
 {
     EvacuationState state(Bound);
-    state.onStoreView({10, {"b"}});
-    state.onStoreView({2, {}});
+    state.onStoreView({10, {"b"}}, Now);
+    state.onStoreView({2, {}}, Now);
     BOOST_TEST(state.view()->zones.empty());
     BOOST_TEST(state.view()->storeOffset == 2);
 }
@@ -50,16 +50,16 @@
 BOOST_AUTO_TEST_CASE(After_a_pause_the_state_must_be_confirmed)
 {
     EvacuationState state(Bound);
-    state.onStoreView({10, {}});
+    state.onStoreView({10, {}}, Now);
     state.onPause(Now);
     BOOST_TEST(!state.isKnown(Now));
-    state.onPeerView({9, {}});
+    state.onPeerView({9, {}}, false, Now);
     BOOST_TEST(!state.isKnown(Now));
-    state.onPeerView({10, {}});
+    state.onPeerView({10, {}}, false, Now);
     BOOST_TEST(state.isKnown(Now));
 
     state.onPause(Now);
-    state.onStoreView({10, {}});
+    state.onStoreView({10, {}}, Now);
     BOOST_TEST(state.isKnown(Now));
 
     // A host that is cut off from the store and all peers keeps its state.
@@ -69,4 +69,23 @@
     BOOST_TEST(state.isKnown(Now + Milliseconds(1250)));
 }
 
+// Guards against a host that goes on by its old state while it is cut off from all that could tell it of an evacuation.
+BOOST_AUTO_TEST_CASE(A_host_that_hears_neither_the_store_nor_a_peer_any_more_starts_nothing_after_a_while)
+{
+    EvacuationState state(Bound);
+    state.onStoreView({10, {}}, Now);
+    // A host that never had peers is not cut off from them.
+    BOOST_TEST(state.isKnown(Now + Seconds(60)));
+    state.onPeerView({10, {}}, false, Now + Seconds(2));
+    BOOST_TEST(state.isKnown(Now + Milliseconds(4499)));
+    BOOST_TEST(!state.isKnown(Now + Milliseconds(4500)));
+    state.onPeerView({10, {}}, true, Now + Seconds(5));
+    BOOST_TEST(!state.isKnown(Now + Seconds(5)));
+    state.onPeerView({10, {}}, false, Now + Seconds(6));
+    BOOST_TEST(state.isKnown(Now + Seconds(6)));
+    state.onStoreView({10, {}}, Now + Seconds(10));
+    BOOST_TEST(state.isKnown(Now + Milliseconds(13749)));
+    BOOST_TEST(!state.isKnown(Now + Milliseconds(13750)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/scheduling/evacuations.cpp
+++ b/tests/unit/scheduling/evacuations.cpp
@@ -21,6 +21,12 @@
         answerRenewal(id, {});
     }
 
+    /// Evacuates these zones, right after a check of the store that showed none of them.
+    void evacuate(const std::set<std::string> &zones)
+    {
+        scheduler.setEvacuatedZones(zones, now, now);
+    }
+
     /// A job with a second step after its first one, which needs this label.
     JobSubmission jobOfTwoSteps(const std::string &id, const std::string &secondLabel = {}) const
     {
@@ -65,7 +71,7 @@
         submit(submission);
     }
     BOOST_TEST(startsOn("b") == 2);
-    scheduler.setEvacuatedZones({"b"}, now);
+    evacuate({"b"});
     std::uint64_t position = 0;
     std::size_t completed = 0;
     while (completed < port.starts.size()) {
@@ -85,10 +91,10 @@
     claimTargetIn("b", "b1");
     submit(job("size"));
     const auto before = scheduler.loads(now).front();
-    scheduler.setEvacuatedZones({"b"}, now);
+    evacuate({"b"});
     const auto after = scheduler.loads(now).front();
     BOOST_TEST(after.freeTasks < before.freeTasks);
-    scheduler.setEvacuatedZones({"a", "b"}, now);
+    evacuate({"a", "b"});
     BOOST_TEST(scheduler.loads(now).front().freeTasks == 0);
     BOOST_TEST((scheduler.loads(now).front().wait >= Seconds(60)));
     BOOST_TEST(scheduler.usage(now).evacuated == 2);
@@ -102,7 +108,7 @@
     waiting.callerDeadline = now + Seconds(9);
     submit(waiting);
     scheduler.setPeers({{"other", {{"service", 4, 0, Duration(0)}}}});
-    scheduler.setEvacuatedZones({"b"}, now);
+    evacuate({"b"});
     BOOST_TEST((resultOf("waiting").reason == JobEndReason::BetterElsewhere));
     BOOST_TEST(resultOf("waiting").preferredDispatcher == "other");
     submit(job("new"));
@@ -119,7 +125,7 @@
     auto waiting = job("waiting");
     waiting.callerDeadline = now + Seconds(9);
     submit(waiting);
-    scheduler.setEvacuatedZones({"b"}, now);
+    evacuate({"b"});
     BOOST_TEST((resultOf("waiting").end == JobEnd::NotRun));
     BOOST_TEST((resultOf("waiting").reason == JobEndReason::Evacuated));
     submit(job("new"));
@@ -131,7 +137,7 @@
     claimTargetIn("b", "b1");
     submit(jobOfTwoSteps("j"));
     answerStart(0);
-    scheduler.setEvacuatedZones({"b"}, now);
+    evacuate({"b"});
     now += Milliseconds(1200);
     endRun(0, RunEnd::Done);
     BOOST_TEST(port.starts.size() == 2);
@@ -144,7 +150,7 @@
     claimTargetIn("b", "b1", {"special"});
     submit(jobOfTwoSteps("j", "special"));
     answerStart(0);
-    scheduler.setEvacuatedZones({"b"}, now);
+    evacuate({"b"});
     advance(Milliseconds(1300));
     BOOST_TEST(port.ended.empty());
     BOOST_TEST(port.stops.empty());
@@ -161,7 +167,7 @@
     auto submission = job("j");
     submission.callerDeadline = now + Seconds(9);
     submit(submission);
-    scheduler.setEvacuatedZones({"b"}, now);
+    evacuate({"b"});
     now += Milliseconds(1250);
     answerStart(0, RequestResult::Unknown);
     BOOST_TEST(port.starts.size() == 1);
@@ -173,7 +179,7 @@
     auto submission = job("j");
     submission.callerDeadline = now + Seconds(9);
     submit(submission);
-    scheduler.setEvacuatedZones({"b"}, now);
+    evacuate({"b"});
     now += Milliseconds(10);
     answerStart(0, RequestResult::Unknown);
     BOOST_TEST(port.starts.size() == 2);
@@ -186,7 +192,7 @@
     submission.callerDeadline = now + Seconds(60);
     submit(submission);
     answerStart(0);
-    scheduler.setEvacuatedZones({"b"}, now);
+    evacuate({"b"});
     for (int round = 0; round < 20; ++round) {
         now += Milliseconds(300);
         answerRenewal("b1", {{port.starts[0].request.name, round}});
@@ -197,7 +203,7 @@
 
 BOOST_AUTO_TEST_CASE(A_target_that_is_claimed_during_the_evacuation_takes_no_jobs)
 {
-    scheduler.setEvacuatedZones({"b"}, now);
+    evacuate({"b"});
     claimTargetIn("b", "b1");
     submit(job("j"));
     BOOST_TEST(port.starts.empty());
@@ -212,7 +218,7 @@
     auto large = job("large", 1, 30000);
     large.callerDeadline = now + Seconds(9);
     submit(large);
-    scheduler.setEvacuatedZones({"b"}, now);
+    evacuate({"b"});
     answerStart(0);
     answerStart(1);
     advance(Milliseconds(25));
@@ -252,9 +258,9 @@
         scheduler.addTarget(targetEntry, Token, now);
         answerRenewal(id, {});
     }
-    scheduler.setEvacuatedZones({"b"}, now);
+    evacuate({"b"});
     advance(Milliseconds(25));
-    scheduler.setEvacuatedZones({}, now);
+    evacuate({});
     for (int number = 0; number < 8; ++number) {
         auto submission = job("j" + std::to_string(number));
         submission.callerDeadline = now + Seconds(60);
--- a/tests/unit/scheduling/zoneevacuation.cpp
+++ b/tests/unit/scheduling/zoneevacuation.cpp
@@ -22,7 +22,7 @@
 BOOST_AUTO_TEST_CASE(An_evacuated_zone_takes_no_new_jobs_and_others_are_not_affected)
 {
     ZoneEvacuation evacuation(Bound);
-    evacuation.setZones({"b"}, Begin);
+    evacuation.setZones({"b"}, Begin, Begin);
     BOOST_TEST(!evacuation.accessTo("b", "t", TimePoint(), Begin).admits(false, Begin));
     BOOST_TEST((evacuation.accessTo("a", "t", TimePoint(), Begin) == ZoneAccess()));
 }
@@ -31,19 +31,30 @@
 BOOST_AUTO_TEST_CASE(Started_jobs_are_admitted_for_a_quarter_of_the_bound_after_the_evacuation_became_known)
 {
     ZoneEvacuation evacuation(Bound);
-    evacuation.setZones({"b"}, Begin);
-    evacuation.setZones({"b", "c"}, Begin + Milliseconds(1000));
+    evacuation.setZones({"b"}, Begin, Begin);
+    evacuation.setZones({"b", "c"}, Begin + Milliseconds(1000), Begin + Milliseconds(1000));
     const auto access = evacuation.accessTo("b", "t", TimePoint(), Begin + Milliseconds(1000));
     BOOST_TEST(access.admits(true, Begin + Milliseconds(1249)));
     BOOST_TEST(!access.admits(true, Begin + Milliseconds(1250)));
     BOOST_TEST(evacuation.accessTo("c", "t", TimePoint(), Begin).admits(true, Begin + Milliseconds(2249)));
 }
 
+// Guards against a host that returns from a cut, or restarts, and begins a grace period after the bound.
+BOOST_AUTO_TEST_CASE(A_host_that_learns_of_the_evacuation_late_has_less_of_the_grace_period)
+{
+    ZoneEvacuation evacuation(Bound);
+    evacuation.setZones({"b"}, Begin, Begin + Milliseconds(3000));
+    evacuation.setZones({"b", "c"}, TimePoint(), Begin + Milliseconds(3000));
+    BOOST_TEST(evacuation.accessTo("b", "t", TimePoint(), Begin).admits(true, Begin + Milliseconds(3749)));
+    BOOST_TEST(!evacuation.accessTo("b", "t", TimePoint(), Begin).admits(true, Begin + Milliseconds(3750)));
+    BOOST_TEST(!evacuation.accessTo("c", "t", TimePoint(), Begin).admits(true, Begin + Milliseconds(3000)));
+}
+
 BOOST_AUTO_TEST_CASE(Warm_targets_return_at_once)
 {
     ZoneEvacuation evacuation(Bound);
-    evacuation.setZones({"b"}, Begin);
-    evacuation.setZones({}, Begin + Seconds(10));
+    evacuation.setZones({"b"}, Begin, Begin);
+    evacuation.setZones({}, Begin + Seconds(10), Begin + Seconds(10));
     BOOST_TEST((evacuation.accessTo("b", "t", Begin + Seconds(9), Begin + Seconds(10)) == ZoneAccess()));
 }
 
@@ -52,9 +63,9 @@
 BOOST_AUTO_TEST_CASE(The_capacity_of_cold_targets_returns_with_time)
 {
     ZoneEvacuation evacuation(Bound);
-    evacuation.setZones({"b"}, Begin);
+    evacuation.setZones({"b"}, Begin, Begin);
     const auto end = Begin + Seconds(10);
-    evacuation.setZones({}, end);
+    evacuation.setZones({}, end, end);
     const auto warmAt = end + Seconds(20);
     std::vector<double> shares;
     for (const auto sinceEnd : {0, 5, 10, 15, 20}) {
@@ -84,9 +95,9 @@
 BOOST_AUTO_TEST_CASE(A_zone_that_is_evacuated_again_while_it_returns_is_closed_again)
 {
     ZoneEvacuation evacuation(Bound);
-    evacuation.setZones({"b"}, Begin);
-    evacuation.setZones({}, Begin + Seconds(1));
-    evacuation.setZones({"b"}, Begin + Seconds(2));
+    evacuation.setZones({"b"}, Begin, Begin);
+    evacuation.setZones({}, Begin + Seconds(1), Begin + Seconds(1));
+    evacuation.setZones({"b"}, Begin + Seconds(2), Begin + Seconds(2));
     const auto access = evacuation.accessTo("b", "t", Begin + Seconds(60), Begin + Seconds(2));
     BOOST_TEST(!access.admits(false, Begin + Seconds(2)));
     BOOST_TEST(access.admits(true, Begin + Seconds(3)));
