Prefer dispatchers with warm targets after an evacuation

A dispatcher whose targets return cold took the jobs of its own zone as soon as they had any capacity, though targets of other zones would have run them several times faster. It now reports a wait that is longer by up to 0.3 s, less with the share of the capacity that is open again.

EvacuationSuite passes.

--- a/src/scheduling/schedulerqueue.cpp
+++ b/src/scheduling/schedulerqueue.cpp
@@ -31,6 +31,9 @@
 constexpr double DefaultTaskMilliCores = 1000;
 /// Upper limit of the estimated delay before a retry, in seconds.
 constexpr double MaxRetryAfterS = 10;
+/// The reported wait is longer by this while targets return cold from an evacuation, less with the share of their capacity that is in use
+/// again: entry hosts then prefer dispatchers with warm targets.
+constexpr double ColdTargetPenaltyMs = 300;
 /// Retries are spread over this many seconds.
 constexpr std::size_t RetrySpreadS = 3;
 
@@ -78,6 +81,16 @@
 {
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(milliseconds));
 }
+
+/// The longer run time of tasks on targets that return cold from an evacuation, on average over the targets.
+Duration returnPenalty(const std::vector<TargetLedger *> &targets)
+{
+    double closedShare = 0;
+    for (const auto *target : targets) {
+        closedShare += 1 - target->zoneAccess.capacityShare;
+    }
+    return fromMilliseconds(ColdTargetPenaltyMs * closedShare / static_cast<double>(std::max<std::size_t>(1, targets.size())));
+}
 } // namespace
 
 void Scheduler::enqueue(ScheduledJob &job, TimePoint)
@@ -480,6 +493,7 @@
         }
         const double cores = usableCores(service, now);
         load.wait = cores > 0 ? fromMilliseconds(queuedCoreMs / cores) : Duration(Seconds(60));
+        load.wait += returnPenalty(service.targets);
         load.freeTasks -= std::min(load.freeTasks, load.queuedTasks);
         loads.push_back(std::move(load));
     }
--- a/tests/unit/scheduling/evacuations.cpp
+++ b/tests/unit/scheduling/evacuations.cpp
@@ -261,6 +261,8 @@
     evacuate({"b"});
     advance(Milliseconds(25));
     evacuate({});
+    // Entry hosts prefer dispatchers with warm targets.
+    BOOST_TEST((scheduler.loads(now).front().wait > Milliseconds(200)));
     for (int number = 0; number < 8; ++number) {
         auto submission = job("j" + std::to_string(number));
         submission.callerDeadline = now + Seconds(60);
