--- a/src/fleet/hostnode.h
+++ b/src/fleet/hostnode.h
@@ -180,7 +180,7 @@
     void applyEvacuation(const EvacuationState &before, bool byStore, TimePoint now);
     bool isEvacuated(const std::string &zone) const;
     bool isEvacuated(const std::vector<PoolClaim> &claims) const;
-    bool isServiceEvacuated(const std::string &service) const;
+    bool needsEvacuatedZone(const JobSubmission &submission) const;
     std::vector<PoolClaim> ownClaims() const;
     bool refuseIfEvacuated(EntryJob &job, TimePoint now);
     JobEndReason reasonFor(const std::string &entryHost, JobEndReason reason) const;
--- a/src/fleet/hostnodeevacuation.cpp
+++ b/src/fleet/hostnodeevacuation.cpp
@@ -1,5 +1,7 @@
 #include "fleet/hostnode.h"
 
+#include "scheduling/placementchoice.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -77,21 +79,25 @@
     return isActive && !claims.empty() && std::none_of(claims.begin(), claims.end(), isOpen);
 }
 
-/// True when there are targets of the service, all of them in evacuated zones.
-bool HostNode::isServiceEvacuated(const std::string &service) const
+/// True when a step of the job fits only targets in evacuated zones.
+bool HostNode::needsEvacuatedZone(const JobSubmission &submission) const
 {
     if (!m_evacuation.view() || m_evacuation.view()->zones.empty()) {
         return false;
     }
-    bool hasTargets = false;
-    for (const auto &[id, entry] : m_targets) {
-        const bool isOfService = entry.service == service;
-        if (isOfService && !isEvacuated(entry.zone)) {
-            return false;
+    const auto &steps = submission.request.steps;
+    return std::any_of(steps.begin(), steps.end(), [&](const StepRequest &step) {
+        bool fitsInEvacuatedZone = false;
+        for (const auto &[id, entry] : m_targets) {
+            if (entry.service == submission.service && fitsWhenEmpty(entry, step.demand, step.requiredLabel)) {
+                if (!isEvacuated(entry.zone)) {
+                    return false;
+                }
+                fitsInEvacuatedZone = true;
+            }
         }
-        hasTargets = hasTargets || isOfService;
-    }
-    return hasTargets;
+        return fitsInEvacuatedZone;
+    });
 }
 
 std::vector<PoolClaim> HostNode::ownClaims() const
@@ -103,10 +109,10 @@
     return claims;
 }
 
-/// Refuses a job that no dispatcher has, at once, while the zones of all targets of its service are evacuated.
+/// Refuses a job that no dispatcher has, at once, while only targets in evacuated zones could run it.
 bool HostNode::refuseIfEvacuated(EntryJob &job, TimePoint now)
 {
-    if (!job.dispatcher.empty() || !isServiceEvacuated(job.submission.service)) {
+    if (!job.dispatcher.empty() || !needsEvacuatedZone(job.submission)) {
         return false;
     }
     CallerReply reply;
--- a/src/verbs/requestexplanation.cpp
+++ b/src/verbs/requestexplanation.cpp
@@ -158,6 +158,8 @@
         causes.push_back("By the dispatcher's forecast it could not have ended while its caller waits.");
     } else if (reason == "waited_too_long") {
         causes.push_back("It waited in the queue until it could not end while its caller waits.");
+    } else if (reason == "evacuated") {
+        causes.push_back("All targets that could have run it are in evacuated zones.");
     }
     const auto *atDispatcher = last("job_ended");
     if (atDispatcher != nullptr && !atDispatcher->usage.empty()) {
--- a/standins/service/servicesite.cpp
+++ b/standins/service/servicesite.cpp
@@ -98,6 +98,9 @@
          << "\nplatform.address=127." << m_block.number() << ".0.1:" << StorePort
          << "\nlimits.cpu_share=0.25\nbounds.hold_max_ms=1000\nbounds.stop_timeout_ms=50\n"
          << "bounds.grace_s=6\nbounds.config_ms=2000\nbounds.resend_ms=1300\nheartbeat_ms=1500\ncommand_mode=call\n";
+    if (m_options.evacuationBound) {
+        text << "bounds.evac_ms=" << m_options.evacuationBound->count() << "\n";
+    }
     return text.str();
 }
 
@@ -136,9 +139,14 @@
                  json::serialize(json::object {{"version", version}, {"routes", routes}, {"limits", limits}}));
 }
 
+void ServiceSite::evacuate(const std::string &zone, const std::string &value)
+{
+    m_store->put(Platform::Names::OperatorTopic, Platform::Names::EvacuationKeyPrefix + zone, value);
+}
+
 void ServiceSite::registerWorker(std::size_t index, bool draining)
 {
-    const auto &zone = Zones[index / m_options.targetsPerZone];
+    const auto &zone = zoneOf(index);
     const auto id = "worker-" + zone + std::to_string(index % m_options.targetsPerZone);
     m_store->put(Platform::Names::TargetTopic, id, m_workers[index]->record(Service, zone, m_options.milliCores, draining));
 }
@@ -247,6 +255,25 @@
     return count;
 }
 
+const std::string &ServiceSite::zoneOf(std::size_t worker) const
+{
+    return Zones[worker / m_options.targetsPerZone];
+}
+
+std::size_t ServiceSite::startsInZone(const std::string &zone) const
+{
+    std::size_t count = 0;
+    for (std::size_t index = 0; index < m_workers.size(); ++index) {
+        if (zoneOf(index) != zone) {
+            continue;
+        }
+        for (const auto &[task, starts] : m_workers[index]->starts()) {
+            count += starts;
+        }
+    }
+    return count;
+}
+
 std::size_t ServiceSite::duplicateRuns() const
 {
     std::size_t count = 0;
--- a/standins/service/servicesite.h
+++ b/standins/service/servicesite.h
@@ -9,6 +9,7 @@
 
 #include <filesystem>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -21,6 +22,8 @@
     std::vector<std::string> hostZones = {"a", "b", "c"};
     std::size_t targetsPerZone = 2;
     std::int64_t milliCores = 32000;
+    /// The bound of evacuations in the hosts' settings.
+    std::optional<Milliseconds> evacuationBound;
 };
 
 /// Runs hosts as child processes on loopback addresses, with stand-ins for the platform's store and targets in the calling process.
@@ -37,6 +40,9 @@
     /// Publishes a configuration with these queues, each with its path prefix /NAME/.
     void publish(std::uint64_t version, const std::vector<std::string> &queues);
 
+    /// Writes the operator's record that evacuates a zone, with this value; an empty one ends the evacuation.
+    void evacuate(const std::string &zone, const std::string &value);
+
     /// True when every running host reports itself ready.
     bool isReady();
 
@@ -89,6 +95,12 @@
     /// Number of starts of a task on all targets.
     std::size_t startCount(const std::string &task) const;
 
+    /// The zone of a target.
+    const std::string &zoneOf(std::size_t worker) const;
+
+    /// Number of starts on the targets of a zone.
+    std::size_t startsInZone(const std::string &zone) const;
+
     /// Sum of WorkerStandin::duplicateRuns() over all targets.
     std::size_t duplicateRuns() const;
 
--- a/tests/process/soak.cpp
+++ b/tests/process/soak.cpp
@@ -29,6 +29,10 @@
 constexpr Seconds StableWindow {3};
 constexpr Seconds BalancerDelay {2};
 
+// The platform's bounds evac_ms and max_stretch_ms.
+constexpr Milliseconds EvacuationBound {5000};
+constexpr Milliseconds MaxStretch {6000};
+
 enum class Trouble { Stop, Kill, Reload, Freeze, CrashTarget, DrainTarget, StoreAway, Configuration };
 constexpr const char *TroubleNames[] {"stop", "kill", "reload", "freeze", "crash target", "drain target", "store away", "configuration"};
 constexpr double TroubleWeights[] {3, 1, 2, 1, 1, 1, 1, 1};
@@ -39,7 +43,8 @@
     std::uint32_t lastSeed = 1;
     std::size_t callers = 12;
     Seconds duration {25};
-    ServiceSiteOptions site {{"a", "b", "c", "a", "b", "c"}};
+    bool hasEvacuations = true;
+    ServiceSiteOptions site {{"a", "b", "c", "a", "b", "c"}, 2, 32000, EvacuationBound};
 };
 
 /// One request as its caller saw it.
@@ -71,6 +76,14 @@
     TimePoint end = TimePoint::max();
 };
 
+/// A time in which a zone was evacuated.
+struct Evacuation
+{
+    std::string zone;
+    TimePoint begin;
+    TimePoint end = TimePoint::max();
+};
+
 struct HostState
 {
     std::optional<TimePoint> stopAt;
@@ -87,6 +100,7 @@
         , m_seed(seed)
         , m_random(seed)
         , m_delays(seed)
+        , m_evacuationDraws(seed)
         , m_site(options.site, ANVILCART_BINARIES)
         , m_hosts(options.site.hostZones.size())
     {
@@ -197,8 +211,13 @@
         std::discrete_distribution<std::size_t> kinds(std::begin(TroubleWeights), std::end(TroubleWeights));
         std::size_t left = 0;
         std::size_t kind = 0;
+        auto nextEvacuation = m_options.hasEvacuations ? m_begin + draw(m_evacuationDraws, 1000, 5000) : TimePoint::max();
         for (auto next = m_begin; Clock::now() < m_begin + m_options.duration; std::this_thread::sleep_for(Milliseconds(5))) {
             advance();
+            if (Clock::now() >= nextEvacuation) {
+                evacuate(m_options.site.hostZones[m_evacuationDraws() % m_hosts.size()]);
+                nextEvacuation += draw(m_evacuationDraws, 2000, 10000);
+            }
             if (Clock::now() >= next) {
                 kind = left == 0 ? kinds(m_random) : kind;
                 left = left == 0 ? draw(m_random, 0, 2).count() : left - 1;
@@ -317,10 +336,37 @@
         }
     }
 
+    void evacuate(const std::string &zone)
+    {
+        const auto isSame = [&zone](const Evacuation &evacuation) {
+            return evacuation.zone == zone && evacuation.end == TimePoint::max();
+        };
+        if (std::ranges::any_of(m_evacuations, isSame)) {
+            return;
+        }
+        m_site.evacuate(zone, "{}");
+        m_evacuations.push_back({zone, Clock::now()});
+        std::clog << at(Clock::now()) << ": evacuation " << zone << "\n";
+        after(draw(m_evacuationDraws, 1000, 20000), [this, index = m_evacuations.size() - 1] {
+            m_evacuations[index].end = Clock::now();
+            m_site.evacuate(m_evacuations[index].zone, "");
+        });
+    }
+
+    void checkEvacuations(const std::string &zone, const WorkerRun &run)
+    {
+        for (const auto &evacuation : m_evacuations) {
+            const bool isLate = evacuation.zone == zone && run.startedAt > evacuation.begin + EvacuationBound + MaxStretch
+                && run.startedAt < evacuation.end;
+            check(!isLate, "EVACUATED: " + run.task + " starts in zone " + zone + " at " + at(run.startedAt));
+        }
+    }
+
     void checkRuns()
     {
         for (std::size_t target = 0; target < m_site.workerCount(); ++target) {
             for (const auto &run : m_site.worker(target).runs()) {
+                checkEvacuations(m_site.zoneOf(target), run);
                 auto &runs = m_runsOfJob[run.task.substr(0, run.task.find('.'))];
                 for (const auto &other : runs) {
                     const bool areApart = other.task != run.task || other.endedAt <= run.startedAt || run.endedAt <= other.startedAt;
@@ -376,11 +422,14 @@
     /// Draws the troubles and their times only, so that they are the same whatever the hosts do.
     std::mt19937 m_random;
     std::mt19937 m_delays;
+    /// Apart, so that the other troubles of a seed are the same without evacuations.
+    std::mt19937 m_evacuationDraws;
     ServiceSite m_site;
     const TimePoint m_begin = Clock::now();
     std::uint64_t m_version = 1;
     std::multimap<TimePoint, std::function<void()>> m_due;
     std::vector<Outage> m_outages;
+    std::vector<Evacuation> m_evacuations;
     std::map<std::string, std::vector<WorkerRun>> m_runsOfJob;
     bool m_hasFailed = false;
     std::atomic<unsigned> m_jobs = 0;
@@ -391,7 +440,7 @@
     std::vector<Attempt> m_attempts;
 };
 
-/// Reads "--seeds 1-50 --hosts 9 --callers 20 --seconds 40" from the command line.
+/// Reads "--seeds 1-50 --hosts 9 --callers 20 --seconds 40 --evacuations 0" from the command line.
 SoakOptions soakOptions()
 {
     SoakOptions options;
@@ -403,6 +452,7 @@
         options.firstSeed = name == "--seeds" ? number : options.firstSeed;
         options.lastSeed = name == "--seeds" ? std::stoul(value.substr(value.find('-') + 1)) : options.lastSeed;
         options.callers = name == "--callers" ? number : options.callers;
+        options.hasEvacuations = name == "--evacuations" ? number != 0 : options.hasEvacuations;
         options.duration = name == "--seconds" ? Seconds(number) : options.duration;
         while (name == "--hosts" && options.site.hostZones.size() < number) {
             options.site.hostZones.push_back(options.site.hostZones[options.site.hostZones.size() % 3]);
--- a/tests/unit/fleet/evacuations.cpp
+++ b/tests/unit/fleet/evacuations.cpp
@@ -91,6 +91,29 @@
     BOOST_TEST(port.answers["j"].reason == "evacuated");
 }
 
+BOOST_AUTO_TEST_CASE(A_job_whose_label_only_evacuated_targets_have_is_refused_at_once)
+{
+    std::map<std::string, TargetEntry> entries;
+    for (const std::string zone : {"a", "b"}) {
+        auto &entry = entries["t" + zone];
+        entry.id = "t" + zone;
+        entry.service = "service";
+        entry.zone = zone;
+        entry.labels = {"only-" + zone};
+        entry.capacity = {32000, 100000, 0};
+    }
+    node.onTargetList(entries, true, now);
+    node.onFrame(report("h2", 2, true), now);
+    node.onEvacuations({1, {"a"}}, now);
+    for (const std::string zone : {"a", "b"}) {
+        auto submission = job("needs " + zone);
+        submission.request.steps.front().requiredLabel = "only-" + zone;
+        node.submit(submission, now);
+    }
+    BOOST_TEST(port.answers["needs a"].reason == "evacuated");
+    BOOST_TEST(!port.answers.contains("needs b"));
+}
+
 // Guards against a host that serves on by an old state because it cannot read the store.
 BOOST_AUTO_TEST_CASE(A_host_that_cannot_read_the_store_learns_of_an_evacuation_from_a_peer_and_passes_it_on)
 {
