Test the limits of a host against untrusted clients

Cause: the caller endpoint is opened to clients that nobody controls, and four connections with endless trailers ended a process. No test covered it.

Change: UntrustedClientsSuite starts one host with limits.memory_mb=64 and limits.max_fds=400 and checks that it lives, that its peak memory and open descriptors stay under these limits, and that one ordinary request is answered with 200. Clients are bounded in number, bytes and time, and stop when the host exceeds its memory.

--- a/standins/service/servicesite.cpp
+++ b/standins/service/servicesite.cpp
@@ -83,6 +83,21 @@
     return {hostAddress(host), CallerPort};
 }
 
+Endpoint ServiceSite::readinessEndpoint(std::size_t host) const
+{
+    return {hostAddress(host), ReadinessPort};
+}
+
+Endpoint ServiceSite::peerEndpoint(std::size_t host) const
+{
+    return {hostAddress(host), PeerPort};
+}
+
+Endpoint ServiceSite::metricsEndpoint(std::size_t host) const
+{
+    return {hostAddress(host), MetricsPort};
+}
+
 std::filesystem::path ServiceSite::settingsPath(std::size_t host) const
 {
     return m_folder / ("host-" + std::to_string(host) + ".conf");
@@ -97,7 +112,8 @@
          << "\nlisten.control=" << address << ":" << PeerPort << "\nseeds=" << hostAddress(0) << ":" << PeerPort
          << "\nplatform.address=127." << m_block.number() << ".0.1:" << StorePort
          << "\nlimits.cpu_share=0.25\nbounds.hold_max_ms=1000\nbounds.stop_timeout_ms=50\n"
-         << "bounds.grace_s=6\nbounds.config_ms=2000\nbounds.resend_ms=1300\nheartbeat_ms=1500\ncommand_mode=call\n";
+         << "bounds.grace_s=6\nbounds.config_ms=2000\nbounds.resend_ms=1300\nheartbeat_ms=1500\ncommand_mode=call\n"
+         << m_options.settings;
     return text.str();
 }
 
@@ -129,8 +145,10 @@
                           {"max_attempts", 3},
                           {"stretch_factor", 1.6}});
     }
-    const json::object limits {
-        {"max_header_bytes", 4096}, {"max_body_bytes", 20000}, {"header_timeout_ms", 3000}, {"idle_timeout_ms", 15000}};
+    const json::object limits {{"max_header_bytes", m_options.maxHeaderBytes},
+                               {"max_body_bytes", m_options.maxBodyBytes},
+                               {"header_timeout_ms", 3000},
+                               {"idle_timeout_ms", 15000}};
     m_store->put(Platform::Names::OperatorTopic,
                  Platform::Names::ConfigurationKey,
                  json::serialize(json::object {{"version", version}, {"routes", routes}, {"limits", limits}}));
--- a/standins/service/servicesite.h
+++ b/standins/service/servicesite.h
@@ -21,6 +21,11 @@
     std::vector<std::string> hostZones = {"a", "b", "c"};
     std::size_t targetsPerZone = 2;
     std::int64_t milliCores = 32000;
+    /// Further lines of each host's settings file.
+    std::string settings;
+    /// Limits of the published configuration.
+    std::size_t maxHeaderBytes = 4096;
+    std::size_t maxBodyBytes = 20000;
 };
 
 /// Runs hosts as child processes on loopback addresses, with stand-ins for the platform's store and targets in the calling process.
@@ -72,6 +77,9 @@
 
     /// Where callers reach a host.
     Endpoint callerEndpoint(std::size_t host) const;
+    Endpoint readinessEndpoint(std::size_t host) const;
+    Endpoint peerEndpoint(std::size_t host) const;
+    Endpoint metricsEndpoint(std::size_t host) const;
     std::size_t hostCount() const;
     StoreStandin &store();
     WorkerStandin &worker(std::size_t index);
--- /dev/null
+++ b/tests/process/untrustedclients.cpp
@@ -0,0 +1,300 @@
+#include "untrustedclients.h"
+#include "processsupport.h"
+#include "rawconnection.h"
+#include "service/servicesite.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <cstdio>
+#include <sstream>
+#include <string>
+
+using namespace Anvilcart;
+
+namespace
+{
+// The limits in the settings of the tested host. The numbers of clients and bytes exceed them by a factor of about two, so that a host
+// without bounds exceeds them, and the machine is not loaded much.
+constexpr std::uint64_t MemoryLimitMb = 64;
+constexpr std::size_t DescriptorLimit = 400;
+/// Of the limit, as the platform says.
+constexpr std::size_t ReservedForFiles = 200;
+constexpr std::size_t HeaderLimit = 16384;
+constexpr std::size_t BodyLimit = 262144;
+
+constexpr std::size_t EndlessSenders = 4;
+constexpr std::size_t EndlessBytesEach = 32 * 1024 * 1024;
+constexpr std::size_t HeaderBytesEach = 8 * 1024 * 1024;
+constexpr std::size_t OpenConnections = 400;
+constexpr std::size_t RefusedSenders = 900;
+constexpr std::size_t RefusedBytesEach = 256 * 1024;
+constexpr std::size_t SilentReaders = 64;
+constexpr std::size_t SilentReaderBytesEach = 1024 * 1024;
+constexpr std::size_t FrameSenders = 40;
+constexpr std::size_t FrameBytesEach = 3500000;
+constexpr std::size_t LargeJobs = 200;
+
+ServiceSiteOptions oneHost()
+{
+    ServiceSiteOptions options;
+    options.hostZones = {"a"};
+    options.settings = "limits.memory_mb=" + std::to_string(MemoryLimitMb) + "\nlimits.max_fds=" + std::to_string(DescriptorLimit) + "\n";
+    options.maxHeaderBytes = HeaderLimit;
+    options.maxBodyBytes = BodyLimit;
+    return options;
+}
+
+struct UntrustedClientsFixture
+{
+    UntrustedClientsFixture()
+        : site(oneHost(), ANVILCART_BINARIES)
+    {
+        site.publish(1, {"checks"});
+        BOOST_REQUIRE(eventually([this] {
+            return completesOne();
+        }));
+    }
+
+    bool completesOne()
+    {
+        return site.submit(0, "checks", nextId(), 1, Milliseconds(10)).status == 200;
+    }
+
+    std::string nextId()
+    {
+        char text[17];
+        std::snprintf(text, sizeof(text), "%016x", ++jobs);
+        return text;
+    }
+
+    bool exceedsMemory()
+    {
+        return statusKb(site.host(0).id(), "VmRSS") > MemoryLimitMb * 1024;
+    }
+
+    /// The host lives, stays within its limits and answers an ordinary request.
+    void checkHost()
+    {
+        const auto process = site.host(0).id();
+        BOOST_TEST(site.host(0).isRunning());
+        const auto descriptors = countDescriptors(process);
+        BOOST_TEST_MESSAGE("peak memory " << statusKb(process, "VmHWM") << " KB, descriptors " << descriptors.all << ", sockets "
+                                          << descriptors.sockets);
+        BOOST_TEST(statusKb(process, "VmHWM") <= MemoryLimitMb * 1024);
+        BOOST_TEST(descriptors.all <= DescriptorLimit);
+        BOOST_TEST(descriptors.sockets <= DescriptorLimit - ReservedForFiles);
+        BOOST_TEST(eventually([this] {
+            return completesOne();
+        }));
+        BOOST_TEST(site.host(0).isRunning());
+    }
+
+    void sendEndlessly(const std::string &head, const std::string &piece, std::size_t bytesEach = EndlessBytesEach)
+    {
+        UntrustedClients clients(site.callerEndpoint(0), EndlessSenders);
+        clients.send(head, piece, bytesEach, [this] {
+            return exceedsMemory();
+        });
+        checkHost();
+    }
+
+    /// Opens connections that send these bytes, one in each round, and stay open.
+    void keepOpen(const Endpoint &endpoint, const std::string &bytes)
+    {
+        UntrustedClients clients(endpoint, OpenConnections);
+        for (std::size_t sent = 1; sent <= bytes.size(); ++sent) {
+            clients.send(bytes.substr(0, sent), "-", sent, [this] {
+                return exceedsMemory();
+            });
+            std::this_thread::sleep_for(Milliseconds(100));
+        }
+        std::this_thread::sleep_for(Milliseconds(500));
+        checkHost();
+    }
+
+    std::string postHead()
+    {
+        return "POST /checks/" + nextId() + " HTTP/1.1\r\nHost: desk.example\r\n";
+    }
+
+    std::string chunkedHead()
+    {
+        return postHead() + "Transfer-Encoding: chunked\r\n\r\n";
+    }
+
+    std::string answerTo(const std::string &request)
+    {
+        RawConnection caller(site.callerEndpoint(0));
+        BOOST_TEST(caller.send(request));
+        return caller.readAll();
+    }
+
+    unsigned jobs = 0;
+    ServiceSite site;
+};
+
+std::string repeated(const std::string &text, std::size_t bytes)
+{
+    std::string result;
+    while (result.size() < bytes) {
+        result += text;
+    }
+    return result;
+}
+
+/// A job whose text is so long.
+std::string paddedJob(std::size_t bytes)
+{
+    std::string job = R"({"spec":"10","steps":[{"count":1,"cpu":1000,"mem_mb":1,"estimate_ms":10}],"best_effort":true})";
+    return job + std::string(bytes - job.size(), ' ');
+}
+
+std::string inOneByteChunks(const std::string &body)
+{
+    std::string text;
+    for (const auto byte : body) {
+        text += std::string("1\r\n") + byte + "\r\n";
+    }
+    return text + "0\r\n";
+}
+
+/// A job near the limit of a body, of as many steps as possible that each depend on earlier ones.
+std::string largeJob()
+{
+    constexpr std::size_t Steps = 1000;
+    std::string dependencies;
+    std::ostringstream text;
+    text << R"({"spec":"3000","best_effort":true,"steps":[{"count":1,"cpu":10000,"mem_mb":64,"estimate_ms":3000})";
+    for (std::size_t step = 1; step < Steps; ++step) {
+        dependencies += std::string(step > 1 ? "," : "") + "0";
+        text << R"(,{"count":1,"depends_on":[)" << dependencies.substr(0, 199) << "]}";
+    }
+    text << "]}";
+    return text.str();
+}
+} // namespace
+
+// Four connections that sent trailers for 8 s took a host from 8 MB to 2.2 GB, and none was closed. These tests check what does not depend
+// on the speed of the machine: the process lives, stays within its limits, and answers an ordinary request afterwards.
+BOOST_FIXTURE_TEST_SUITE(UntrustedClientsSuite, UntrustedClientsFixture)
+
+BOOST_AUTO_TEST_CASE(Endless_trailer_lines_take_bounded_memory)
+{
+    sendEndlessly(chunkedHead() + "0\r\n", repeated("a: b\r\n", 60000));
+}
+
+BOOST_AUTO_TEST_CASE(An_endless_trailer_line_takes_bounded_memory)
+{
+    sendEndlessly(chunkedHead() + "0\r\na: ", std::string(60000, 'b'));
+}
+
+BOOST_AUTO_TEST_CASE(An_endless_chunk_extension_takes_bounded_memory)
+{
+    sendEndlessly(chunkedHead() + "1;", std::string(60000, 'a'));
+}
+
+BOOST_AUTO_TEST_CASE(Endless_chunks_with_extensions_take_bounded_memory)
+{
+    sendEndlessly(chunkedHead(), repeated("1;" + std::string(2000, 'a') + "\r\nx\r\n", 60000));
+}
+
+// The parser limits the header by the bytes that it has not yet parsed, so that lines which arrive whole escaped the limit.
+BOOST_AUTO_TEST_CASE(Endless_header_lines_take_bounded_memory)
+{
+    sendEndlessly(postHead(), repeated("a:\r\n", 2000), HeaderBytesEach);
+}
+
+BOOST_AUTO_TEST_CASE(Idle_connections_of_callers_leave_descriptors_free)
+{
+    keepOpen(site.callerEndpoint(0), "");
+}
+
+BOOST_AUTO_TEST_CASE(Connections_that_send_a_byte_now_and_then_leave_descriptors_free)
+{
+    keepOpen(site.callerEndpoint(0), "POST /checks/");
+}
+
+BOOST_AUTO_TEST_CASE(Idle_connections_to_the_readiness_endpoint_leave_descriptors_free)
+{
+    keepOpen(site.readinessEndpoint(0), "");
+}
+
+BOOST_AUTO_TEST_CASE(Idle_connections_to_the_metrics_endpoint_leave_descriptors_free)
+{
+    keepOpen(site.metricsEndpoint(0), "");
+}
+
+BOOST_AUTO_TEST_CASE(Idle_connections_to_the_peer_endpoint_leave_descriptors_free)
+{
+    keepOpen(site.peerEndpoint(0), "");
+}
+
+BOOST_AUTO_TEST_CASE(Incomplete_frames_take_bounded_memory)
+{
+    UntrustedClients clients(site.peerEndpoint(0), FrameSenders);
+    const std::string length {'\0', '\x3d', '\x09', '\0'}; // 4,000,000
+    clients.send(length, std::string(60000, 'x'), FrameBytesEach, [this] {
+        return exceedsMemory();
+    });
+    checkHost();
+}
+
+BOOST_AUTO_TEST_CASE(Clients_that_never_read_their_answers_take_bounded_memory)
+{
+    UntrustedClients callers(site.callerEndpoint(0), SilentReaders);
+    UntrustedClients readers(site.metricsEndpoint(0), SilentReaders);
+    const auto exceeds = [this] {
+        return exceedsMemory();
+    };
+    callers.send("", repeated("GET /checks/ HTTP/1.1\r\nHost: desk.example\r\n\r\n", 60000), SilentReaderBytesEach, exceeds);
+    readers.send("", repeated("GET /metrics HTTP/1.1\r\nHost: h\r\n\r\n", 60000), SilentReaderBytesEach, exceeds);
+    checkHost();
+}
+
+BOOST_AUTO_TEST_CASE(Bodies_that_are_refused_take_bounded_memory)
+{
+    UntrustedClients clients(site.callerEndpoint(0), RefusedSenders);
+    clients.send(postHead() + "Content-Length: 1000000000\r\n\r\n", std::string(60000, 'x'), RefusedBytesEach, [this] {
+        return exceedsMemory();
+    });
+    checkHost();
+}
+
+BOOST_AUTO_TEST_CASE(Large_jobs_that_wait_take_bounded_memory)
+{
+    const auto body = largeJob();
+    BOOST_REQUIRE(body.size() <= BodyLimit);
+    std::vector<std::unique_ptr<UntrustedClients>> clients;
+    for (std::size_t job = 0; job < LargeJobs && !exceedsMemory(); ++job) {
+        const auto request = postHead() + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+        clients.push_back(std::make_unique<UntrustedClients>(site.callerEndpoint(0), 1));
+        clients.back()->send(request, "-", request.size(), [this] {
+            return exceedsMemory();
+        });
+    }
+    checkHost();
+}
+
+BOOST_AUTO_TEST_CASE(A_single_request_within_the_limits_is_served)
+{
+    const std::string close = "Connection: close\r\n";
+    const auto job = paddedJob(BodyLimit);
+    const auto length = "Content-Length: " + std::to_string(job.size()) + "\r\n";
+    auto head = postHead() + close + length + "Filler: ";
+    head += std::string(HeaderLimit - head.size() - 4, 'f') + "\r\n\r\n";
+    BOOST_TEST(head.size() == HeaderLimit);
+    BOOST_TEST(answerTo(head + job).starts_with("HTTP/1.1 200"));
+    // As many fields as the limit allows.
+    head = postHead() + close + length;
+    head += repeated("a:\r\n", HeaderLimit - head.size() - 6) + "\r\n";
+    BOOST_TEST(answerTo(head + job).starts_with("HTTP/1.1 200"));
+    const auto chunks = inOneByteChunks(job);
+    const auto chunkedHead = [&] {
+        return postHead() + close + "Transfer-Encoding: chunked\r\n\r\n";
+    };
+    BOOST_TEST(answerTo(chunkedHead() + chunks + "\r\n").starts_with("HTTP/1.1 200"));
+    BOOST_TEST(answerTo(chunkedHead() + chunks + "Checksum: 0123456789abcdef\r\nNote: small\r\n\r\n").starts_with("HTTP/1.1 200"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
