Bound what clients occupy: input, memory, time and connections

Cause: HttpServer bounded the header and the body, but not trailers, chunk extensions, what is dropped after a refusal, or the connections against limits.max_fds. Its timeout only cancelled a read that waits, so that a client that sent without a pause was read for ever. The parser's header limit does not count fields that it has taken from the buffer: lines sent with the first byte of the next one had no limit. Bodies counted only until they were read. PeerLinks held 4 MB for each of 1,024 connections.

Change: the server reads by itself and checks each read against the limits of the request (header, unparsed trailers or chunk sizes, bytes of a chunked body) and of all connections together (bodies until their answers, header fields and buffers), and against its time. Trailers are dropped. Idle connections hold no buffer. ConnectionTable chooses the least useful connection when a new one needs a place. ResourcePlan derives the shares from limits.memory_mb and limits.max_fds. PeerLinks closes connections without a message first. Metrics and the log line clients_limited count it.

The unit test Connections_beyond_the_limit_are_closed said that an idle connection keeps its place; that is the fault. Two tests replace it: a connection beyond the limit is closed while all others are busy, and takes the place of an idle one otherwise.

--- a/src/caller/callerdoor.cpp
+++ b/src/caller/callerdoor.cpp
@@ -1,6 +1,7 @@
 #include "caller/callerdoor.h"
 
 #include "caller/jobcodec.h"
+#include "net/descriptorlimit.h"
 #include "net/oneshot.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -58,6 +59,13 @@
             return Result(RequestError {ResultCode::InternalError, "the body could not be checked"});
         });
 }
+
+HttpLimits callerLimits()
+{
+    HttpLimits limits;
+    limits.connections = defaultDoorConnections();
+    return limits;
+}
 } // namespace
 
 CallerDoor::CallerDoor(
@@ -69,7 +77,7 @@
     , m_server(
           loops,
           endpoint,
-          HttpLimits(),
+          callerLimits(),
           [this](HttpRequest request, HttpPeer &peer) {
               return handle(std::move(request), peer);
           },
--- a/src/entry/callerrequesthandler.cpp
+++ b/src/entry/callerrequesthandler.cpp
@@ -111,6 +111,8 @@
     if (const auto *feature = unsupportedFeature(*decoding.job, *route)) {
         co_return refuse(id, ServiceUnavailable, std::string("not supported: ") + feature, Seconds(60));
     }
+    // A job may wait for long; its decoded form is enough.
+    request.body = std::string();
     const auto now = Clock::now();
     const Waiter waiter {std::make_shared<OneShot<CallerReply>>(m_executor), &peer};
     auto &waiters = m_waiters[id];
--- a/src/fleet/peerlinks.cpp
+++ b/src/fleet/peerlinks.cpp
@@ -31,9 +31,8 @@
 constexpr std::uint32_t MaxMessageBytes = 4 * 1024 * 1024;
 /// Several seconds of messages at peak load; a peer with a longer queue does not read.
 constexpr std::size_t MaxQueuedBytes = 8 * 1024 * 1024;
-/// One for each host, and more while connections of hosts that have failed are still open. Well below the descriptors of the smallest
-/// hosts.
-constexpr std::size_t MaxIncomingConnections = 1024;
+/// A buffer that has grown beyond this is freed once its messages are delivered.
+constexpr std::size_t MaxKeptBuffer = std::size_t(64) * 1024;
 /// Few enough that other work of the loop is not held up for long.
 constexpr std::size_t MaxAcceptedAtOnce = 64;
 /// Many times the longest round trip between zones of one region.
@@ -232,8 +231,10 @@
             const Endpoint &endpoint,
             Receiver receiver,
             ClosedHandler closedHandler,
-            LostHandler lostHandler)
+            LostHandler lostHandler,
+            const PeerLinkLimits &limits)
         : executor(executor)
+        , limits(limits)
         , acceptor(executor, tcp::endpoint(asio::ip::make_address(endpoint.address), endpoint.port))
         , receiver(std::move(receiver))
         , closedHandler(std::move(closedHandler))
@@ -242,6 +243,20 @@
         acceptor.non_blocking(true);
     }
 
+    /// A connection that was accepted.
+    struct Incoming
+    {
+        explicit Incoming(tcp::socket acceptedSocket)
+            : socket(std::move(acceptedSocket))
+        {
+        }
+
+        tcp::socket socket;
+        /// The beginning of a message.
+        std::string buffer;
+        LinkSender sender;
+    };
+
     asio::awaitable<void> accept()
     {
         while (acceptor.is_open()) {
@@ -249,7 +264,7 @@
             if (error == asio::error::operation_aborted) {
                 co_return;
             }
-            if (error || incoming.size() >= MaxIncomingConnections) {
+            if (error || !makeRoomForConnection()) {
                 asio::steady_timer retryDelay(executor, MinRetryDelay);
                 co_await retryDelay.async_wait(Awaitable);
                 continue;
@@ -264,48 +279,94 @@
     void acceptWaiting(std::size_t limit)
     {
         boost::system::error_code error;
-        for (std::size_t count = 0; count < limit && incoming.size() < MaxIncomingConnections; ++count) {
+        for (std::size_t count = 0; count < limit; ++count) {
             tcp::socket socket(executor);
             acceptor.accept(socket, error);
-            if (error) {
+            if (error || !makeRoomForConnection()) {
                 return;
             }
             add(std::move(socket));
         }
     }
 
+    /// Closes the oldest connection on which no message has arrived if the limit is reached; false if there is none.
+    bool makeRoomForConnection()
+    {
+        if (incoming.size() < limits.incomingConnections) {
+            return true;
+        }
+        const auto oldest = std::find_if(incoming.begin(), incoming.end(), [](const auto &entry) {
+            return entry.second->sender.host.empty();
+        });
+        if (oldest == incoming.end()) {
+            return false;
+        }
+        close(oldest->first);
+        ++replaced;
+        return true;
+    }
+
+    /// Closes connections on which no message has arrived, those with the longest buffers first, until the bytes fit; false if they do not.
+    bool makeRoomForBytes(std::size_t bytes)
+    {
+        while (bufferedBytes + bytes > limits.bufferedBytes) {
+            auto longest = incoming.end();
+            for (auto entry = incoming.begin(); entry != incoming.end(); ++entry) {
+                const auto size = entry->second->buffer.size();
+                const bool isCandidate = entry->second->sender.host.empty() && size > 0;
+                if (isCandidate && (longest == incoming.end() || size > longest->second->buffer.size())) {
+                    longest = entry;
+                }
+            }
+            if (longest == incoming.end()) {
+                return false;
+            }
+            close(longest->first);
+            ++replaced;
+        }
+        return true;
+    }
+
+    /// Closes a connection and frees what it holds; read() ends by itself.
+    void close(std::uint64_t number)
+    {
+        const auto found = incoming.find(number);
+        if (found == incoming.end()) {
+            return;
+        }
+        boost::system::error_code error;
+        found->second->socket.close(error);
+        bufferedBytes -= found->second->buffer.size();
+        found->second->buffer = std::string();
+        incoming.erase(found);
+    }
+
     /// Begins to read from a connection.
     void add(tcp::socket socket)
     {
-        auto shared = std::make_shared<tcp::socket>(std::move(socket));
-        enableKeepAlive(*shared);
+        auto connection = std::make_shared<Incoming>(std::move(socket));
+        enableKeepAlive(connection->socket);
+        boost::system::error_code error;
+        connection->socket.non_blocking(true, error);
         const auto number = ++lastAccepted;
-        incoming[number] = shared;
+        incoming[number] = connection;
         asio::co_spawn(
             executor,
-            [self = shared_from_this(), shared, number] {
-                return self->read(shared, number);
+            [self = shared_from_this(), connection, number] {
+                return self->read(connection, number);
             },
             asio::detached);
     }
 
-    asio::awaitable<void> read(std::shared_ptr<tcp::socket> socket, std::uint64_t number)
+    asio::awaitable<void> read(std::shared_ptr<Incoming> connection, std::uint64_t number)
     {
-        LinkSender sender;
-        std::string buffer;
-        std::array<char, 16384> chunk {};
         bool open = true;
         while (open) {
-            auto [error, count] = co_await socket->async_read_some(asio::buffer(chunk), Awaitable);
-            open = !error;
-            buffer.append(chunk.data(), count);
-            open = open && deliverMessages(buffer, sender);
-            if (!sender.host.empty()) {
-                auto &newest = newestConnections[sender.host];
-                newest = std::max(newest, number);
-            }
+            auto [error] = co_await connection->socket.async_wait(tcp::socket::wait_read, Awaitable);
+            open = !error && readOnce(*connection, number);
         }
-        incoming.erase(number);
+        close(number);
+        const auto &sender = connection->sender;
         const bool isNewest = newestConnections[sender.host] == number;
         const auto oldestOpen = incoming.empty() ? lastAccepted + 1 : incoming.begin()->first;
         std::erase_if(newestConnections, [oldestOpen](const auto &entry) {
@@ -316,6 +377,33 @@
         }
     }
 
+    /// Reads what has arrived, up to the size of the common buffer, and delivers its messages; false when the connection has ended or
+    /// exceeds a limit.
+    bool readOnce(Incoming &connection, std::uint64_t number)
+    {
+        boost::system::error_code error;
+        const auto count = connection.socket.read_some(asio::buffer(readBuffer), error);
+        if (error == asio::error::would_block) {
+            return true;
+        }
+        if (error || !makeRoomForBytes(count) || !connection.socket.is_open()) {
+            return false;
+        }
+        const auto bytesBefore = connection.buffer.size();
+        connection.buffer.append(readBuffer.data(), count);
+        const bool isValid = deliverMessages(connection.buffer, connection.sender);
+        // A receiver may have closed connections, but not this one.
+        bufferedBytes = bufferedBytes - bytesBefore + connection.buffer.size();
+        if (connection.buffer.empty() && connection.buffer.capacity() > MaxKeptBuffer) {
+            connection.buffer = std::string();
+        }
+        if (!connection.sender.host.empty()) {
+            auto &newest = newestConnections[connection.sender.host];
+            newest = std::max(newest, number);
+        }
+        return isValid;
+    }
+
     /// Passes every complete message to the receiver; false when a message exceeds the permitted size.
     bool deliverMessages(std::string &buffer, LinkSender &sender)
     {
@@ -340,13 +428,19 @@
     }
 
     asio::any_io_executor executor;
+    PeerLinkLimits limits;
     tcp::acceptor acceptor;
     Receiver receiver;
     ClosedHandler closedHandler;
     LostHandler lostHandler;
     std::map<std::string, std::shared_ptr<OutgoingConnection>> outgoing;
     /// By number, in the order in which they were accepted.
-    std::map<std::uint64_t, std::shared_ptr<tcp::socket>> incoming;
+    std::map<std::uint64_t, std::shared_ptr<Incoming>> incoming;
+    /// Of all incoming connections together.
+    std::size_t bufferedBytes = 0;
+    std::uint64_t replaced = 0;
+    /// Used by one connection at a time, and empty in between.
+    std::array<char, 16384> readBuffer {};
     std::uint64_t lastAccepted = 0;
     /// The connection of each host that was accepted last, of those on which it has named itself. It stays after its end as long as an
     /// older one is open, which may still deliver what it holds.
@@ -358,8 +452,9 @@
                      const Endpoint &endpoint,
                      Receiver receiver,
                      ClosedHandler closedHandler,
-                     LostHandler lostHandler)
-    : d(std::make_shared<Private>(executor, endpoint, std::move(receiver), std::move(closedHandler), std::move(lostHandler)))
+                     LostHandler lostHandler,
+                     const PeerLinkLimits &limits)
+    : d(std::make_shared<Private>(executor, endpoint, std::move(receiver), std::move(closedHandler), std::move(lostHandler), limits))
 {
     asio::co_spawn(
         executor,
@@ -417,6 +512,11 @@
     return found != d->outgoing.end() && found->second->send(bytes);
 }
 
+std::uint64_t PeerLinks::replacedConnections() const
+{
+    return d->replaced;
+}
+
 void PeerLinks::stop()
 {
     d->stopped = true;
@@ -425,8 +525,8 @@
     for (auto &[address, link] : d->outgoing) {
         link->closeWhenFlushed();
     }
-    for (auto &[key, socket] : d->incoming) {
-        socket->close(error);
+    for (auto &[key, connection] : d->incoming) {
+        connection->socket.close(error);
     }
 }
 } // namespace Anvilcart::Fleet
--- a/src/fleet/peerlinks.h
+++ b/src/fleet/peerlinks.h
@@ -5,6 +5,8 @@
 
 #include <boost/asio/any_io_executor.hpp>
 
+#include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -19,6 +21,14 @@
     std::uint64_t incarnation = 0;
 };
 
+/// Bounds of what other processes may occupy here. Connections on which no message has arrived make room first.
+struct PeerLinkLimits
+{
+    std::size_t incomingConnections = 1024;
+    /// Incomplete messages of all connections together; at least twice the longest message.
+    std::size_t bufferedBytes = 32 * 1024 * 1024;
+};
+
 /// Exchanges messages between hosts over TCP. Each host sends on the connections that it opened and receives on those that it
 /// accepted, so that the two directions fail independently. All calls and callbacks run on one executor.
 class PeerLinks
@@ -36,7 +46,8 @@
               const Endpoint &endpoint,
               Receiver receiver,
               ClosedHandler closedHandler,
-              LostHandler lostHandler);
+              LostHandler lostHandler,
+              const PeerLinkLimits &limits = PeerLinkLimits());
     ~PeerLinks();
 
     /// Opens a connection to an endpoint, and reopens it whenever it fails. If it waits for its next attempt, that is made at once.
@@ -54,6 +65,9 @@
     /// Queues a message. False when there is no connection or the queue is full; the message is then dropped.
     bool send(const Endpoint &endpoint, const std::string &bytes);
 
+    /// Connections that were closed to make room, since the start. Call on the executor.
+    std::uint64_t replacedConnections() const;
+
     /// Closes every connection. Queued messages are written first, within a short time limit.
     void stop();
 
--- a/src/hostruntime/hostprocess.cpp
+++ b/src/hostruntime/hostprocess.cpp
@@ -5,9 +5,11 @@
 #include "fleet/peerlinks.h"
 #include "fleet/shutdownsequence.h"
 #include "hostruntime/peerdiscovery.h"
+#include "hostruntime/resourceplan.h"
 #include "hostruntime/storefollower.h"
 #include "hostruntime/targetconnections.h"
 #include "kernel/timerservice.h"
+#include "net/descriptorlimit.h"
 #include "net/httpserver.h"
 #include "platform/configurationmessages.h"
 #include "platform/jobmessages.h"
@@ -19,6 +21,7 @@
 #include <csignal>
 #include <ctime>
 #include <future>
+#include <map>
 #include <random>
 #include <unistd.h>
 #include <utility>
@@ -33,6 +36,7 @@
 constexpr Milliseconds TickPeriod {25};
 constexpr Milliseconds LogFlushPeriod {100};
 constexpr Milliseconds SettingsPollPeriod {2000};
+constexpr Milliseconds ClientReportPeriod {1000};
 /// A dispatcher must learn of a leaving target while the target still serves (2 s or more); other hosts need the list only for a takeover,
 /// and the longer it is, the less often they read it.
 constexpr Milliseconds DispatcherTargetListPeriod {300};
@@ -48,16 +52,48 @@
     return TimePoint(std::chrono::duration_cast<Duration>(Seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec)));
 }
 
-HttpLimits httpLimits(const CallerHttpLimits &limits)
+/// A job is kept as its request's decoded steps, as the entry host's record of it, and as a message to its dispatcher.
+constexpr std::size_t CopiesOfJob = 4;
+
+ResourcePlan planFor(const Platform::HostSettings &settings, std::size_t maxBodyBytes)
+{
+    return planResources(settings.memoryMb, settings.maxDescriptors, descriptorLimit(), maxBodyBytes, CopiesOfJob);
+}
+
+HttpLimits callerLimits(const CallerHttpLimits &limits, const Platform::HostSettings &settings)
 {
+    const auto plan = planFor(settings, limits.maxBodyBytes);
     HttpLimits result;
     result.headerBytes = limits.maxHeaderBytes;
     result.bodyBytes = limits.maxBodyBytes;
+    result.bodyBytesInTotal = plan.callerBodyBytes;
+    result.copiesOfBody = CopiesOfJob;
+    result.headerMemoryInTotal = plan.callerHeaderMemory;
+    result.connections = plan.callerConnections;
     result.idleTime = limits.idleTimeout;
     result.requestTime = limits.headerTimeout;
     return result;
 }
 
+/// For endpoints whose requests have no body.
+HttpLimits auxiliaryLimits(const Platform::HostSettings &settings)
+{
+    constexpr std::size_t MaxBodyBytes = 4096;
+    constexpr std::size_t TotalBytes = std::size_t(1024) * 1024;
+    HttpLimits result;
+    result.bodyBytes = MaxBodyBytes;
+    result.bodyBytesInTotal = TotalBytes;
+    result.headerMemoryInTotal = TotalBytes;
+    result.connections = planFor(settings, MaxBodyBytes).auxiliaryConnections;
+    return result;
+}
+
+PeerLinkLimits peerLimits(const Platform::HostSettings &settings)
+{
+    const auto plan = planFor(settings, 0);
+    return {plan.peerConnections, plan.peerBufferBytes};
+}
+
 HttpResponse emptyResponse(int status)
 {
     HttpResponse response;
@@ -110,6 +146,10 @@
         const auto refusal = [](ResultCode code) {
             auto response = emptyResponse(info(code).httpStatus);
             response.body = Platform::encodeError(info(code).name);
+            if (code == ResultCode::QueueFull) {
+                // Memory becomes free as requests are answered, most of them within a second.
+                response.headers.push_back({"Retry-After", "1"});
+            }
             return response;
         };
         peerLinks = std::make_unique<PeerLinks>(
@@ -127,11 +167,12 @@
             },
             [this](const Endpoint &endpoint) {
                 node.onConnectionLost(endpoint, Clock::now());
-            });
+            },
+            peerLimits(settings));
         callerServer = std::make_unique<HttpServer>(
             loops,
             settings.callerEndpoint,
-            httpLimits(CallerHttpLimits()),
+            callerLimits(CallerHttpLimits(), settings),
             [this](HttpRequest request, HttpPeer &peer) {
                 return callerHandler.handle(std::move(request), peer);
             },
@@ -139,7 +180,7 @@
         readinessServer = std::make_unique<HttpServer>(
             loops,
             settings.readinessEndpoint,
-            HttpLimits(),
+            auxiliaryLimits(settings),
             [this](HttpRequest, HttpPeer &) -> asio::awaitable<HttpResponse> {
                 co_return emptyResponse(isReady() ? 200 : 503);
             },
@@ -148,7 +189,7 @@
             metricsServer = std::make_unique<HttpServer>(
                 loops,
                 Endpoint {settings.callerEndpoint.address, options.metricsPort},
-                HttpLimits(),
+                auxiliaryLimits(settings),
                 [this](HttpRequest, HttpPeer &) -> asio::awaitable<HttpResponse> {
                     HttpResponse response;
                     response.contentType = "text/plain; version=0.0.4";
@@ -205,6 +246,9 @@
         subscriptions.push_back(timers.subscribe(executor, SettingsPollPeriod, [this](TimePoint) {
             reloadSettings(false);
         }));
+        subscriptions.push_back(timers.subscribe(executor, ClientReportPeriod, [this](TimePoint) {
+            reportLimitedClients();
+        }));
         node.tick(Clock::now());
     }
 
@@ -223,6 +267,30 @@
         continueShutdown(now);
     }
 
+    void reportLimitedClients()
+    {
+        reportLimitedClients("callers", callerServer.get());
+        reportLimitedClients("readiness", readinessServer.get());
+        reportLimitedClients("metrics", metricsServer.get());
+        const auto replaced = peerLinks->replacedConnections();
+        telemetry.onClientsLimited("peers", replaced - reportedPeerConnections, 0);
+        reportedPeerConnections = replaced;
+    }
+
+    void reportLimitedClients(const char *endpoint, const HttpServer *server)
+    {
+        if (server == nullptr) {
+            return;
+        }
+        const auto counts = server->counts();
+        auto &reported = reportedCounts[endpoint];
+        telemetry.onClientsLimited(endpoint,
+                                   counts.replacedConnections + counts.refusedConnections - reported.replacedConnections
+                                       - reported.refusedConnections,
+                                   counts.refusedRequests - reported.refusedRequests);
+        reported = counts;
+    }
+
     bool isReady() const
     {
         return !shutdown.hasBegun() && callerHandler.routes() != nullptr && node.hasDispatcher(Clock::now());
@@ -253,7 +321,7 @@
         }
         const auto version = decoded->version;
         auto table = std::make_shared<const RouteTable>(std::move(*decoded));
-        callerServer->setLimits(httpLimits(table->limits()));
+        callerServer->setLimits(callerLimits(table->limits(), settings));
         telemetry.onConfigurationApplied(version, table->size(), source);
         callerHandler.setRoutes(std::move(table));
         node.setConfiguration({version, record});
@@ -421,6 +489,8 @@
     std::shared_ptr<TargetListFollower> targetListFollower;
     std::shared_ptr<PeerDiscovery> peerDiscovery;
     std::vector<TimerSubscription> subscriptions;
+    std::map<std::string, HttpServerCounts> reportedCounts;
+    std::uint64_t reportedPeerConnections = 0;
     std::string settingsText;
     TimePoint lastTickAt;
     TimePoint lastBootTime;
--- a/src/hostruntime/hosttelemetry.cpp
+++ b/src/hostruntime/hosttelemetry.cpp
@@ -60,13 +60,13 @@
     return prometheus::TextSerializer().Serialize(d->registry.Collect());
 }
 
-void HostTelemetry::count(const char *metric, const char *label, const std::string &value)
+void HostTelemetry::count(const char *metric, const char *label, const std::string &value, std::uint64_t amount)
 {
     auto &counter = d->counters[{metric, value}];
     if (counter == nullptr) {
         counter = &prometheus::BuildCounter().Name(metric).Help("See docs/METRICS.md.").Register(d->registry).Add({{label, value}});
     }
-    counter->Increment();
+    counter->Increment(static_cast<double>(amount));
 }
 
 void HostTelemetry::write(const LogLine &line, LogPriority priority)
@@ -132,6 +132,17 @@
     write(LogLine("bad_input").add("source", source).add("detail", detail), LogPriority::Routine);
 }
 
+void HostTelemetry::onClientsLimited(const char *endpoint, std::uint64_t connections, std::uint64_t requests)
+{
+    if (connections + requests == 0) {
+        return;
+    }
+    count("anvilcart_connections_closed_total", "endpoint", endpoint, connections);
+    count("anvilcart_unread_requests_refused_total", "endpoint", endpoint, requests);
+    write(LogLine("clients_limited").add("endpoint", endpoint).add("connections_closed", connections).add("requests_refused", requests),
+          LogPriority::Important);
+}
+
 void HostTelemetry::onJobQueued(const JobSubmission &job, std::size_t queuedJobs, Duration forecastWait)
 {
     count("anvilcart_jobs_queued_total", "route", job.route);
--- a/src/hostruntime/hosttelemetry.h
+++ b/src/hostruntime/hosttelemetry.h
@@ -46,6 +46,10 @@
     /// A record in the store, a peer's message or a settings file could not be read.
     void onBadInput(const char *source, const std::string &detail);
 
+    /// An endpoint has closed connections to make room or for lack of it, and refused requests before they were handled, since the last
+    /// call.
+    void onClientsLimited(const char *endpoint, std::uint64_t connections, std::uint64_t requests);
+
     void onJobQueued(const JobSubmission &job, std::size_t queuedJobs, Duration forecastWait) override;
     void
     onStart(const JobSubmission &job, const std::string &target, const RunName &run, Duration waited, Duration expectedRunTime) override;
@@ -73,7 +77,7 @@
     void onTimeGap(Duration gap) override;
 
 private:
-    void count(const char *metric, const char *label, const std::string &value);
+    void count(const char *metric, const char *label, const std::string &value, std::uint64_t amount = 1);
     void write(const LogLine &line, LogPriority priority);
 
     struct Private;
--- a/src/net/httpserver.h
+++ b/src/net/httpserver.h
@@ -7,22 +7,43 @@
 #include "net/http.h"
 
 #include <cstddef>
+#include <cstdint>
+#include <functional>
 #include <memory>
 
 namespace Anvilcart
 {
-/// Bounds of one door.
+/// Bounds of one door. A request that exceeds its own bounds gets a 4xx answer; one that exceeds a bound of all connections together is
+/// refused with QueueFull before it reaches the handler.
 struct HttpLimits
 {
+    /// Of the start line, and of the fields; also of the trailers, and of a chunk's size with its extension.
     std::size_t headerBytes = 8 * 1024;
     std::size_t bodyBytes = 8 * 1024 * 1024;
-    /// Bodies of all connections together while they are read.
+    /// Bodies of all connections together until they are answered.
     std::size_t bodyBytesInTotal = 24 * 1024 * 1024;
+    /// How many times its size a body counts while it is handled. bodyBytesInTotal holds a body of bodyBytes so many times.
+    std::size_t copiesOfBody = 1;
+    /// Memory of the header fields and read buffers of all connections together.
+    std::size_t headerMemoryInTotal = 16 * 1024 * 1024;
+    /// A connection beyond this number takes the place of the least useful one, or is closed if all are busy.
     std::size_t connections = 4096;
     Duration idleTime = Seconds(60);
+    /// Time in which a request must arrive, an answer be read, and the rest of a refused request end.
     Duration requestTime = Seconds(10);
 };
 
+/// What a door has turned away since its start.
+struct HttpServerCounts
+{
+    /// Connections that made room for others.
+    std::uint64_t replacedConnections = 0;
+    /// New connections that were closed since all others were busy.
+    std::uint64_t refusedConnections = 0;
+    /// Requests that were refused before they reached the handler.
+    std::uint64_t refusedRequests = 0;
+};
+
 /// Makes the answer to a request that never reached the handler.
 using HttpRefusal = std::function<HttpResponse(ResultCode)>;
 
@@ -37,6 +58,9 @@
     /// Requests of which a byte has come and that are not yet answered. Thread-safe.
     std::size_t requestsInFlight() const;
 
+    /// Thread-safe.
+    HttpServerCounts counts() const;
+
     /// Other bounds from the next request on. Thread-safe.
     void setLimits(const HttpLimits &limits);
 
--- a/tests/unit/fleet/peerlinks.cpp
+++ b/tests/unit/fleet/peerlinks.cpp
@@ -21,7 +21,7 @@
 {
     using Socket = boost::asio::ip::tcp::socket;
 
-    ListeningHostFixture()
+    explicit ListeningHostFixture(const PeerLinkLimits &limits = PeerLinkLimits())
     {
         namespace asio = boost::asio;
         using asio::ip::tcp;
@@ -39,7 +39,8 @@
             [this](const LinkSender &, bool isNewest) {
                 closedNewest.push_back(isNewest);
             },
-            [](const Endpoint &) {});
+            [](const Endpoint &) {},
+            limits);
     }
 
     ~ListeningHostFixture()
@@ -87,12 +88,32 @@
         BOOST_REQUIRE(condition());
     }
 
+    /// Waits until the other side has closed a connection.
+    void waitUntilClosed(Socket &socket)
+    {
+        socket.non_blocking(true);
+        runUntil([&] {
+            char byte = 0;
+            boost::system::error_code error;
+            socket.read_some(boost::asio::buffer(&byte, 1), error);
+            return error && error != boost::asio::error::would_block;
+        });
+    }
+
     boost::asio::io_context context;
     std::uint16_t port = 0;
     std::unique_ptr<PeerLinks> links;
     std::size_t received = 0;
     std::vector<bool> closedNewest;
 };
+
+struct SmallHostFixture : ListeningHostFixture
+{
+    SmallHostFixture()
+        : ListeningHostFixture({3, 100000})
+    {
+    }
+};
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(PeerLinksSuite, *boost::unit_test::label("fleet"))
@@ -238,4 +259,41 @@
     BOOST_TEST(closeAsNewest(newer));
 }
 
+// Connections that sent nothing took every place, and hosts that connected later were not read.
+BOOST_FIXTURE_TEST_CASE(The_oldest_connection_without_a_message_makes_room_for_a_new_one, SmallHostFixture)
+{
+    auto host = connect();
+    send(host);
+    auto silent = connect();
+    auto later = connect();
+    auto newHost = connect();
+    send(newHost);
+    waitUntilClosed(silent);
+    send(host);
+    send(later);
+    BOOST_TEST(received == 4);
+}
+
+// Announced messages were buffered up to 4 MB on each of a thousand connections.
+BOOST_FIXTURE_TEST_CASE(Incomplete_messages_of_unknown_senders_make_room_for_others, SmallHostFixture)
+{
+    const std::string announced {'\0', '\1', '\0', '\0'}; // 65,536 bytes
+    auto host = connect();
+    send(host);
+    auto first = connect();
+    boost::asio::write(first, boost::asio::buffer(announced + std::string(60000, 'x')));
+    context.run_for(Milliseconds(50));
+    auto second = connect();
+    boost::asio::write(second, boost::asio::buffer(announced + std::string(50000, 'x')));
+    waitUntilClosed(first);
+    // A known sender's long message is read.
+    const auto before = received;
+    boost::asio::write(host, boost::asio::buffer(announced + std::string(65536, 'x')));
+    runUntil([&] {
+        return received > before;
+    });
+    send(host);
+    BOOST_TEST(closeAsNewest(host));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/net/http.cpp
+++ b/tests/unit/net/http.cpp
@@ -3,6 +3,10 @@
 #include "net/runcoroutine.h"
 #include "rawconnection.h"
 
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include <future>
@@ -30,20 +34,25 @@
     return {"127." + std::to_string(AddressBlock) + "." + third + "." + std::to_string(process % ByteRange + 1), ++port};
 }
 
-/// A door that answers every request at once and counts them.
+/// A door that answers every request after a time and counts them.
 class Door
 {
 public:
-    explicit Door(const HttpLimits &limits)
+    explicit Door(const HttpLimits &limits, Duration answerDelay = Duration(0))
         : endpoint(freeEndpoint())
         , loops(1)
         , server(
               loops,
               endpoint,
               limits,
-              [this](HttpRequest request, HttpPeer &) -> asio::awaitable<HttpResponse> {
+              [this, answerDelay](HttpRequest request, HttpPeer &) -> asio::awaitable<HttpResponse> {
                   bodyBytes += request.body.size();
+                  headerFields += request.headers.size();
                   ++handled;
+                  if (answerDelay > Duration(0)) {
+                      asio::steady_timer delay(co_await asio::this_coro::executor, answerDelay);
+                      co_await delay.async_wait(asio::as_tuple(asio::use_awaitable));
+                  }
                   co_return HttpResponse();
               },
               [](ResultCode code) {
@@ -63,6 +72,7 @@
     EventLoops loops;
     std::atomic<int> handled = 0;
     std::atomic<std::size_t> bodyBytes = 0;
+    std::atomic<std::size_t> headerFields = 0;
     HttpServer server;
 };
 
@@ -223,11 +233,11 @@
     BOOST_TEST(statusOf(second.readAll()) == 503);
 }
 
-BOOST_AUTO_TEST_CASE(Connections_beyond_the_limit_are_closed)
+BOOST_AUTO_TEST_CASE(Connections_beyond_the_limit_are_closed_while_all_others_are_busy)
 {
     HttpLimits limits;
     limits.connections = 1;
-    Door door {limits};
+    Door door(limits, Seconds(60));
     RawConnection first(door.endpoint);
     first.send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
     waitFor([&] {
@@ -236,6 +246,178 @@
     RawConnection second(door.endpoint);
     BOOST_TEST(second.readAll().empty());
     BOOST_TEST(door.handled == 1);
+    BOOST_TEST(door.server.counts().refusedConnections == 1);
+}
+
+// Idle connections occupied every place of a door until their idle time was over.
+BOOST_AUTO_TEST_CASE(A_connection_beyond_the_limit_takes_the_place_of_an_idle_one)
+{
+    HttpLimits limits;
+    limits.connections = 2;
+    Door door {limits};
+    RawConnection answered(door.endpoint);
+    answered.send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    waitFor([&] {
+        return door.handled == 1;
+    });
+    RawConnection unused(door.endpoint);
+    RawConnection third(door.endpoint);
+    BOOST_TEST(unused.readAll().empty());
+    third.send("GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    BOOST_TEST(statusOf(third.readAll()) == 200);
+    // The connection that was served before still is.
+    answered.send("GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    BOOST_TEST(statusOf(answered.readAll()) == 200);
+    BOOST_TEST(door.handled == 3);
+    BOOST_TEST(door.server.counts().replacedConnections == 1);
+}
+
+// Bodies counted only while they were read, so that those of waiting jobs had no bound.
+BOOST_AUTO_TEST_CASE(Bodies_count_until_their_requests_are_answered)
+{
+    HttpLimits limits;
+    limits.bodyBytesInTotal = 40;
+    limits.copiesOfBody = 3;
+    Door door(limits, Seconds(60));
+    const std::string request = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\n0123456789";
+    RawConnection first(door.endpoint);
+    first.send(request);
+    waitFor([&] {
+        return door.handled == 1;
+    });
+    RawConnection second(door.endpoint);
+    second.send(request);
+    BOOST_TEST(statusOf(second.readAll()) == 503);
+    BOOST_TEST(door.handled == 1);
+}
+
+// The parser's limit does not count fields that it has taken from the buffer: with one byte of the next line, each line was taken.
+BOOST_AUTO_TEST_CASE(Endless_header_lines_that_arrive_one_by_one_are_refused)
+{
+    constexpr int Lines = 300;
+    HttpLimits limits;
+    limits.headerBytes = 1000;
+    Door door {limits};
+    RawConnection caller(door.endpoint);
+    caller.send("GET / HTTP/1.1\r\nConnection: close\r\na");
+    for (int line = 0; line < Lines && caller.send("bcdefgh: 1\r\na"); ++line) {
+        std::this_thread::sleep_for(Milliseconds(1));
+    }
+    caller.send(": 1\r\n\r\n");
+    BOOST_TEST(statusOf(caller.readAll()) == 431);
+    BOOST_TEST(door.handled == 0);
+}
+
+BOOST_AUTO_TEST_CASE(Headers_that_exceed_the_memory_of_the_door_together_are_refused)
+{
+    HttpLimits limits;
+    limits.headerMemoryInTotal = 20000;
+    Door door(limits, Seconds(60));
+    std::string request = "GET / HTTP/1.1\r\n";
+    for (int field = 0; field < 60; ++field) {
+        request += "a:\r\n";
+    }
+    RawConnection first(door.endpoint);
+    first.send(request + "\r\n");
+    waitFor([&] {
+        return door.handled == 1;
+    });
+    RawConnection second(door.endpoint);
+    second.send(request + "\r\n");
+    BOOST_TEST(statusOf(second.readAll()) == 503);
+    BOOST_TEST(door.handled == 1);
+}
+
+BOOST_AUTO_TEST_CASE(Trailers_and_chunk_extensions_beyond_the_limit_are_refused)
+{
+    const std::string head = "POST / HTTP/1.1\r\nHost: h\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string tooLong(20000, 'x');
+    std::string manyLines;
+    for (int line = 0; line < 3000; ++line) {
+        manyLines += "a: b\r\n";
+    }
+    Door door {HttpLimits()};
+    for (const auto &rest : {"0\r\n" + manyLines + "\r\n", "0\r\na: " + tooLong + "\r\n\r\n", "1;" + tooLong + "\r\nx\r\n0\r\n\r\n"}) {
+        RawConnection caller(door.endpoint);
+        caller.send(head + rest);
+        BOOST_TEST(statusOf(caller.readAll()) == 431);
+    }
+    BOOST_TEST(door.handled == 0);
+}
+
+BOOST_AUTO_TEST_CASE(Chunks_with_more_framing_than_a_body_of_single_bytes_needs_are_refused)
+{
+    HttpLimits limits;
+    limits.bodyBytes = 5000;
+    limits.headerBytes = 1000;
+    Door door {limits};
+    RawConnection caller(door.endpoint);
+    std::string request = "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (int chunk = 0; chunk < 1000; ++chunk) {
+        request += "1;" + std::string(500, 'e') + "\r\nx\r\n";
+    }
+    caller.send(request + "0\r\n\r\n");
+    BOOST_TEST(statusOf(caller.readAll()) == 413);
+    BOOST_TEST(door.handled == 0);
+}
+
+BOOST_AUTO_TEST_CASE(A_body_of_one_byte_chunks_with_trailers_is_read_and_the_trailers_are_dropped)
+{
+    constexpr std::size_t Bytes = 5000;
+    HttpLimits limits;
+    limits.bodyBytes = Bytes;
+    Door door {limits};
+    RawConnection caller(door.endpoint);
+    std::string request = "POST / HTTP/1.1\r\nHost: h\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (std::size_t chunk = 0; chunk < Bytes; ++chunk) {
+        request += "1\r\nx\r\n";
+    }
+    caller.send(request + "0\r\nChecksum: 1\r\n\r\n");
+    BOOST_TEST(statusOf(caller.readAll()) == 200);
+    BOOST_TEST(door.bodyBytes == Bytes);
+    BOOST_TEST(door.headerFields == 3);
+}
+
+// A timeout only cancels a read that waits; a client that sent without a pause was read for ever.
+BOOST_AUTO_TEST_CASE(A_request_that_arrives_without_a_pause_is_refused_when_its_time_is_over)
+{
+    constexpr std::size_t MaxSent = std::size_t(1024) * 1024 * 1024;
+    HttpLimits limits;
+    limits.requestTime = Milliseconds(100);
+    limits.bodyBytes = 2 * MaxSent;
+    limits.bodyBytesInTotal = 2 * MaxSent;
+    Door door {limits};
+    RawConnection caller(door.endpoint);
+    caller.send("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n");
+    std::string chunks;
+    for (int chunk = 0; chunk < 10000; ++chunk) {
+        chunks += "1\r\nx\r\n";
+    }
+    std::size_t sent = 0;
+    while (sent < MaxSent && door.server.counts().refusedRequests == 0 && caller.send(chunks)) {
+        sent += chunks.size();
+    }
+    BOOST_TEST(sent < MaxSent);
+    BOOST_TEST(door.server.counts().refusedRequests == 1);
+    BOOST_TEST(door.handled == 0);
+}
+
+BOOST_AUTO_TEST_CASE(What_is_dropped_after_a_refusal_is_bounded)
+{
+    constexpr std::size_t MaxSent = std::size_t(64) * 1024 * 1024;
+    HttpLimits limits;
+    limits.bodyBytes = 1000;
+    limits.requestTime = Seconds(60);
+    Door door {limits};
+    RawConnection caller(door.endpoint);
+    caller.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1000000000\r\n\r\n");
+    const std::string part(60000, 'x');
+    std::size_t sent = 0;
+    while (sent < MaxSent && caller.send(part)) {
+        sent += part.size();
+    }
+    BOOST_TEST(sent < MaxSent);
+    BOOST_TEST(door.handled == 0);
 }
 
 BOOST_AUTO_TEST_CASE(Many_callers_who_connect_at_once_are_read_within_a_few_rounds_of_a_busy_loop)
