Test the doors of anvilcart serve against endless trailers

Cause: the server of the platform's endpoints also serves the entry hosts' caller and operator doors, which had the same fault.

Change: a process test with four clients a door and 64 MiB each, against the 128 MiB that DoorSuite allows.

--- a/tests/process/untrustedclients.cpp
+++ b/tests/process/untrustedclients.cpp
@@ -298,3 +298,36 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+namespace
+{
+/// As in DoorSuite.
+constexpr std::uint64_t ServeMemoryLimitMb = 128;
+/// Twice the limit with the number of endless senders.
+constexpr std::size_t ServeBytesEach = 64 * 1024 * 1024;
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(UntrustedClientsOfServeSuite)
+
+// The endpoints of anvilcart serve are the same server.
+BOOST_AUTO_TEST_CASE(Endless_trailers_and_extensions_take_bounded_memory_at_every_door)
+{
+    Site site(SiteOptions(), ANVILCART_BINARIES);
+    const auto process = site.entryHost(0, 0).id();
+    const auto exceedsMemory = [process] {
+        return statusKb(process, "VmRSS") > ServeMemoryLimitMb * 1024;
+    };
+    const std::string head = "POST /v1/jobs HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (const auto &door : {site.callerDoor(0, 0), site.operatorDoor(0, 0)}) {
+        UntrustedClients(door, EndlessSenders).send(head + "0\r\na: ", std::string(60000, 'b'), ServeBytesEach, exceedsMemory);
+        UntrustedClients(door, EndlessSenders).send(head + "1;", std::string(60000, 'a'), ServeBytesEach, exceedsMemory);
+    }
+    BOOST_TEST_MESSAGE("peak memory " << statusKb(process, "VmHWM") << " KB");
+    BOOST_TEST(statusKb(process, "VmHWM") <= ServeMemoryLimitMb * 1024);
+    BOOST_TEST(eventually([&] {
+        return codeOf(site.call(site.callerDoor(0, 0), "POST", "/v1/jobs", jobBody("ordinary", 1, Milliseconds(5)))) == 0;
+    }));
+    BOOST_TEST(site.entryHost(0, 0).isRunning());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
