Emulator: a caller that leaves before any host accepts its job

Cause: while no host accepted jobs, a job had no connection, and its cancellation closed an empty one: the emulator ended with a segmentation fault.

Change: only an existing connection is closed.

--- a/emulator/emulatedcallers.cpp
+++ b/emulator/emulatedcallers.cpp
@@ -180,7 +180,10 @@
 
 void EmulatedCallers::closeConnection(const std::shared_ptr<CallerJob> &job)
 {
-    m_connections.close(job->connection, drawReadDelay());
+    // A caller that leaves while no host accepts its job has no connection.
+    if (job->connection) {
+        m_connections.close(job->connection, drawReadDelay());
+    }
 }
 
 Duration EmulatedCallers::drawReadDelay()
