List a target that has closed its connections before the next start

Change: while a target has closed all connections that were kept open to it, starts are not sent (connection_closed) until a later renewal was answered. The scheduler asks for that listing at once, and the task may go elsewhere.

Cost: one listing, so one round trip and one call, for the first start after all idle connections of a target were closed; nothing at rest.

--- a/src/hostruntime/targetconnections.cpp
+++ b/src/hostruntime/targetconnections.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
 
 #include <utility>
 
@@ -29,14 +30,42 @@
     {
         Endpoint endpoint;
         std::vector<std::unique_ptr<HttpConnection>> idle;
+        /// When the target was found to have closed all of them; TimePoint() once a later listing was answered.
+        TimePoint closedAt;
     };
 
+    /// True while the target may have restarted since its last listing: it has closed the connections that were kept open.
+    bool mayHaveRestarted(const TargetEntry &target)
+    {
+        const auto found = idleConnections.find(target.id);
+        if (found == idleConnections.end() || found->second.endpoint != target.endpoint) {
+            return false;
+        }
+        auto &connections = found->second;
+        const auto closed = std::erase_if(connections.idle, [](const auto &connection) {
+            return !connection->isReusable();
+        });
+        if (closed > 0 && connections.idle.empty()) {
+            connections.closedAt = Clock::now();
+        }
+        return connections.closedAt != TimePoint();
+    }
+
+    void onListed(const std::string &target, TimePoint requestedAt)
+    {
+        const auto found = idleConnections.find(target);
+        if (found != idleConnections.end() && requestedAt >= found->second.closedAt) {
+            found->second.closedAt = TimePoint();
+        }
+    }
+
     std::unique_ptr<HttpConnection> acquire(const std::string &target, const Endpoint &endpoint)
     {
         auto &connections = idleConnections[target];
         if (connections.endpoint != endpoint) {
             connections.idle.clear();
             connections.endpoint = endpoint;
+            connections.closedAt = TimePoint();
         }
         while (!connections.idle.empty()) {
             auto connection = std::move(connections.idle.back());
@@ -105,6 +134,15 @@
 
 void TargetConnections::start(const TargetEntry &target, const StartRequest &request, ReplyHandler handler)
 {
+    if (d->mayHaveRestarted(target)) {
+        TargetReply reply;
+        reply.result = RequestResult::ConnectionClosed;
+        reply.fencingToken = request.fencingToken;
+        asio::post(d->executor, [handler = std::move(handler), reply] {
+            handler(reply);
+        });
+        return;
+    }
     d->spawnShort(target,
                   Platform::startCall(target.id, request),
                   request.repetitions,
@@ -131,13 +169,18 @@
 {
     const auto extraTime = d->requestTimeout.value() - TargetRequestTimeout;
     const auto timeout = renewalTimeout(request, extraTime);
-    d->spawn(target, Platform::renewalCall(target.id, request), timeout, [handler = std::move(handler), request](const HttpReply &reply) {
-        auto decoded = Platform::decodeRenewalReply(reply);
-        decoded.fencingToken = request.fencingToken;
-        decoded.sequence = request.sequence;
-        decoded.sentAt = request.sentAt;
-        handler(decoded);
-    });
+    const auto onReply =
+        [connections = d.get(), id = target.id, requestedAt = Clock::now(), handler = std::move(handler), request](const HttpReply &reply) {
+            auto decoded = Platform::decodeRenewalReply(reply);
+            if (decoded.result == RequestResult::Accepted) {
+                connections->onListed(id, requestedAt);
+            }
+            decoded.fencingToken = request.fencingToken;
+            decoded.sequence = request.sequence;
+            decoded.sentAt = request.sentAt;
+            handler(decoded);
+        };
+    d->spawn(target, Platform::renewalCall(target.id, request), timeout, onReply);
 }
 
 void TargetConnections::closeIdleConnections(const std::string &target)
--- a/src/scheduling/schedulerruns.cpp
+++ b/src/scheduling/schedulerruns.cpp
@@ -106,7 +106,8 @@
     if (run != nullptr && reply.result == RequestResult::Accepted) {
         target.confirmStart(*run, now);
     }
-    if (reply.result != RequestResult::Unknown && reply.result != RequestResult::NotSent) {
+    target.restartSuspected = target.restartSuspected || reply.result == RequestResult::ConnectionClosed;
+    if (isAnswer(reply.result)) {
         target.lastAnswerAt = now;
         if (target.clock.isKnown() && reply.clockMs > 0 && Milliseconds(target.clock.estimateMs(now) - reply.clockMs) > RestartClockGap) {
             target.restartSuspected = true;
@@ -158,6 +159,9 @@
         target.leaving = true;
         target.replaced = true;
     }
+    if (reply.result == RequestResult::ConnectionClosed) {
+        requestListing(target, now);
+    }
     onRunEnded(target, refused, now);
     schedule(target.entry().service, now);
 }
@@ -192,7 +196,7 @@
             run->stoppedAt = now;
         }
     }
-    if (reply.result != RequestResult::Unknown && reply.result != RequestResult::NotSent) {
+    if (isAnswer(reply.result)) {
         target.lastAnswerAt = now;
         requestListing(target, now);
     } else if (run != nullptr && !target.unresponsive && run->stopRepetitions < MaxRepetitions && m_repeatBudget.takeRepeat()) {
--- a/src/workload/targetcalls.h
+++ b/src/workload/targetcalls.h
@@ -113,14 +113,30 @@
     Unknown,
     /// The connection failed, so the request was never sent.
     NotSent,
+    /// The target has closed its connections since it was last listed, so the request was never sent: the target may have restarted.
+    ConnectionClosed,
 };
-constexpr std::size_t RequestResultCount = 9;
+constexpr std::size_t RequestResultCount = 10;
+
+/// True if the target has answered the request. Thread-safe.
+constexpr bool isAnswer(RequestResult result)
+{
+    return result != RequestResult::Unknown && result != RequestResult::NotSent && result != RequestResult::ConnectionClosed;
+}
 
 /// Returns the name used in logs and metrics. Thread-safe.
 constexpr const char *toName(RequestResult result)
 {
-    constexpr const char *Names[RequestResultCount] = {
-        "accepted", "fenced", "run_outdated", "too_late", "no_room", "wrong_incarnation", "rejected", "unknown", "not_sent"};
+    constexpr const char *Names[RequestResultCount] = {"accepted",
+                                                       "fenced",
+                                                       "run_outdated",
+                                                       "too_late",
+                                                       "no_room",
+                                                       "wrong_incarnation",
+                                                       "rejected",
+                                                       "unknown",
+                                                       "not_sent",
+                                                       "connection_closed"};
     return Names[static_cast<std::size_t>(result)];
 }
 
--- a/tests/unit/scheduling/restartedtargets.cpp
+++ b/tests/unit/scheduling/restartedtargets.cpp
@@ -385,4 +385,33 @@
     BOOST_TEST(lastRenewal("new").fencingToken == 0);
 }
 
+// Review 10: an idle target came back as another kind, and got tasks by the labels of its earlier life until its entry was read again.
+BOOST_FIXTURE_TEST_CASE(A_target_that_has_closed_its_connections_is_listed_before_the_next_start, RestartedTargetFixture)
+{
+    const auto name = startOnRestartedTarget();
+    const auto renewals = port.renewals.size();
+    answerStart(0, RequestResult::ConnectionClosed);
+    BOOST_TEST_REQUIRE(port.renewals.size() == renewals + 1);
+    BOOST_TEST(port.renewals.back().first == "restarted");
+    BOOST_TEST(port.renewals.back().second.waitMs == 0);
+    // The task goes to the other target meanwhile, and nothing counts as run on this one.
+    BOOST_TEST_REQUIRE(port.starts.size() == 2);
+    BOOST_TEST(port.starts[1].target == "other");
+    BOOST_TEST((port.starts[1].request.name.task == name.task));
+    scheduler.onRenewalReply("restarted", listing({}, Token), now);
+    BOOST_TEST(port.restarted.size() == 1);
+}
+
+BOOST_FIXTURE_TEST_CASE(A_target_that_has_closed_idle_connections_without_a_restart_is_used_again, RestartedTargetFixture)
+{
+    startedAtMs = 1;
+    startOnRestartedTarget();
+    answerStart(0, RequestResult::ConnectionClosed);
+    answerRenewal("restarted", {});
+    BOOST_TEST(port.restarted.empty());
+    submit(job("k", 1, 15000));
+    BOOST_TEST_REQUIRE(port.starts.size() == 3);
+    BOOST_TEST(port.starts[2].target == "restarted");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
