Start a task elsewhere only when no copy of its start can still act

When the target was lost, the run ended with its lease and the task started elsewhere; the target restarted and carried out the first request beside it. The second run was listed and left to its lease.

Change: a run counts its unanswered start requests. If there is one when the leases of a silent target have ended, the run counts as lost for the detection of crashes, but stays in the ledger as an unconfirmed start until the target is claimed under a higher token or replaced. A run that is listed beside the next run of its task is stopped.

--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -258,7 +258,7 @@
     Duration renewalWait(const TargetLedger &target, TimePoint now) const;
     void renew(TargetLedger &target, TimePoint now);
     void requestListing(TargetLedger &target, TimePoint now);
-    void sendStart(const ScheduledJob &job, const TargetLedger &target, const LedgerRun &run);
+    void sendStart(const ScheduledJob &job, const TargetLedger &target, LedgerRun &run);
     bool repeatStart(const TargetLedger &target, LedgerRun &run, TimePoint now);
     void stop(TargetLedger &target, LedgerRun &run, const char *cause, TimePoint now);
     void sendStop(const TargetLedger &target, LedgerRun &run, TimePoint now);
--- a/src/scheduling/schedulerruns.cpp
+++ b/src/scheduling/schedulerruns.cpp
@@ -52,8 +52,9 @@
     m_port.sendStop(target.entry().id, request);
 }
 
-void Scheduler::sendStart(const ScheduledJob &job, const TargetLedger &target, const LedgerRun &run)
+void Scheduler::sendStart(const ScheduledJob &job, const TargetLedger &target, LedgerRun &run)
 {
+    ++run.unansweredStarts;
     StartRequest request;
     request.name = run.name;
     request.payload = job.submission.request.payload;
@@ -100,6 +101,9 @@
     if (run != nullptr && run->fencingToken == reply.fencingToken && takesDeadline(reply.result)) {
         target.recordDeadlineTaken(*run, reply.clockMs, now);
     }
+    if (run != nullptr && run->fencingToken == reply.fencingToken && reply.result != RequestResult::Unknown && run->unansweredStarts > 0) {
+        --run->unansweredStarts;
+    }
     if (reply.fencingToken != target.fencingToken()) {
         return;
     }
@@ -210,7 +214,14 @@
 {
     auto *job = findJob(name.task.jobId);
     auto *task = job == nullptr ? nullptr : job->find(name.task);
-    if (task == nullptr || job->pendingResult || (task->phase != TaskPhase::Waiting && task->phase != TaskPhase::Blocked)) {
+    if (task == nullptr || job->pendingResult) {
+        return;
+    }
+    if (task->phase != TaskPhase::Waiting && task->phase != TaskPhase::Blocked) {
+        // A late copy of a start has taken effect beside the task's next run.
+        if (auto *run = target.find(name)) {
+            stop(target, *run, "duplicate run", now);
+        }
         return;
     }
     task->phase = TaskPhase::Assigned;
--- a/src/scheduling/schedulertargets.cpp
+++ b/src/scheduling/schedulertargets.cpp
@@ -562,7 +562,12 @@
     m_observer.onTargetResponsivenessChanged(target.entry().id, true, expired.size());
     onRunsLost(target, LossEvidence::Unresponsive, target.lastAnswerAt, expired, now);
     for (const auto &run : expired) {
-        onRunEnded(target, run, now);
+        if (!run.mayStartAgain) {
+            onRunEnded(target, run, now);
+        } else if (auto *job = findJob(run.run.name.task.jobId);
+                   job != nullptr && m_crashSuspects.verdictOn(run.run.name.task) != CrashVerdict::Startable) {
+            endCrashingJob(*job, now);
+        }
     }
 }
 
--- a/src/scheduling/targetledger.cpp
+++ b/src/scheduling/targetledger.cpp
@@ -229,12 +229,20 @@
         return expired;
     }
     for (auto it = m_runs.begin(); it != m_runs.end();) {
-        if (it->second.phase != RunPhase::Running && !replaced) {
+        auto &run = it->second;
+        if (run.phase != RunPhase::Running && !replaced) {
             ++it;
             continue;
         }
-        expired.push_back({it->second, RunEnd::LeaseExpired, false});
-        it = m_runs.erase(it);
+        // A copy of the start may be carried out when the target has restarted, beside the next run of the task.
+        const bool mayStartAgain = run.unansweredStarts > 0 && !replaced;
+        expired.push_back({run, RunEnd::LeaseExpired, false, mayStartAgain});
+        if (mayStartAgain) {
+            run.phase = RunPhase::Unconfirmed;
+            ++it;
+        } else {
+            it = m_runs.erase(it);
+        }
     }
     recomputeUsage();
     return expired;
--- a/src/scheduling/targetledger.h
+++ b/src/scheduling/targetledger.h
@@ -64,6 +64,8 @@
     std::uint32_t stopRepetitions = 0;
     /// A request for its start is in flight.
     bool startInFlight = true;
+    /// Requests for its start that were sent and not answered. Each may still be carried out, also by a later incarnation of the target.
+    std::uint32_t unansweredStarts = 0;
     TimePoint stopSentAt;
     /// When the target accepted a stop; TimePoint() before.
     TimePoint stoppedAt;
@@ -87,6 +89,8 @@
     RunEnd end = RunEnd::LeaseExpired;
     /// False where the end is inferred, not listed.
     bool listed = false;
+    /// An unanswered copy of its start may still be carried out, so that the run stays in the ledger.
+    bool mayStartAgain = false;
 };
 
 /// What a listing changed.
@@ -154,8 +158,9 @@
     TimePoint leasesEndBy() const;
 
     /// Removes and returns the runs that have ended with their leases; before haveLeasesEnded(), returns nothing. Call only while the
-    /// target is unresponsive. An unanswered start remains, since the target may have restarted unnoticed and may still receive the start,
-    /// unless another incarnation has replaced it.
+    /// target is unresponsive. A run with an unanswered request for its start remains, since the target may have restarted unnoticed and
+    /// may still receive that request, unless another incarnation has replaced it; if it had been confirmed it is returned all the same,
+    /// once, with mayStartAgain.
     std::vector<EndedLedgerRun> expireRuns(TimePoint now);
 
     /// Records a request that extends leases until that reading of the target's clock.
--- a/tests/unit/scheduling/restartedtargets.cpp
+++ b/tests/unit/scheduling/restartedtargets.cpp
@@ -414,4 +414,44 @@
     BOOST_TEST(port.starts[2].target == "restarted");
 }
 
+// Review 6: the answer to a repetition confirmed the run. The task started elsewhere when its lease had ended, and the unanswered first
+// order started it again when the target had restarted.
+BOOST_FIXTURE_TEST_CASE(A_task_with_an_unanswered_copy_of_its_start_waits_until_its_silent_target_is_claimed_again, RestartedTargetFixture)
+{
+    startOnRestartedTarget();
+    answerStart(0, RequestResult::Unknown);
+    BOOST_TEST_REQUIRE(port.starts.size() == 2);
+    answerStart(1);
+    fallSilent(Seconds(4));
+    BOOST_TEST(startsButRepetitions().size() == 1);
+    scheduler.onRenewalReply("restarted", listing({}, Token), now);
+    BOOST_TEST(startsButRepetitions().size() == 1);
+    claimAgain();
+    scheduler.onRenewalReply("restarted", listing({}, NextToken), now);
+    BOOST_TEST(startsButRepetitions().size() == 2);
+}
+
+// The other way round: each copy of the start was answered, so that the end of the lease shows the end of the run.
+BOOST_FIXTURE_TEST_CASE(A_task_whose_only_start_was_answered_starts_elsewhere_when_its_lease_has_ended, RestartedTargetFixture)
+{
+    startOnRestartedTarget();
+    answerStart(0);
+    fallSilent(Seconds(4));
+    BOOST_TEST(startsButRepetitions().size() == 2);
+}
+
+// Review 6: the second run of the task was listed beside the first and went on until its lease ended.
+BOOST_FIXTURE_TEST_CASE(A_run_that_is_found_beside_the_next_run_of_its_task_is_stopped, RestartedTargetFixture)
+{
+    const auto name = startOnRestartedTarget();
+    answerStart(0);
+    fallSilent(Seconds(4));
+    BOOST_TEST_REQUIRE(startsButRepetitions().size() == 2);
+    scheduler.onRenewalReply("restarted", listing({{name, 10}}, Token), now);
+    const bool isStopped = std::any_of(port.stops.begin(), port.stops.end(), [&](const auto &stop) {
+        return stop.first == "restarted" && stop.second.name == name;
+    });
+    BOOST_TEST(isStopped);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
