--- a/src/scheduling/schedulerruns.cpp
+++ b/src/scheduling/schedulerruns.cpp
@@ -52,8 +52,9 @@
     m_port.sendStop(target.entry().id, request);
 }
 
-void Scheduler::sendStart(const ScheduledJob &job, const TargetLedger &target, const LedgerRun &run)
+void Scheduler::sendStart(const ScheduledJob &job, const TargetLedger &target, LedgerRun &run)
 {
+    ++run.unansweredStarts;
     StartRequest request;
     request.name = run.name;
     request.payload = job.submission.request.payload;
@@ -101,13 +102,17 @@
     if (run != nullptr && run->fencingToken == reply.fencingToken && takesDeadline(reply.result)) {
         target.recordDeadlineTaken(*run, reply.clockMs, now);
     }
+    if (run != nullptr && run->fencingToken == reply.fencingToken && reply.result != RequestResult::Unknown && run->unansweredStarts > 0) {
+        --run->unansweredStarts;
+    }
     if (reply.fencingToken != target.fencingToken()) {
         return;
     }
     if (run != nullptr && reply.result == RequestResult::Accepted) {
         target.confirmStart(*run, now);
     }
-    if (reply.result != RequestResult::Unknown && reply.result != RequestResult::NotSent) {
+    target.restartSuspected = target.restartSuspected || reply.result == RequestResult::ConnectionClosed;
+    if (isAnswer(reply.result)) {
         target.lastAnswerAt = now;
         if (target.clock.isKnown() && reply.clockMs > 0 && Milliseconds(target.clock.estimateMs(now) - reply.clockMs) > RestartClockGap) {
             target.restartSuspected = true;
@@ -159,6 +164,9 @@
         target.leaving = true;
         target.replaced = true;
     }
+    if (reply.result == RequestResult::ConnectionClosed) {
+        requestListing(target, now);
+    }
     onRunEnded(target, refused, now);
     schedule(target.entry().service, now);
 }
@@ -193,7 +201,7 @@
             run->stoppedAt = now;
         }
     }
-    if (reply.result != RequestResult::Unknown && reply.result != RequestResult::NotSent) {
+    if (isAnswer(reply.result)) {
         target.lastAnswerAt = now;
         requestListing(target, now);
     } else if (run != nullptr && !target.unresponsive && run->stopRepetitions < MaxRepetitions && m_repeatBudget.takeRepeat()) {
@@ -207,7 +215,14 @@
 {
     auto *job = findJob(name.task.jobId);
     auto *task = job == nullptr ? nullptr : job->find(name.task);
-    if (task == nullptr || job->pendingResult || (task->phase != TaskPhase::Waiting && task->phase != TaskPhase::Blocked)) {
+    if (task == nullptr || job->pendingResult) {
+        return;
+    }
+    if (task->phase != TaskPhase::Waiting && task->phase != TaskPhase::Blocked) {
+        // A late copy of a start has taken effect beside the task's next run.
+        if (auto *run = target.find(name)) {
+            stop(target, *run, "duplicate run", now);
+        }
         return;
     }
     task->phase = TaskPhase::Assigned;
