Deny no job before all known hosts have been heard

A host that had just started answered 410 to a DELETE for a job of another host: endpoints from which it had not heard yet did not count. Every host lists its endpoints to a process that becomes live.

The reports of HostNodeFixture now list the recipient, as the first report to a new process does.

--- a/emulator/emulatedhost.cpp
+++ b/emulator/emulatedhost.cpp
@@ -315,6 +315,12 @@
     return m_connectedEndpoints.contains(toString(endpoint)) && findRunningPeer(endpoint) != nullptr;
 }
 
+bool EmulatedHost::refusesConnections(const Endpoint &) const
+{
+    // The emulated network only loses what is sent to a host that does not run.
+    return false;
+}
+
 bool EmulatedHost::isCallerConnected(const std::string &jobId)
 {
     return m_environment.isCallerConnected(m_index, jobId);
--- a/emulator/emulatedhost.h
+++ b/emulator/emulatedhost.h
@@ -94,6 +94,7 @@
     void disconnect(const Endpoint &endpoint) override;
     void reconnect(const Endpoint &endpoint) override;
     bool isConnected(const Endpoint &endpoint) const override;
+    bool refusesConnections(const Endpoint &endpoint) const override;
     bool isCallerConnected(const std::string &jobId) override;
     bool sendFrame(const Endpoint &endpoint, const Fleet::FleetFrame &frame) override;
     void sendStart(const Fleet::TargetEntry &target, const Fleet::StartRequest &request) override;
--- a/src/fleet/hostnode.h
+++ b/src/fleet/hostnode.h
@@ -5,6 +5,7 @@
 #include "fleet/interfaces/hostobserver.h"
 #include "fleet/interfaces/hostport.h"
 #include "fleet/issuedgrants.h"
+#include "fleet/knownendpoints.h"
 #include "fleet/overloaddetector.h"
 #include "fleet/owedcancellations.h"
 #include "fleet/owedresults.h"
@@ -199,6 +200,7 @@
     bool cancelForCaller(const std::string &jobId, TimePoint now);
     void onCancelFrame(const FleetFrame &frame, TimePoint now);
     void onCancellations(const FleetFrame &frame, TimePoint now);
+    bool hasAskedAllHosts(const std::set<std::string> &asked, TimePoint now) const;
     void cancelAtDispatcher(const EntryJob &job, TimePoint now);
     bool placeBesideOwedCancellations(EntryJob &job, TimePoint now);
     bool returnToDispatcher(EntryJob &job, TimePoint now);
@@ -275,6 +277,7 @@
     PoolPlan m_poolPlan;
     /// By the text of their endpoints.
     std::map<std::string, PeerRecord> m_peers;
+    KnownEndpoints m_knownEndpoints;
     std::map<std::string, TimePoint> m_reconnectedAt;
     /// The shortest delay of a frame in the current time span and in the previous one. It includes the difference of the two hosts' clocks,
     /// so only the difference between two delays has a meaning. Older ones don't count, since that difference changes when a clock stops
--- a/src/fleet/hostnodepeers.cpp
+++ b/src/fleet/hostnodepeers.cpp
@@ -76,6 +76,7 @@
 void HostNode::excludeFromWaits(Duration pause, TimePoint now)
 {
     m_view.onPause(pause, now);
+    m_knownEndpoints.onPause(pause, now);
     for (auto &[target, claimAt] : m_nextClaimAt) {
         if (claimAt > now - pause) {
             claimAt += pause;
@@ -264,11 +265,24 @@
             longestSilence = std::max(longestSilence, FleetView::longestSilence(member->report.period));
         }
     }
-    const bool isComplete = std::all_of(m_peers.begin(), m_peers.end(), [&](const auto &entry) {
-        const auto &peer = entry.second;
+    const bool isComplete = hasAskedAllHosts(asked, now);
+    m_cancelInquiries.begin(jobId, std::move(asked), isComplete, now + longestSilence);
+}
+
+/// True when every endpoint belongs to a host that was asked or can have no job of a caller.
+bool HostNode::hasAskedAllHosts(const std::set<std::string> &asked, TimePoint now) const
+{
+    // A host that has heard nobody may be the one that is cut off, so that refusals show nothing.
+    const bool hasHeardAny = std::any_of(m_peers.begin(), m_peers.end(), [](const auto &entry) {
+        return !entry.second.host.empty();
+    });
+    return std::all_of(m_peers.begin(), m_peers.end(), [&](const auto &entry) {
+        const auto &[text, peer] = entry;
+        if (m_knownEndpoints.isUnexplored(text, now)) {
+            return hasHeardAny && peer.host.empty() && m_port.refusesConnections(peer.endpoint);
+        }
         return peer.host.empty() || asked.contains(peer.host) || now - peer.lastNamedAt > EndpointExpiry;
     });
-    m_cancelInquiries.begin(jobId, std::move(asked), isComplete, now + longestSilence);
 }
 
 void HostNode::onCancellations(const FleetFrame &frame, TimePoint now)
@@ -362,6 +376,11 @@
     peer.lastNamedAt = now;
     if (becameLive) {
         peer.nextReportAt = now;
+        // A process that has just started must learn of all hosts.
+        peer.listedEndpoints = 0;
+    }
+    if (!frame.knownEndpoints.empty()) {
+        m_knownEndpoints.onListReceived(toString(report.peerEndpoint), now);
     }
     for (const auto &endpoint : frame.knownEndpoints) {
         addNamedEndpoint(endpoint, now);
@@ -475,6 +494,7 @@
 {
     const auto [found, added] = m_peers.try_emplace(toString(endpoint));
     auto &peer = found->second;
+    m_knownEndpoints.onNamed(found->first, now);
     if (added) {
         peer.endpoint = endpoint;
         peer.isSeed = std::find(m_identity.seeds.begin(), m_identity.seeds.end(), endpoint) != m_identity.seeds.end();
@@ -497,6 +517,7 @@
         return;
     }
     m_endpointsCheckedAt = now;
+    m_knownEndpoints.removeOld(now);
     for (auto it = m_peers.begin(); it != m_peers.end();) {
         if (!it->second.isSeed && now - it->second.lastNamedAt > EndpointExpiry) {
             m_port.disconnect(it->second.endpoint);
--- a/src/fleet/interfaces/hostport.h
+++ b/src/fleet/interfaces/hostport.h
@@ -28,6 +28,9 @@
     /// True while a frame to the endpoint could be sent.
     virtual bool isConnected(const Endpoint &endpoint) const = 0;
 
+    /// True when the machine of the endpoint has refused the last attempt to connect: no process listens there.
+    virtual bool refusesConnections(const Endpoint &endpoint) const = 0;
+
     /// Sends a frame; false when there is no connection.
     virtual bool sendFrame(const Endpoint &endpoint, const FleetFrame &frame) = 0;
 
--- a/src/fleet/peerlinks.cpp
+++ b/src/fleet/peerlinks.cpp
@@ -105,6 +105,11 @@
         return m_connected;
     }
 
+    bool isRefused() const
+    {
+        return m_refused;
+    }
+
     /// Ends the wait for the next attempt to connect, if there is one.
     void retry()
     {
@@ -176,6 +181,7 @@
         const tcp::endpoint remote(asio::ip::make_address(m_endpoint.address), m_endpoint.port);
         auto [connectError] = co_await m_socket.async_connect(remote, Awaitable);
         timeout->cancel();
+        m_refused = connectError == asio::error::connection_refused;
         if (connectError || !m_socket.is_open()) {
             co_return false;
         }
@@ -220,6 +226,7 @@
     std::deque<std::string> m_queue;
     std::size_t m_queuedBytes = 0;
     bool m_connected = false;
+    bool m_refused = false;
     bool m_waitsForRetry = false;
     bool m_stopped = false;
     bool m_closeWhenFlushed = false;
@@ -411,6 +418,12 @@
     return found != d->outgoing.end() && found->second->isConnected();
 }
 
+bool PeerLinks::isRefused(const Endpoint &endpoint) const
+{
+    const auto found = d->outgoing.find(toString(endpoint));
+    return found != d->outgoing.end() && found->second->isRefused();
+}
+
 bool PeerLinks::send(const Endpoint &endpoint, const std::string &bytes)
 {
     const auto found = d->outgoing.find(toString(endpoint));
--- a/src/fleet/peerlinks.h
+++ b/src/fleet/peerlinks.h
@@ -51,6 +51,9 @@
     /// True while the connection to the endpoint is open. Call on the executor.
     bool isConnected(const Endpoint &endpoint) const;
 
+    /// True when the last attempt to connect was refused by the endpoint's machine. Call on the executor.
+    bool isRefused(const Endpoint &endpoint) const;
+
     /// Queues a message. False when there is no connection or the queue is full; the message is then dropped.
     bool send(const Endpoint &endpoint, const std::string &bytes);
 
--- a/src/hostruntime/hostprocess.cpp
+++ b/src/hostruntime/hostprocess.cpp
@@ -342,6 +342,11 @@
         return peerLinks->isConnected(endpoint);
     }
 
+    bool refusesConnections(const Endpoint &endpoint) const override
+    {
+        return peerLinks->isRefused(endpoint);
+    }
+
     bool sendFrame(const Endpoint &endpoint, const FleetFrame &frame) override
     {
         return peerLinks->send(endpoint, encodeFrame(frame, Clock::now()));
--- a/tests/support/hostnodefixture.h
+++ b/tests/support/hostnodefixture.h
@@ -28,6 +28,10 @@
     {
         return true;
     }
+    bool refusesConnections(const Endpoint &endpoint) const override
+    {
+        return refusingEndpoints.contains(toString(endpoint));
+    }
     bool sendFrame(const Endpoint &endpoint, const FleetFrame &frame) override
     {
         if (!acceptsFrames) {
@@ -84,6 +88,8 @@
     /// Jobs whose callers have closed their connections, which the node is not told.
     std::set<std::string> disconnectedCallers;
     std::map<std::string, CancelOutcome> cancels;
+    /// Endpoints at which no process listens.
+    std::set<std::string> refusingEndpoints;
     int targetListRefreshes = 0;
     bool acceptsFrames = true;
 };
@@ -284,6 +290,8 @@
             content.loads.push_back({"service", 4, 0, Duration(0)});
         }
         frame.report = content;
+        // The sender knows at least the recipient.
+        frame.knownEndpoints.push_back({"10.0.0.1", 7000});
         return frame;
     }
 
