Remember cancelled jobs on all live hosts

The POST of a job that was cancelled on another connection was answered 504, so that its caller sent it again 1.3 s later, and the job ran. A host that cancels a job now tells all live hosts, and the DELETE is acknowledged when each has confirmed that it remembers the job, which it does for 15 s. Hosts that become live get all remembered jobs with the first report. The POST is answered 410, and so is each later one; a dispatcher that remembers the job refuses it.

requestCancel() and what belongs to it move from hostnode.cpp and hostnodepeers.cpp to hostnodecancellations.cpp.

--- a/emulator/emulatedcallers.cpp
+++ b/emulator/emulatedcallers.cpp
@@ -251,6 +251,7 @@
         break;
     case CallerAnswer::Failed:
     case CallerAnswer::Unknown:
+    case CallerAnswer::Cancelled:
         ++(reply.answer == CallerAnswer::Failed ? result.failed : result.unknown);
         ++result.unanswered;
         break;
--- a/src/entry/callerrequesthandler.cpp
+++ b/src/entry/callerrequesthandler.cpp
@@ -140,6 +140,9 @@
         co_return makeResponse(Ok, Platform::encodeJobResult(false));
     case CallerAnswer::NotRun:
         co_return refuse(id, ServiceUnavailable, reply.reason, std::max<Duration>(reply.retryAfter, Seconds(1)));
+    case CallerAnswer::Cancelled:
+        // Final, unlike 504, and true whether a task has started or not, unlike 503 and a result.
+        co_return refuse(id, Gone, reply.reason, Duration(0));
     case CallerAnswer::Unknown:
         break;
     }
--- a/src/fleet/entryjob.h
+++ b/src/fleet/entryjob.h
@@ -16,12 +16,14 @@
     NotRun,
     /// Tasks may have run, but their outcome is not known.
     Unknown,
+    /// The job was cancelled on request. Tasks may have run; no task will be started.
+    Cancelled,
 };
 
 /// The name in logs and metrics. Thread-safe.
 constexpr const char *toName(CallerAnswer answer)
 {
-    constexpr const char *Names[] = {"completed", "failed", "not_run", "unknown"};
+    constexpr const char *Names[] = {"completed", "failed", "not_run", "unknown", "cancelled"};
     return Names[static_cast<std::size_t>(answer)];
 }
 
--- a/src/fleet/fleetframe.cpp
+++ b/src/fleet/fleetframe.cpp
@@ -321,10 +321,21 @@
     for (const auto &id : frame.cancelInquiries) {
         wire.add_cancel_inquiries()->set_id(id);
     }
+    for (const auto &job : frame.cancelAnnouncements) {
+        auto &row = *wire.add_cancel_inquiries();
+        row.set_id(job.jobId);
+        row.set_cancelled_for_us(std::max<std::int64_t>(1, remainingMicroseconds(job.until, now)));
+    }
     for (const auto &answer : frame.cancelAnswers) {
         auto &row = *wire.add_cancel_answers();
         row.set_id(answer.jobId);
         row.set_cancelled(answer.cancelled);
+        row.set_remembered(answer.isRemembered);
+    }
+    for (const auto &job : frame.cancelledJobs) {
+        auto &row = *wire.add_cancelled_jobs();
+        row.set_id(job.jobId);
+        row.set_for_us(remainingMicroseconds(job.until, now));
     }
     for (const auto &id : frame.abandonedRuns) {
         wire.add_abandoned_runs(id);
@@ -400,10 +411,17 @@
         frame.confirmedCancellations.push_back({row.id(), row.submission()});
     }
     for (const auto &row : wire.cancel_inquiries()) {
-        frame.cancelInquiries.push_back(row.id());
+        if (row.cancelled_for_us() > 0) {
+            frame.cancelAnnouncements.push_back({row.id(), now + fromMicroseconds(row.cancelled_for_us())});
+        } else {
+            frame.cancelInquiries.push_back(row.id());
+        }
     }
     for (const auto &row : wire.cancel_answers()) {
-        frame.cancelAnswers.push_back({row.id(), row.cancelled()});
+        frame.cancelAnswers.push_back({row.id(), row.cancelled(), row.remembered()});
+    }
+    for (const auto &row : wire.cancelled_jobs()) {
+        frame.cancelledJobs.push_back({row.id(), now + fromMicroseconds(row.for_us())});
     }
     frame.abandonedRuns.assign(wire.abandoned_runs().begin(), wire.abandoned_runs().end());
     frame.requestsConfiguration = wire.has_configuration_request();
--- a/src/fleet/fleetframe.h
+++ b/src/fleet/fleetframe.h
@@ -79,12 +79,21 @@
     std::uint64_t submissionNumber = 0;
 };
 
-/// The answer to a host that asks all others to cancel a job.
+/// A job that was cancelled on request. A submission by its caller before this time must not run.
+struct CancelledJob
+{
+    std::string jobId;
+    TimePoint until;
+};
+
+/// The answer to a host that asks all others to cancel a job, or that announces a cancelled one.
 struct CancelAnswer
 {
     std::string jobId;
-    /// The job's caller waited here, and the job was cancelled.
+    /// The job's caller waited here, and the job was cancelled, or it was cancelled before.
     bool cancelled = false;
+    /// The sender remembers the cancellation, and so does every host that was live at the sender; false from earlier versions.
+    bool isRemembered = false;
 };
 
 /// The last frame of the recipient that the sender has read. Without values before the first one.
@@ -125,7 +134,11 @@
     std::vector<JobCancellation> confirmedCancellations;
     /// Jobs that a caller has asked the sender to cancel.
     std::vector<std::string> cancelInquiries;
+    /// Cancelled jobs that the recipient must remember; it confirms each by an answer.
+    std::vector<CancelledJob> cancelAnnouncements;
     std::vector<CancelAnswer> cancelAnswers;
+    /// All cancelled jobs that the sender remembers, for a recipient that may not know them.
+    std::vector<CancelledJob> cancelledJobs;
     /// Jobs that the sender ran and that were given up since. See RunNotices.
     std::vector<std::string> abandonedRuns;
     bool requestsConfiguration = false;
--- a/src/fleet/hostnode.cpp
+++ b/src/fleet/hostnode.cpp
@@ -57,6 +57,10 @@
 {
     beginEvent(now);
     const auto id = submission.request.id;
+    if (m_cancelledJobs.contains(id, now)) {
+        m_port.answerCaller(id, replyToCancelled());
+        return;
+    }
     submission.entryHost = m_identity.host;
     EntryJob job;
     job.answerBy = submission.callerDeadline;
@@ -126,19 +130,6 @@
     processSchedulerEvents(now);
 }
 
-/// Cancels a job whose caller waits here, and answers that caller. False when there is none.
-bool HostNode::cancelForCaller(const std::string &jobId, TimePoint now)
-{
-    if (!m_jobs.contains(jobId)) {
-        return false;
-    }
-    cancel(jobId, now);
-    CallerReply reply;
-    reply.reason = "cancelled by its caller";
-    m_port.answerCaller(jobId, reply);
-    return true;
-}
-
 /// Cancels a job that is given up here at the dispatcher that may have it.
 void HostNode::cancelAtDispatcher(const EntryJob &job, TimePoint now)
 {
--- a/src/fleet/hostnode.h
+++ b/src/fleet/hostnode.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include "fleet/cancelannouncements.h"
+#include "fleet/cancelinquiries.h"
+#include "fleet/cancelledjobs.h"
 #include "fleet/earlierruns.h"
 #include "fleet/fleetview.h"
 #include "fleet/interfaces/hostobserver.h"
@@ -50,15 +53,15 @@
     HostNode(HostIdentity identity, HostPort &port, HostObserver &observer);
     ~HostNode() override;
 
-    /// Accepts a caller's job, unless its caller has gone already. HostPort::answerCaller() is called once for it, unless it is cancelled
-    /// first.
+    /// Accepts a caller's job, unless its caller has gone already, or the job was cancelled on request lately. HostPort::answerCaller() is
+    /// called once for it, unless it is cancelled first.
     void submit(JobSubmission submission, TimePoint now);
 
     /// Cancels a job whose caller has gone.
     void cancel(const std::string &jobId, TimePoint now);
 
-    /// Cancels a job on the request of a caller, which may wait for its answer at another host: all hosts are asked.
-    /// HostPort::onCancelDecided() is called once the outcome is known, at the latest when a live host would count as lost.
+    /// Cancels a job on the request of a caller, which may wait for its answer at another host: all hosts are asked. When all live hosts
+    /// remember the cancellation, HostPort::onCancelDecided() is called; at the latest when a live host would count as lost.
     void requestCancel(const std::string &jobId, TimePoint now);
 
     /// True while a caller waits for this job here.
@@ -154,6 +157,8 @@
         TimePoint grantRequestedAt;
         /// When a report was last made due by a frame of a process that may have ended.
         TimePoint answeredUnprovenAt;
+        /// When the cancelled jobs were last sent there.
+        TimePoint cancelledJobsSentAt;
         /// The report period that was last sent there.
         Duration announcedPeriod {0};
         /// The number of endpoints that the last list sent there had.
@@ -197,7 +202,16 @@
     void onLongRuns(const LongRunsNotice &notice, const std::string &from, std::uint64_t incarnation);
     void onJobResult(const JobEndNotice &notice, const std::string &from, std::uint64_t incarnation, TimePoint now);
     void onResultOfPrevious(EntryJob &job, const JobEndNotice &notice, const std::string &from, std::uint64_t incarnation, TimePoint now);
-    bool cancelForCaller(const std::string &jobId, TimePoint now);
+    Duration longestSilenceOf(const std::set<std::string> &hosts) const;
+    bool rememberCancelled(const CancelledJob &cancelled, TimePoint now);
+    static CallerReply replyToCancelled();
+    bool refuseCancelled(const JobSubmission &submission, TimePoint now);
+    void announceCancelled(const std::string &jobId, const std::string &askingHost, TimePoint now);
+    void finishAnnouncements(TimePoint now);
+    void onCancelAnswer(const CancelAnswer &answer, const std::string &from, TimePoint now);
+    void onCancelledJobs(const FleetFrame &frame, TimePoint now);
+    void addCancelledJobs(FleetFrame &frame, PeerRecord &peer, bool isLive, TimePoint now);
+    void updateCancellations(TimePoint now);
     void onCancelFrame(const FleetFrame &frame, TimePoint now);
     void onCancellations(const FleetFrame &frame, TimePoint now);
     bool hasAskedAllHosts(const std::set<std::string> &asked, TimePoint now) const;
@@ -321,6 +335,10 @@
     std::map<std::string, LossRecord> m_lostDispatchers;
     IssuedGrants m_issuedGrants;
     CancelInquiries m_cancelInquiries;
+    CancelledJobs m_cancelledJobs;
+    CancelAnnouncements m_cancelAnnouncements;
+    /// Hosts that are to be told of all cancelled jobs with the next report.
+    std::set<std::string> m_owedCancelledJobs;
     OwedCancellations m_owedCancellations;
     OwedResults m_owedResults;
     EarlierRuns m_earlierRuns;
--- a/src/fleet/hostnodepeers.cpp
+++ b/src/fleet/hostnodepeers.cpp
@@ -102,6 +102,7 @@
     case PeerProcesses::Finding::Present:
         break;
     }
+    onCancelledJobs(frame, now);
     const bool mayGrantFromHere = seeCallersOf(frame, now);
     if (frame.report) {
         onReport(frame, now);
@@ -131,7 +132,9 @@
         frame.submissions.clear();
     }
     for (auto &submission : frame.submissions) {
-        schedule(std::move(submission), now);
+        if (!refuseCancelled(submission, now)) {
+            schedule(std::move(submission), now);
+        }
     }
     for (const auto &notice : frame.crashNotices) {
         onCrashNotice(notice, frame.host, frame.incarnation);
@@ -181,6 +184,7 @@
 void HostNode::onUnprovenFrame(const FleetFrame &frame, TimePoint now)
 {
     m_observer.onUnprovenFrame(frame.host, frame.incarnation);
+    onCancelledJobs(frame, now);
     for (const auto &notice : frame.ended) {
         onJobResult(notice, frame.host, frame.incarnation, now);
     }
@@ -248,43 +252,6 @@
     }
 }
 
-void HostNode::requestCancel(const std::string &jobId, TimePoint now)
-{
-    beginEvent(now);
-    if (cancelForCaller(jobId, now)) {
-        m_port.onCancelDecided(jobId, CancelOutcome::Cancelled);
-        return;
-    }
-    std::set<std::string> asked;
-    auto longestSilence = FleetView::longestSilence(Duration(0));
-    for (const auto *member : m_view.liveMembers(now)) {
-        FleetFrame frame;
-        frame.cancelInquiries.push_back(jobId);
-        if (send(member->report.host, std::move(frame), now)) {
-            asked.insert(member->report.host);
-            longestSilence = std::max(longestSilence, FleetView::longestSilence(member->report.period));
-        }
-    }
-    const bool isComplete = hasAskedAllHosts(asked, now);
-    m_cancelInquiries.begin(jobId, std::move(asked), isComplete, now + longestSilence);
-}
-
-/// True when every endpoint belongs to a host that was asked or can have no job of a caller.
-bool HostNode::hasAskedAllHosts(const std::set<std::string> &asked, TimePoint now) const
-{
-    // A host that has heard nobody may be the one that is cut off, so that refusals show nothing.
-    const bool hasHeardAny = std::any_of(m_peers.begin(), m_peers.end(), [](const auto &entry) {
-        return !entry.second.host.empty();
-    });
-    return std::all_of(m_peers.begin(), m_peers.end(), [&](const auto &entry) {
-        const auto &[text, peer] = entry;
-        if (m_knownEndpoints.isUnexplored(text, now)) {
-            return hasHeardAny && peer.host.empty() && m_port.refusesConnections(peer.endpoint);
-        }
-        return peer.host.empty() || asked.contains(peer.host) || now - peer.lastNamedAt > EndpointExpiry;
-    });
-}
-
 void HostNode::onCancellations(const FleetFrame &frame, TimePoint now)
 {
     FleetFrame confirmation;
@@ -304,20 +271,6 @@
     }
 }
 
-void HostNode::onCancelFrame(const FleetFrame &frame, TimePoint now)
-{
-    for (const auto &id : frame.cancelInquiries) {
-        FleetFrame answer;
-        answer.cancelAnswers.push_back({id, cancelForCaller(id, now)});
-        send(frame.host, std::move(answer), now);
-    }
-    for (const auto &answer : frame.cancelAnswers) {
-        if (const auto outcome = m_cancelInquiries.onAnswer(answer.jobId, frame.host, answer.cancelled)) {
-            m_port.onCancelDecided(answer.jobId, *outcome);
-        }
-    }
-}
-
 /// How much longer a frame took than the fastest recent one of its sender; 0 for its first one.
 Duration HostNode::excessDelay(const FleetFrame &frame, TimePoint now) const
 {
@@ -376,8 +329,9 @@
     peer.lastNamedAt = now;
     if (becameLive) {
         peer.nextReportAt = now;
-        // A process that has just started must learn of all hosts.
+        // A process that has just started must learn of all hosts and of what was cancelled.
         peer.listedEndpoints = 0;
+        m_owedCancelledJobs.insert(report.host);
     }
     if (!frame.knownEndpoints.empty()) {
         m_knownEndpoints.onListReceived(toString(report.peerEndpoint), now);
@@ -451,6 +405,8 @@
         onDispatcherDisconnected(peer->second.host, now);
         // The last report may be lost.
         peer->second.nextReportAt = now;
+        peer->second.cancelledJobsSentAt = TimePoint();
+        m_owedCancelledJobs.insert(peer->second.host);
     }
     processSchedulerEvents(now);
 }
@@ -466,6 +422,7 @@
     recordLostDispatcher(lost, now);
     m_lostDispatchers.at(incarnationKey(report.host, report.incarnation)).lostAt = now;
     m_issuedGrants.removeOld(now);
+    m_cancelAnnouncements.onHostLost(report.host);
     // The host may have been the only one to know what ran. If it is only cut off, it may dispatch on its own now.
     m_scheduler.onHistoryLost(now);
     onDispatcherLost(report.host, report.incarnation, now);
@@ -596,9 +553,7 @@
     finishYields(now);
     placeWaitingJobs(now);
     processSchedulerEvents(now);
-    for (const auto &[jobId, outcome] : m_cancelInquiries.takeDecided(now)) {
-        m_port.onCancelDecided(jobId, outcome);
-    }
+    updateCancellations(now);
     removeUnresponsiveEndpoints(now);
     m_owedCancellations.removeOld(now);
     m_owedResults.removeOld(now);
@@ -766,6 +721,7 @@
         }
     }
     frame.cancellations = m_owedCancellations.cancellationsAt(peer.host);
+    addCancelledJobs(frame, peer, member != nullptr, now);
     m_port.sendFrame(peer.endpoint, frame);
     if (requestsGrant) {
         peer.grantRequestedAt = now;
--- a/tests/process/service.cpp
+++ b/tests/process/service.cpp
@@ -229,6 +229,52 @@
     BOOST_TEST(site.startCount("00000000000000bc.0.0.0") == 0);
 }
 
+// review/8: the POST of a cancelled job was answered 504, so that its caller sent it again and it ran.
+BOOST_AUTO_TEST_CASE(A_cancelled_job_does_not_run_when_its_caller_sends_it_again)
+{
+    const std::string job = "00000000000000ca";
+    auto waiting = std::async(std::launch::async, [this, job] {
+        return site.submit(0, "checks", job, 1, Seconds(20), Seconds(30));
+    });
+    BOOST_REQUIRE(eventually([this, job] {
+        return site.startCount(job + ".0.0.0") == 1;
+    }));
+    BOOST_TEST(site.request(1, "DELETE", "/checks/" + job, "").status == 200);
+    BOOST_TEST(waiting.get().status == 410);
+    // The host that has acknowledged the cancellation is lost.
+    site.host(1).kill();
+    for (const std::size_t host : {0, 2}) {
+        BOOST_TEST(site.submit(host, "checks", job, 1, Milliseconds(30)).status == 410);
+    }
+    site.startHost(1);
+    BOOST_REQUIRE(eventually([this] {
+        return site.isReady();
+    }));
+    BOOST_TEST(site.submit(1, "checks", job, 1, Milliseconds(30)).status == 410);
+    BOOST_TEST(site.startCount(job + ".0.0.0") == 1);
+}
+
+// review/9: a host that had just started answered 410 for a job that waited at another host.
+BOOST_AUTO_TEST_CASE(A_host_that_has_just_started_does_not_deny_a_job_of_another_host)
+{
+    const std::string job = "00000000000000cb";
+    site.host(2).kill();
+    auto waiting = std::async(std::launch::async, [this, job] {
+        return site.submit(0, "checks", job, 1, Seconds(20), Seconds(30));
+    });
+    BOOST_REQUIRE(eventually([this, job] {
+        return site.startCount(job + ".0.0.0") == 1;
+    }));
+    site.startHost(2);
+    int status = 0;
+    BOOST_REQUIRE(eventually([this, job, &status] {
+        status = site.request(2, "DELETE", "/checks/" + job, "").status;
+        return status == 200 || status == 410;
+    }));
+    BOOST_TEST(status == 200);
+    waiting.get();
+}
+
 BOOST_AUTO_TEST_CASE(A_target_that_leaves_is_given_no_new_task)
 {
     BOOST_TEST(completes(0));
