Identify a job by its route and id

Jobs were known by their ids alone, which callers of different queues choose independently: the second caller got the result of the first one's job, and its DELETE cancelled that. Hosts now know a job by a key of route and id, made in CallerRequestHandler, in all that they store and say. Tasks are still named by the id at targets, so that a dispatcher lets a job wait while one of another route with its id is there (CollidingJobs). Ids in frames of hosts of earlier versions are completed by the jobs that this host has with them.

--- a/src/entry/callerrequesthandler.cpp
+++ b/src/entry/callerrequesthandler.cpp
@@ -3,6 +3,7 @@
 #include "entry/callerlimit.h"
 #include "platform/jobmessages.h"
 #include "platform/names.h"
+#include "workload/jobkey.h"
 #include "workload/supportedfeatures.h"
 
 #include <algorithm>
@@ -50,9 +51,9 @@
     return m_routes;
 }
 
-HttpResponse CallerRequestHandler::refuse(const std::string &jobId, int status, const std::string &reason, Duration retryAfter)
+HttpResponse CallerRequestHandler::refuse(const std::string &key, int status, const std::string &reason, Duration retryAfter)
 {
-    m_telemetry.onRequestRefused(jobId, status, reason, m_routes ? m_routes->version() : 0);
+    m_telemetry.onRequestRefused(key, status, reason, m_routes ? m_routes->version() : 0);
     auto answer = makeResponse(status, Platform::encodeError(reason));
     if (retryAfter > Duration(0)) {
         const auto seconds = std::max<std::int64_t>(1, std::chrono::duration_cast<Seconds>(retryAfter).count());
@@ -96,7 +97,7 @@
         co_return makeResponse(Gone, Platform::encodeError("no such job"));
     }
     if (request.method == "DELETE") {
-        co_return co_await cancel(id);
+        co_return co_await cancel(makeJobKey(id, route->name));
     }
     co_return refuse(id, MethodNotAllowed, "the method must be POST, GET or DELETE", Duration(0));
 }
@@ -105,23 +106,25 @@
     HttpRequest request, HttpPeer &peer, [[maybe_unused]] std::shared_ptr<const RouteTable> routes, const Route *route, std::string id)
 {
     auto decoding = Platform::decodeJob(id, request.body);
+    const auto key = makeJobKey(id, route->name);
     if (!decoding.job) {
-        co_return refuse(id, BadRequest, decoding.error, Duration(0));
+        co_return refuse(key, BadRequest, decoding.error, Duration(0));
     }
     if (const auto *feature = unsupportedFeature(*decoding.job, *route)) {
-        co_return refuse(id, ServiceUnavailable, std::string("not supported: ") + feature, Seconds(60));
+        co_return refuse(key, ServiceUnavailable, std::string("not supported: ") + feature, Seconds(60));
     }
     const auto now = Clock::now();
     const Waiter waiter {std::make_shared<OneShot<CallerReply>>(m_executor), &peer};
-    auto &waiters = m_waiters[id];
+    auto &waiters = m_waiters[key];
     waiters.push_back(waiter);
-    m_telemetry.onJobRead(id, peer.isConnected(), tickDelay(now));
-    peer.onDisconnect([this, id, waiter, now] {
-        onCallerDisconnected(id, waiter, now);
+    m_telemetry.onJobRead(key, peer.isConnected(), tickDelay(now));
+    peer.onDisconnect([this, key, waiter, now] {
+        onCallerDisconnected(key, waiter, now);
     });
     if (waiters.size() == 1) {
         JobSubmission submission;
         submission.request = std::move(*decoding.job);
+        submission.request.id = key;
         submission.route = route->name;
         submission.service = route->service;
         submission.priority = route->priority;
@@ -139,19 +142,19 @@
     case CallerAnswer::Failed:
         co_return makeResponse(Ok, Platform::encodeJobResult(false));
     case CallerAnswer::NotRun:
-        co_return refuse(id, ServiceUnavailable, reply.reason, std::max<Duration>(reply.retryAfter, Seconds(1)));
+        co_return refuse(key, ServiceUnavailable, reply.reason, std::max<Duration>(reply.retryAfter, Seconds(1)));
     case CallerAnswer::Cancelled:
         // Final, unlike 504, and true whether a task has started or not, unlike 503 and a result.
-        co_return refuse(id, Gone, reply.reason, Duration(0));
+        co_return refuse(key, Gone, reply.reason, Duration(0));
     case CallerAnswer::Unknown:
         break;
     }
-    co_return refuse(id, GatewayTimeout, reply.reason, Duration(0));
+    co_return refuse(key, GatewayTimeout, reply.reason, Duration(0));
 }
 
-void CallerRequestHandler::onAnswer(const std::string &jobId, const CallerReply &reply)
+void CallerRequestHandler::onAnswer(const std::string &key, const CallerReply &reply)
 {
-    const auto found = m_waiters.find(jobId);
+    const auto found = m_waiters.find(key);
     if (found == m_waiters.end()) {
         return;
     }
@@ -161,22 +164,22 @@
     m_waiters.erase(found);
 }
 
-bool CallerRequestHandler::isCallerConnected(const std::string &jobId) const
+bool CallerRequestHandler::isCallerConnected(const std::string &key) const
 {
-    const auto found = m_waiters.find(jobId);
+    const auto found = m_waiters.find(key);
     return found != m_waiters.end() && std::any_of(found->second.begin(), found->second.end(), [](const Waiter &waiter) {
                return waiter.peer->isConnected();
            });
 }
 
-void CallerRequestHandler::onCallerDisconnected(const std::string &id, const Waiter &waiter, TimePoint connectedAt)
+void CallerRequestHandler::onCallerDisconnected(const std::string &key, const Waiter &waiter, TimePoint connectedAt)
 {
     const auto now = Clock::now();
-    m_telemetry.onCallerDisconnected(id, now - connectedAt, tickDelay(now));
+    m_telemetry.onCallerDisconnected(key, now - connectedAt, tickDelay(now));
     CallerReply reply;
     reply.reason = "caller has gone";
     waiter.reply->set(reply);
-    const auto found = m_waiters.find(id);
+    const auto found = m_waiters.find(key);
     if (found == m_waiters.end()) {
         return;
     }
@@ -185,15 +188,15 @@
     });
     if (found->second.empty()) {
         m_waiters.erase(found);
-        m_node.cancel(id, now);
+        m_node.cancel(key, now);
     }
 }
 
-asio::awaitable<HttpResponse> CallerRequestHandler::cancel(std::string id)
+asio::awaitable<HttpResponse> CallerRequestHandler::cancel(std::string key)
 {
     auto waiter = std::make_shared<OneShot<CancelOutcome>>(m_executor);
-    m_cancelWaiters[id].push_back(waiter);
-    m_node.requestCancel(id, Clock::now());
+    m_cancelWaiters[key].push_back(waiter);
+    m_node.requestCancel(key, Clock::now());
     switch (co_await waiter->wait()) {
     case CancelOutcome::Cancelled:
         co_return makeResponse(Ok, Platform::encodeError("cancelled"));
@@ -202,12 +205,12 @@
     case CancelOutcome::Undecided:
         break;
     }
-    co_return refuse(id, ServiceUnavailable, "a host that may have the job does not answer", Seconds(1));
+    co_return refuse(key, ServiceUnavailable, "a host that may have the job does not answer", Seconds(1));
 }
 
-void CallerRequestHandler::onCancelDecided(const std::string &jobId, CancelOutcome outcome)
+void CallerRequestHandler::onCancelDecided(const std::string &key, CancelOutcome outcome)
 {
-    const auto waiters = m_cancelWaiters.extract(jobId);
+    const auto waiters = m_cancelWaiters.extract(key);
     if (waiters) {
         for (const auto &waiter : waiters.mapped()) {
             waiter->set(outcome);
--- a/src/entry/callerrequesthandler.h
+++ b/src/entry/callerrequesthandler.h
@@ -17,7 +17,7 @@
 namespace Anvilcart::Fleet
 {
 /// Handles callers' HTTP requests: finds the route, decodes the job, submits it to the node and waits for its answer.
-/// Belongs to one executor.
+/// Belongs to one executor. The host knows a job by its key, which is made here (see makeJobKey()).
 class CallerRequestHandler
 {
 public:
@@ -37,13 +37,13 @@
     boost::asio::awaitable<HttpResponse> handle(HttpRequest request, HttpPeer &peer);
 
     /// Passes the outcome of a request to cancel a job to every caller that asked for it.
-    void onCancelDecided(const std::string &jobId, CancelOutcome outcome);
+    void onCancelDecided(const std::string &key, CancelOutcome outcome);
 
     /// Passes the answer of a job to every caller that waits for it.
-    void onAnswer(const std::string &jobId, const CallerReply &reply);
+    void onAnswer(const std::string &key, const CallerReply &reply);
 
     /// Looks at the connections of the callers that wait for this job: false when all of them have been closed.
-    bool isCallerConnected(const std::string &jobId) const;
+    bool isCallerConnected(const std::string &key) const;
 
 private:
     /// A caller that waits for its answer. The peer lives at least until the answer is set.
@@ -55,9 +55,9 @@
 
     boost::asio::awaitable<HttpResponse>
     submit(HttpRequest request, HttpPeer &peer, std::shared_ptr<const RouteTable> routes, const Route *route, std::string id);
-    HttpResponse refuse(const std::string &jobId, int status, const std::string &reason, Duration retryAfter);
-    boost::asio::awaitable<HttpResponse> cancel(std::string id);
-    void onCallerDisconnected(const std::string &id, const Waiter &waiter, TimePoint connectedAt);
+    HttpResponse refuse(const std::string &key, int status, const std::string &reason, Duration retryAfter);
+    boost::asio::awaitable<HttpResponse> cancel(std::string key);
+    void onCallerDisconnected(const std::string &key, const Waiter &waiter, TimePoint connectedAt);
     Duration tickDelay(TimePoint now) const;
 
     boost::asio::any_io_executor m_executor;
--- a/src/fleet/cancelannouncements.cpp
+++ b/src/fleet/cancelannouncements.cpp
@@ -52,4 +52,13 @@
     }
     return finished;
 }
+
+std::vector<std::string> CancelAnnouncements::jobs() const
+{
+    std::vector<std::string> jobs;
+    for (const auto &[jobId, entry] : m_announcements) {
+        jobs.push_back(jobId);
+    }
+    return jobs;
+}
 } // namespace Anvilcart::Fleet
--- a/src/fleet/cancelannouncements.h
+++ b/src/fleet/cancelannouncements.h
@@ -39,6 +39,9 @@
     /// Ends and returns the announcements that are confirmed, or whose time is over.
     std::vector<Finished> takeFinished(TimePoint now);
 
+    /// The jobs that are not decided yet.
+    std::vector<std::string> jobs() const;
+
 private:
     struct Announcement
     {
--- a/src/fleet/cancelinquiries.cpp
+++ b/src/fleet/cancelinquiries.cpp
@@ -38,4 +38,13 @@
     }
     return decided;
 }
+
+std::vector<std::string> CancelInquiries::jobs() const
+{
+    std::vector<std::string> jobs;
+    for (const auto &[jobId, entry] : m_inquiries) {
+        jobs.push_back(jobId);
+    }
+    return jobs;
+}
 } // namespace Anvilcart::Fleet
--- a/src/fleet/cancelinquiries.h
+++ b/src/fleet/cancelinquiries.h
@@ -44,6 +44,9 @@
     /// Ends and returns the inquiries that can be decided, or whose time is over.
     std::vector<Decision> takeDecided(TimePoint now);
 
+    /// The jobs that are not decided yet.
+    std::vector<std::string> jobs() const;
+
 private:
     struct Inquiry
     {
--- a/src/fleet/fleetframe.cpp
+++ b/src/fleet/fleetframe.cpp
@@ -1,6 +1,7 @@
 #include "fleet/fleetframe.h"
 
 #include "fleet/fleet.pb.h"
+#include "workload/jobkey.h"
 
 #include <algorithm>
 
@@ -51,6 +52,20 @@
     return step;
 }
 
+/// Names a job in a message.
+template<typename WireMessage>
+void encodeKey(const std::string &key, WireMessage &wire)
+{
+    wire.set_id(jobIdOf(key));
+    wire.set_route(routeOf(key));
+}
+
+template<typename WireMessage>
+std::string decodeKey(const WireMessage &wire)
+{
+    return makeJobKey(wire.id(), wire.route());
+}
+
 template<typename WireMessage>
 void encodeCrashes(const std::vector<TaskCrashes> &crashes, WireMessage &wire)
 {
@@ -77,7 +92,8 @@
 
 void encodeJob(const JobSubmission &submission, TimePoint now, Wire::SubmitJob &wire)
 {
-    wire.set_id(submission.request.id);
+    wire.set_id(jobIdOf(submission.request.id));
+    wire.set_identified_by_route(!routeOf(submission.request.id).empty());
     wire.set_payload(submission.request.payload);
     for (const auto &step : submission.request.steps) {
         encodeStep(step, *wire.add_steps());
@@ -111,13 +127,13 @@
             return false;
         }
     }
-    return !steps.empty() && !submission.request.id.empty() && !submission.entryHost.empty();
+    return !steps.empty() && !jobIdOf(submission.request.id).empty() && !submission.entryHost.empty();
 }
 
 std::optional<JobSubmission> decodeJob(const Wire::SubmitJob &wire, TimePoint now)
 {
     JobSubmission submission;
-    submission.request.id = wire.id();
+    submission.request.id = wire.identified_by_route() ? decodeKey(wire) : wire.id();
     submission.request.payload = wire.payload();
     submission.request.answeredOnCompletion = true;
     for (const auto &step : wire.steps()) {
@@ -220,7 +236,7 @@
 
 void encodeCancellation(const JobCancellation &cancellation, Wire::CancelJob &wire)
 {
-    wire.set_id(cancellation.jobId);
+    encodeKey(cancellation.jobId, wire);
     wire.set_submission(cancellation.submissionNumber);
 }
 
@@ -286,19 +302,19 @@
     }
     for (const auto &notice : frame.crashNotices) {
         auto &row = *wire.add_crash_notices();
-        row.set_id(notice.jobId);
+        encodeKey(notice.jobId, row);
         encodeCrashes(notice.crashes, row);
         row.set_number(notice.number);
     }
     for (const auto &notice : frame.longRuns) {
         auto &row = *wire.add_long_runs();
-        row.set_id(notice.jobId);
+        encodeKey(notice.jobId, row);
         row.set_for_us(remainingMicroseconds(notice.endBy, now));
         row.set_submission(notice.submissionNumber);
     }
     for (const auto &notice : frame.ended) {
         auto &row = *wire.add_ended();
-        row.set_id(notice.jobId);
+        encodeKey(notice.jobId, row);
         row.set_end(static_cast<std::uint32_t>(notice.result.end));
         row.set_reason(static_cast<std::uint32_t>(notice.result.reason));
         row.set_retry_after_ms(std::chrono::duration_cast<Milliseconds>(notice.result.retryAfter).count());
@@ -308,7 +324,7 @@
     }
     for (const auto &release : frame.releases) {
         auto &row = *wire.add_releases();
-        row.set_id(release.jobId);
+        encodeKey(release.jobId, row);
         row.set_lost_dispatcher(release.lostDispatcher);
         row.set_submission(release.submissionNumber);
     }
@@ -319,26 +335,26 @@
         encodeCancellation(cancellation, *wire.add_cancelled());
     }
     for (const auto &id : frame.cancelInquiries) {
-        wire.add_cancel_inquiries()->set_id(id);
+        encodeKey(id, *wire.add_cancel_inquiries());
     }
     for (const auto &job : frame.cancelAnnouncements) {
         auto &row = *wire.add_cancel_inquiries();
-        row.set_id(job.jobId);
+        encodeKey(job.jobId, row);
         row.set_cancelled_for_us(std::max<std::int64_t>(1, remainingMicroseconds(job.until, now)));
     }
     for (const auto &answer : frame.cancelAnswers) {
         auto &row = *wire.add_cancel_answers();
-        row.set_id(answer.jobId);
+        encodeKey(answer.jobId, row);
         row.set_cancelled(answer.cancelled);
         row.set_remembered(answer.isRemembered);
     }
     for (const auto &job : frame.cancelledJobs) {
         auto &row = *wire.add_cancelled_jobs();
-        row.set_id(job.jobId);
+        encodeKey(job.jobId, row);
         row.set_for_us(remainingMicroseconds(job.until, now));
     }
     for (const auto &id : frame.abandonedRuns) {
-        wire.add_abandoned_runs(id);
+        wire.add_abandoned_runs(jobIdOf(id));
     }
     if (frame.requestsConfiguration) {
         wire.mutable_configuration_request();
@@ -388,10 +404,10 @@
         }
     }
     for (const auto &row : wire.crash_notices()) {
-        frame.crashNotices.push_back({row.id(), decodeCrashes(row), row.number()});
+        frame.crashNotices.push_back({decodeKey(row), decodeCrashes(row), row.number()});
     }
     for (const auto &row : wire.long_runs()) {
-        frame.longRuns.push_back({row.id(), now + fromMicroseconds(row.for_us()), row.submission()});
+        frame.longRuns.push_back({decodeKey(row), now + fromMicroseconds(row.for_us()), row.submission()});
     }
     for (const auto &row : wire.ended()) {
         if (row.end() > static_cast<std::uint32_t>(JobEnd::Abandoned) || row.reason() >= JobEndReasonCount) {
@@ -399,29 +415,29 @@
         }
         JobResult result {
             static_cast<JobEnd>(row.end()), static_cast<JobEndReason>(row.reason()), Milliseconds(row.retry_after_ms()), row.elsewhere()};
-        frame.ended.push_back({row.id(), result, row.grant_epoch(), row.submission()});
+        frame.ended.push_back({decodeKey(row), result, row.grant_epoch(), row.submission()});
     }
     for (const auto &row : wire.releases()) {
-        frame.releases.push_back({row.id(), row.lost_dispatcher(), row.submission()});
+        frame.releases.push_back({decodeKey(row), row.lost_dispatcher(), row.submission()});
     }
     for (const auto &row : wire.cancels()) {
-        frame.cancellations.push_back({row.id(), row.submission()});
+        frame.cancellations.push_back({decodeKey(row), row.submission()});
     }
     for (const auto &row : wire.cancelled()) {
-        frame.confirmedCancellations.push_back({row.id(), row.submission()});
+        frame.confirmedCancellations.push_back({decodeKey(row), row.submission()});
     }
     for (const auto &row : wire.cancel_inquiries()) {
         if (row.cancelled_for_us() > 0) {
-            frame.cancelAnnouncements.push_back({row.id(), now + fromMicroseconds(row.cancelled_for_us())});
+            frame.cancelAnnouncements.push_back({decodeKey(row), now + fromMicroseconds(row.cancelled_for_us())});
         } else {
-            frame.cancelInquiries.push_back(row.id());
+            frame.cancelInquiries.push_back(decodeKey(row));
         }
     }
     for (const auto &row : wire.cancel_answers()) {
-        frame.cancelAnswers.push_back({row.id(), row.cancelled(), row.remembered()});
+        frame.cancelAnswers.push_back({decodeKey(row), row.cancelled(), row.remembered()});
     }
     for (const auto &row : wire.cancelled_jobs()) {
-        frame.cancelledJobs.push_back({row.id(), now + fromMicroseconds(row.for_us())});
+        frame.cancelledJobs.push_back({decodeKey(row), now + fromMicroseconds(row.for_us())});
     }
     frame.abandonedRuns.assign(wire.abandoned_runs().begin(), wire.abandoned_runs().end());
     frame.requestsConfiguration = wire.has_configuration_request();
--- a/src/fleet/hostnode.cpp
+++ b/src/fleet/hostnode.cpp
@@ -539,13 +539,13 @@
 {
     m_observer.onJobEnded(job, result, m_now - job.arrivedAt);
     if (result.end == JobEnd::Abandoned) {
-        noteAbandonedRun(job.request.id);
+        noteAbandonedRun(job.identity());
     }
     if (job.entryHost == m_identity.host) {
-        m_locallyEndedJobs.push_back({job.request.id, result, job.grantEpoch, job.number});
+        m_locallyEndedJobs.push_back({job.identity(), result, job.grantEpoch, job.number});
         return;
     }
-    JobEndNotice notice {job.request.id, result, job.grantEpoch, job.number};
+    JobEndNotice notice {job.identity(), result, job.grantEpoch, job.number};
     FleetFrame frame;
     frame.ended.push_back(notice);
     if (!send(job.entryHost, std::move(frame), m_now) && result.end == JobEnd::Completed) {
@@ -555,7 +555,7 @@
 
 void HostNode::onCrashRecords(const JobSubmission &job, const std::vector<TaskCrashes> &crashes)
 {
-    CrashNotice notice {job.request.id, crashes, ++m_lastCrashNoticeNumber};
+    CrashNotice notice {job.identity(), crashes, ++m_lastCrashNoticeNumber};
     if (job.entryHost == m_identity.host) {
         onCrashNotice(notice, m_identity.host, m_identity.incarnation);
         return;
@@ -591,7 +591,7 @@
         return;
     }
     FleetFrame frame;
-    frame.longRuns.push_back({job.request.id, endBy, job.number});
+    frame.longRuns.push_back({job.identity(), endBy, job.number});
     send(job.entryHost, std::move(frame), m_now);
 }
 
--- a/src/fleet/hostnode.h
+++ b/src/fleet/hostnode.h
@@ -205,6 +205,8 @@
     Duration longestSilenceOf(const std::set<std::string> &hosts) const;
     bool rememberCancelled(const CancelledJob &cancelled, TimePoint now);
     static CallerReply replyToCancelled();
+    static JobSubmission namedAtTargets(JobSubmission submission);
+    void completeKeys(FleetFrame &frame) const;
     bool refuseCancelled(const JobSubmission &submission, TimePoint now);
     void announceCancelled(const std::string &jobId, const std::string &askingHost, TimePoint now);
     void finishAnnouncements(TimePoint now);
--- a/src/fleet/hostnodecancellations.cpp
+++ b/src/fleet/hostnodecancellations.cpp
@@ -1,4 +1,5 @@
 #include "fleet/hostnode.h"
+#include "workload/jobkey.h"
 
 #include <algorithm>
 #include <utility>
@@ -97,13 +98,15 @@
 bool HostNode::refuseCancelled(const JobSubmission &submission, TimePoint now)
 {
     const auto &id = submission.request.id;
-    if (!m_cancelledJobs.contains(id, now)) {
+    // Hosts of earlier versions do not name the route with the id.
+    const bool isCancelled = m_cancelledJobs.contains(id, now) || m_cancelledJobs.contains(makeJobKey(jobIdOf(id), submission.route), now);
+    if (!isCancelled) {
         return false;
     }
     FleetFrame frame;
     frame.cancelledJobs.push_back({id, now + CancelledJobs::Retention});
     send(submission.entryHost, std::move(frame), now);
-    m_scheduler.refuse(submission, JobEndReason::Cancelled, now);
+    m_scheduler.refuse(namedAtTargets(submission), JobEndReason::Cancelled, now);
     return true;
 }
 
--- a/src/fleet/hostnodepeers.cpp
+++ b/src/fleet/hostnodepeers.cpp
@@ -92,6 +92,7 @@
     if (frame.host == m_identity.host) {
         return;
     }
+    completeKeys(frame);
     switch (m_peerProcesses.onFrame(frame, now)) {
     case PeerProcesses::Finding::Unproven:
         onUnprovenFrame(frame, now);
@@ -127,7 +128,7 @@
     }
     if (isLate || !isAccepted) {
         for (const auto &submission : frame.submissions) {
-            m_scheduler.refuse(submission, isAccepted ? JobEndReason::WaitedTooLong : JobEndReason::GrantEnded, now);
+            m_scheduler.refuse(namedAtTargets(submission), isAccepted ? JobEndReason::WaitedTooLong : JobEndReason::GrantEnded, now);
         }
         frame.submissions.clear();
     }
@@ -190,7 +191,7 @@
     }
     for (auto submission : frame.submissions) {
         submission.grantEpoch = frame.grant ? frame.grant->epoch : 0;
-        m_scheduler.refuse(submission, JobEndReason::GrantEnded, now);
+        m_scheduler.refuse(namedAtTargets(std::move(submission)), JobEndReason::GrantEnded, now);
     }
     if (frame.report) {
         auto &peer = addPeerEndpoint(frame.report->peerEndpoint, now);
--- a/src/fleet/hostnodepools.cpp
+++ b/src/fleet/hostnodepools.cpp
@@ -359,7 +359,7 @@
     if (isTakenOver(submission.lostDispatcher, now)) {
         submission.lostDispatcherRunsEndBy = now;
     }
-    m_scheduler.submit(std::move(submission), now);
+    m_scheduler.submit(namedAtTargets(std::move(submission)), now);
 }
 
 void HostNode::onTargetLost(const std::string &target, bool wasOwned)
--- a/src/hostruntime/hosttelemetry.cpp
+++ b/src/hostruntime/hosttelemetry.cpp
@@ -1,5 +1,7 @@
 #include "hostruntime/hosttelemetry.h"
 
+#include "workload/jobkey.h"
+
 #include <prometheus/counter.h>
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
@@ -19,6 +21,17 @@
 {
     return run.task.jobId + '/' + std::to_string(run.task.step) + '/' + std::to_string(run.task.index) + '#' + std::to_string(run.run);
 }
+
+/// A line on a job, which is named by its key.
+LogLine jobLine(const char *event, const std::string &key)
+{
+    LogLine line(event);
+    line.add("job", jobIdOf(key));
+    if (const auto route = routeOf(key); !route.empty()) {
+        line.add("route", route);
+    }
+    return line;
+}
 } // namespace
 
 struct HostTelemetry::Private
@@ -77,7 +90,7 @@
 void HostTelemetry::onRequestRefused(const std::string &jobId, int status, const std::string &reason, std::uint64_t configurationVersion)
 {
     count("anvilcart_requests_refused_total", "reason", reason);
-    write(LogLine("request_refused").add("job", jobId).add("status", status).add("reason", reason).add("config", configurationVersion),
+    write(jobLine("request_refused", jobId).add("status", status).add("reason", reason).add("config", configurationVersion),
           LogPriority::Important);
 }
 
@@ -85,14 +98,14 @@
 {
     const auto *caller = isCallerConnected ? "connected" : "gone";
     count("anvilcart_jobs_read_total", "caller", caller);
-    write(LogLine("job_read").add("job", jobId).add("caller", caller).add("tick_delay_ms", tickDelay),
+    write(jobLine("job_read", jobId).add("caller", caller).add("tick_delay_ms", tickDelay),
           isCallerConnected ? LogPriority::Routine : LogPriority::Important);
 }
 
 void HostTelemetry::onCallerDisconnected(const std::string &jobId, Duration sinceConnected, Duration tickDelay)
 {
     count("anvilcart_callers_disconnected_total", "while", "waiting");
-    write(LogLine("caller_disconnected").add("job", jobId).add("since_connected_ms", sinceConnected).add("tick_delay_ms", tickDelay),
+    write(jobLine("caller_disconnected", jobId).add("since_connected_ms", sinceConnected).add("tick_delay_ms", tickDelay),
           LogPriority::Important);
 }
 
@@ -230,7 +243,7 @@
 {
     count("anvilcart_jobs_sent_total", "try", std::to_string(job.submissionCount));
     write(LogLine("job_sent")
-              .add("job", job.submission.request.id)
+              .add("job", jobIdOf(job.submission.request.id))
               .add("route", job.submission.route)
               .add("dispatcher", dispatcher)
               .add("try", job.submissionCount)
@@ -246,7 +259,7 @@
     }
     d->response.Observe(toMilliseconds(response));
     write(LogLine("answered")
-              .add("job", job.submission.request.id)
+              .add("job", jobIdOf(job.submission.request.id))
               .add("route", job.submission.route)
               .add("answer", toName(reply.answer))
               .add("reason", reply.reason)
@@ -259,7 +272,7 @@
 void HostTelemetry::onCallerGone(const EntryJob &job, Duration sinceArrival)
 {
     count("anvilcart_callers_disconnected_total", "while", job.dispatcher.empty() ? "submitting" : "dispatched");
-    write(LogLine("caller_gone").add("job", job.submission.request.id).add("dispatcher", job.dispatcher).add("after_ms", sinceArrival),
+    write(jobLine("caller_gone", job.submission.request.id).add("dispatcher", job.dispatcher).add("after_ms", sinceArrival),
           LogPriority::Important);
 }
 
@@ -269,6 +282,7 @@
     if (result.end != JobEnd::Completed) {
         write(LogLine("job_ended")
                   .add("job", job.request.id)
+                  .add("route", job.route)
                   .add("end", toName(result.end))
                   .add("reason", toName(result.reason))
                   .add("since_ms", sinceArrival)
--- a/src/scheduling/endedsubmissions.cpp
+++ b/src/scheduling/endedsubmissions.cpp
@@ -14,7 +14,7 @@
 
 EndedSubmissions::Key EndedSubmissions::keyOf(const JobSubmission &submission)
 {
-    return {submission.entryHost, submission.number >> 32U, submission.request.id};
+    return {submission.entryHost, submission.number >> 32U, submission.identity()};
 }
 
 void EndedSubmissions::record(const JobSubmission &submission, const JobResult &result, TimePoint now)
--- a/src/scheduling/jobsubmission.h
+++ b/src/scheduling/jobsubmission.h
@@ -28,6 +28,9 @@
 struct JobSubmission
 {
     JobRequest request;
+    /// See makeJobKey(). At its dispatcher, where request.id is the caller's id, the key by which the entry host names the job; empty where
+    /// request.id is that key.
+    std::string key;
     std::string route;
     std::string service;
     /// 0 is the highest priority.
@@ -56,6 +59,12 @@
     /// The tasks under which earlier dispatchers have lost targets.
     std::vector<TaskCrashes> crashes;
 
+    /// By what the entry host names the job.
+    const std::string &identity() const
+    {
+        return key.empty() ? request.id : key;
+    }
+
     /// When no earlier dispatcher can have a run of the job any more.
     TimePoint mayStartAt() const
     {
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -1,6 +1,7 @@
 #include "scheduling/scheduler.h"
 
 #include "scheduling/placementchoice.h"
+#include "workload/jobkey.h"
 
 #include <algorithm>
 #include <limits>
@@ -29,8 +30,8 @@
 /// True when the submission is a copy of the known one, or came before it.
 bool isCoveredBy(const JobSubmission &submission, const JobSubmission &known)
 {
-    return submission.number != 0 && submission.entryHost == known.entryHost && areOfOneProcess(submission.number, known.number)
-        && submission.number <= known.number;
+    return submission.number != 0 && submission.route == known.route && submission.entryHost == known.entryHost
+        && areOfOneProcess(submission.number, known.number) && submission.number <= known.number;
 }
 
 bool isHere(const JobSubmission &submission, const ScheduledJob &job)
@@ -71,6 +72,10 @@
         return;
     }
     if (auto *existing = findJob(submission.request.id)) {
+        if (existing->submission.route != submission.route) {
+            holdCollidingJob(std::move(submission), now);
+            return;
+        }
         if (isHere(submission, *existing)) {
             return;
         }
@@ -84,6 +89,7 @@
         auto &known = existing->submission;
         reportReplacement(known, submission, now);
         known.earlierRunsEndBy = std::max(known.earlierRunsEndBy, submission.mayStartAt());
+        known.key = submission.key;
         known.entryHost = submission.entryHost;
         known.grantEpoch = submission.grantEpoch;
         known.number = submission.number;
@@ -163,7 +169,7 @@
 
 void Scheduler::refuse(const JobSubmission &submission, JobEndReason reason, TimePoint now)
 {
-    const auto *job = findJob(submission.request.id);
+    const auto *job = findJob(makeJobKey(submission.request.id, submission.route));
     if (job != nullptr && isHere(submission, *job)) {
         return;
     }
@@ -326,6 +332,12 @@
 
 void Scheduler::cancel(const std::string &jobId, const std::string &entryHost, TimePoint now, std::uint64_t number)
 {
+    const auto held = m_collidingJobs.take([&](const JobSubmission &submission) {
+        return mayBeSameJob(submission.identity(), jobId) && isCancelledBy(submission, entryHost, number);
+    });
+    for (const auto &submission : held) {
+        m_endedSubmissions.record(submission, CancelledResult, now);
+    }
     auto *job = findJob(jobId);
     if (job != nullptr && job->resubmission && isCancelledBy(*job->resubmission, entryHost, number)) {
         m_endedSubmissions.record(*job->resubmission, CancelledResult, now);
@@ -335,7 +347,8 @@
     if (job == nullptr || !isCancelledBy(job->submission, entryHost, number)) {
         // The submission may still arrive, over an older connection.
         JobSubmission cancelled;
-        cancelled.request.id = jobId;
+        cancelled.request.id = jobIdOf(jobId);
+        cancelled.key = jobId;
         cancelled.entryHost = entryHost;
         cancelled.number = number;
         m_endedSubmissions.record(cancelled, CancelledResult, now);
@@ -347,6 +360,9 @@
 
 void Scheduler::cancelAllOf(const std::string &entryHost, TimePoint now)
 {
+    m_collidingJobs.take([&](const JobSubmission &submission) {
+        return submission.entryHost == entryHost;
+    });
     std::vector<std::string> ids;
     for (const auto &[id, job] : m_jobs) {
         const bool hasResubmission = job->resubmission && job->resubmission->entryHost == entryHost;
@@ -578,17 +594,18 @@
 
 bool Scheduler::mayHaveRun(const std::string &jobId, TimePoint now) const
 {
-    return m_recentlyRunJobs.mayContain(jobId, now) || m_runElsewhere.contains(jobId);
+    const auto id = jobIdOf(jobId);
+    return m_recentlyRunJobs.mayContain(id, now) || m_runElsewhere.contains(id);
 }
 
 void Scheduler::onRunElsewhere(const std::string &jobId, TimePoint now)
 {
-    m_runElsewhere.record(jobId, now);
+    m_runElsewhere.record(jobIdOf(jobId), now);
 }
 
 bool Scheduler::hasRunHere(const std::string &jobId) const
 {
-    return m_recentlyRunJobs.contains(jobId);
+    return m_recentlyRunJobs.contains(jobIdOf(jobId));
 }
 
 bool Scheduler::hasRuns(const std::string &jobId) const
@@ -599,19 +616,69 @@
 
 bool Scheduler::hasJobOf(const std::string &jobId, const std::string &entryHost, std::uint64_t number) const
 {
-    const auto found = m_jobs.find(jobId);
-    if (found == m_jobs.end()) {
-        return false;
+    const auto &held = m_collidingJobs.submissions();
+    const bool isHeld = std::any_of(held.begin(), held.end(), [&](const JobSubmission &submission) {
+        return mayBeSameJob(submission.identity(), jobId) && isCancelledBy(submission, entryHost, number);
+    });
+    const auto *found = findJob(jobId);
+    if (found == nullptr) {
+        return isHeld;
     }
-    const auto &job = *found->second;
-    return job.pendingResult || isCancelledBy(job.submission, entryHost, number)
+    const auto &job = *found;
+    return isHeld || job.pendingResult || isCancelledBy(job.submission, entryHost, number)
         || (job.resubmission && isCancelledBy(*job.resubmission, entryHost, number));
 }
 
-ScheduledJob *Scheduler::findJob(const std::string &jobId)
+/// The job with this id or, for a key with a route, the one that has that route too; null when it is not here.
+ScheduledJob *Scheduler::findJob(const std::string &jobId) const
 {
-    const auto found = m_jobs.find(jobId);
-    return found == m_jobs.end() ? nullptr : found->second.get();
+    const auto route = routeOf(jobId);
+    const auto found = m_jobs.find(route.empty() ? jobId : jobIdOf(jobId));
+    const bool isMeant = found != m_jobs.end() && (route.empty() || found->second->submission.route == route);
+    return isMeant ? found->second.get() : nullptr;
+}
+
+/// Lets a submission wait for the end of the job of another route that has its id.
+void Scheduler::holdCollidingJob(JobSubmission submission, TimePoint now)
+{
+    if (m_collidingJobs.submissions().size() >= m_limits.maxQueuedJobs) {
+        const auto end = mayHaveRunBefore(submission, now) ? JobEnd::Abandoned : JobEnd::NotRun;
+        reportEnd(submission, {end, JobEndReason::QueueFull, Seconds(1), {}}, now);
+        return;
+    }
+    m_observer.onJobQueued(submission, m_collidingJobs.submissions().size() + 1, Duration(0));
+    m_collidingJobs.add(std::move(submission));
+}
+
+/// Submits the jobs that have waited for others with their ids, and ends those that can't wait any longer.
+void Scheduler::submitCollidingJobs(TimePoint now)
+{
+    const auto isFree = [this](const std::string &id) {
+        return !m_jobs.contains(id) && std::none_of(m_targets.begin(), m_targets.end(), [&id](const auto &entry) {
+            const auto &runs = entry.second->runs();
+            const auto first = runs.lower_bound({{id, 0, 0, 0}, 0});
+            return first != runs.end() && first->first.task.jobId == id;
+        });
+    };
+    const auto due = m_collidingJobs.take([&](const JobSubmission &submission) {
+        return now > submission.callerDeadline || !isGranted(submission, now) || isFree(submission.request.id);
+    });
+    for (const auto &submission : due) {
+        if (now <= submission.callerDeadline && isGranted(submission, now)) {
+            // The records are those of the job that has ended.
+            m_crashSuspects.clear(submission.request.id);
+            submit(submission, now);
+        } else {
+            endCollidingJob(submission, now > submission.callerDeadline ? JobEndReason::WaitedTooLong : JobEndReason::GrantEnded, {}, now);
+        }
+    }
+}
+
+void Scheduler::endCollidingJob(const JobSubmission &submission, JobEndReason reason, const std::string &elsewhere, TimePoint now)
+{
+    const bool isRefused = reason != JobEndReason::BetterElsewhere;
+    const auto end = isRefused && mayHaveRunBefore(submission, now) ? JobEnd::Abandoned : JobEnd::NotRun;
+    reportEnd(submission, {end, reason, Seconds(1), elsewhere}, now);
 }
 
 void Scheduler::setPeers(std::vector<PeerDispatcher> peers)
@@ -624,6 +691,9 @@
     for (const auto &id : unstartedJobs()) {
         endJob(id, {JobEnd::NotRun, JobEndReason::BetterElsewhere, Seconds(1), dispatcher}, now);
     }
+    for (const auto &submission : takeAllCollidingJobs()) {
+        endCollidingJob(submission, JobEndReason::BetterElsewhere, dispatcher, now);
+    }
 }
 
 void Scheduler::refuseWaitingJobs(JobEndReason reason, TimePoint now)
@@ -631,6 +701,16 @@
     for (const auto &id : unstartedJobs()) {
         endJob(id, {JobEnd::NotRun, reason, Seconds(1), {}}, now);
     }
+    for (const auto &submission : takeAllCollidingJobs()) {
+        endCollidingJob(submission, reason, {}, now);
+    }
+}
+
+std::vector<JobSubmission> Scheduler::takeAllCollidingJobs()
+{
+    return m_collidingJobs.take([](const JobSubmission &) {
+        return true;
+    });
 }
 
 /// Jobs of which no task has started.
@@ -732,11 +812,14 @@
             hosts.insert(job->resubmission->entryHost);
         }
     }
+    for (const auto &submission : m_collidingJobs.submissions()) {
+        hosts.insert(submission.entryHost);
+    }
     return hosts;
 }
 
 std::size_t Scheduler::jobCount() const
 {
-    return m_jobs.size();
+    return m_jobs.size() + m_collidingJobs.submissions().size();
 }
 } // namespace Anvilcart::Fleet
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "scheduling/collidingjobs.h"
 #include "scheduling/crashsuspects.h"
 #include "scheduling/endedsubmissions.h"
 #include "scheduling/fairqueueclock.h"
@@ -89,7 +90,7 @@
 
     /// Queues a job, redirects it to another dispatcher or refuses it. A job that is already here continues and reports to the entry host
     /// of the new submission, and the former entry host is told. A repeated submission has no effect while its job is here, and is answered
-    /// with its result if it has ended.
+    /// with its result if it has ended. It waits while a job of another route with the same id is here.
     void submit(JobSubmission submission, TimePoint now);
 
     /// Refuses a submission that came too late, unless an earlier copy of it is here.
@@ -225,7 +226,11 @@
         double typicalMilliCores = 0;
     };
 
-    ScheduledJob *findJob(const std::string &jobId);
+    ScheduledJob *findJob(const std::string &jobId) const;
+    void holdCollidingJob(JobSubmission submission, TimePoint now);
+    void submitCollidingJobs(TimePoint now);
+    void endCollidingJob(const JobSubmission &submission, JobEndReason reason, const std::string &elsewhere, TimePoint now);
+    std::vector<JobSubmission> takeAllCollidingJobs();
     TargetLedger *findTarget(const std::string &id, std::uint64_t fencingToken) const;
     std::string betterDispatcher(const ScheduledJob &job, TimePoint now);
     std::vector<std::string> unstartedJobs() const;
@@ -305,6 +310,7 @@
     SchedulerObserver &m_observer;
     RunTimeModel m_runTimes;
     /// Jobs that recently had a run, including those started by an earlier dispatcher.
+    CollidingJobs m_collidingJobs;
     RecentJobs m_recentlyRunJobs;
     /// Jobs that other dispatchers have named. Kept apart, so that a host does not name them in turn.
     RecentJobs m_runElsewhere;
--- a/src/scheduling/schedulertargets.cpp
+++ b/src/scheduling/schedulertargets.cpp
@@ -527,6 +527,7 @@
         checkRuns(*found->second, now);
     }
     releaseIdleTargets(now);
+    submitCollidingJobs(now);
     updateTimeliness(now);
     endInfeasibleJobs(now);
     for (auto &[name, service] : m_services) {
--- a/tests/process/service.cpp
+++ b/tests/process/service.cpp
@@ -275,6 +275,33 @@
     waiting.get();
 }
 
+// review/7: the caller of the second queue got the result of the first one's job, and its DELETE cancelled that.
+BOOST_AUTO_TEST_CASE(Jobs_of_two_queues_with_the_same_id_are_two_jobs)
+{
+    site.publish(2, {"checks", "audits"});
+    BOOST_REQUIRE(eventually([this] {
+        return site.request(0, "GET", "/audits/", "").status == 200 && site.request(1, "GET", "/audits/", "").status == 200;
+    }));
+    const std::string job = "00000000000000cc";
+    auto first = std::async(std::launch::async, [this, job] {
+        return site.submit(0, "checks", job, 1, Seconds(2), Seconds(12));
+    });
+    BOOST_REQUIRE(eventually([this, job] {
+        return site.startCount(job + ".0.0.0") == 1;
+    }));
+    BOOST_TEST(site.request(1, "DELETE", "/audits/" + job, "").status == 410);
+    for (const std::size_t host : {0, 1}) {
+        const auto second = site.submit(host, "audits", job, 1, Milliseconds(30), Seconds(12));
+        BOOST_TEST(second.status == 200);
+        BOOST_TEST(second.body == R"({"state":"completed"})");
+        BOOST_TEST(site.startCount(job + ".0.0.0") == 2 + host);
+    }
+    const auto answer = first.get();
+    BOOST_TEST(answer.status == 200);
+    BOOST_TEST(answer.body == R"({"state":"completed"})");
+    BOOST_TEST(site.duplicateRuns() == 0);
+}
+
 BOOST_AUTO_TEST_CASE(A_target_that_leaves_is_given_no_new_task)
 {
     BOOST_TEST(completes(0));
--- a/tests/unit/fleet/fleetframe.cpp
+++ b/tests/unit/fleet/fleetframe.cpp
@@ -129,4 +129,40 @@
     BOOST_TEST(decodeFrame(encodeFrame(frame, Now), Now)->submissions.empty());
 }
 
+// Jobs of two queues with the same id were taken for one.
+BOOST_AUTO_TEST_CASE(A_frame_names_the_route_of_each_job)
+{
+    const std::string key = "00000000000000aa@checks";
+    auto sent = completeFrame();
+    sent.submissions.front().request.id = key;
+    sent.submissions.front().route = "checks";
+    sent.crashNotices.front().jobId = key;
+    sent.longRuns.front().jobId = key;
+    sent.ended.front().jobId = key;
+    sent.cancellations.front().jobId = key;
+    sent.confirmedCancellations.front().jobId = key;
+    sent.releases.front().jobId = key;
+    sent.cancelInquiries.front() = key;
+    sent.cancelAnnouncements.front().jobId = key;
+    sent.cancelAnswers.front().jobId = key;
+    sent.cancelledJobs.front().jobId = key;
+    const auto frame = decodeFrame(encodeFrame(sent, Now), Now);
+    BOOST_REQUIRE(frame.has_value());
+    BOOST_TEST(frame->submissions.front().request.id == key);
+    BOOST_TEST(frame->crashNotices.front().jobId == key);
+    BOOST_TEST(frame->longRuns.front().jobId == key);
+    BOOST_TEST(frame->ended.front().jobId == key);
+    BOOST_TEST(frame->cancellations.front().jobId == key);
+    BOOST_TEST(frame->confirmedCancellations.front().jobId == key);
+    BOOST_TEST(frame->releases.front().jobId == key);
+    BOOST_TEST(frame->cancelInquiries.front() == key);
+    BOOST_TEST(frame->cancelAnnouncements.front().jobId == key);
+    BOOST_TEST(frame->cancelAnswers.front().jobId == key);
+    BOOST_TEST(frame->cancelledJobs.front().jobId == key);
+    // Hosts of earlier versions name a route beside a job that they know by its id alone.
+    sent.submissions.front().request.id = "00000000000000aa";
+    const auto earlier = decodeFrame(encodeFrame(sent, Now), Now);
+    BOOST_TEST(earlier->submissions.front().request.id == "00000000000000aa");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
