Keep the crashes of jobs with one id apart

Records of crashes are kept by the id of the job, as tasks are named at the targets, so that a job could be given up for the crashes of another queue's job with its id. They are forgotten when a job of another route begins. Tests show too that a dispatcher that stops gives back a job that waits for another with its id, and that a job outlives its route.

--- a/src/scheduling/crashsuspects.cpp
+++ b/src/scheduling/crashsuspects.cpp
@@ -112,8 +112,22 @@
     }
 }
 
+void CrashSuspects::beginJob(const std::string &jobId, const std::string &route)
+{
+    const auto known = m_routes.find(jobId);
+    if (known != m_routes.end() && known->second != route) {
+        clear(jobId);
+    }
+}
+
+void CrashSuspects::setRoute(const std::string &jobId, const std::string &route)
+{
+    m_routes[jobId] = route;
+}
+
 void CrashSuspects::clear(const std::string &jobId)
 {
+    m_routes.erase(jobId);
     for (auto it = firstRecordOf(jobId); it != m_records.end() && it->first.jobId == jobId;) {
         it = m_records.erase(it);
     }
@@ -170,6 +184,10 @@
     std::erase_if(m_records, [now](const auto &entry) {
         return now - entry.second.changedAt > RecordRetention;
     });
+    std::erase_if(m_routes, [this](const auto &entry) {
+        const auto first = firstRecordOf(entry.first);
+        return first == m_records.end() || first->first.jobId != entry.first;
+    });
     std::erase_if(m_unexplainedLosses, [now](const UnexplainedLoss &loss) {
         return now - loss.lastAnswerAt > RecordRetention;
     });
--- a/src/scheduling/crashsuspects.h
+++ b/src/scheduling/crashsuspects.h
@@ -45,6 +45,12 @@
     /// Adds what another dispatcher has recorded for the job.
     void merge(const std::string &jobId, const std::vector<TaskCrashes> &crashes, TimePoint now);
 
+    /// A job is submitted. Records of the tasks of another route's job with its id are forgotten.
+    void beginJob(const std::string &jobId, const std::string &route);
+
+    /// The records of the job are those of a job of this route.
+    void setRoute(const std::string &jobId, const std::string &route);
+
     /// Forgets the job's tasks, which have all succeeded.
     void clear(const std::string &jobId);
 
@@ -86,6 +92,8 @@
     void forgetOldRecords(TimePoint now);
 
     std::map<TaskName, Record> m_records;
+    /// The routes of the jobs that have records, as far as known.
+    std::map<std::string, std::string> m_routes;
     std::vector<UnexplainedLoss> m_unexplainedLosses;
     std::vector<TimePoint> m_recentLosses;
 };
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -110,7 +110,11 @@
     const auto id = job.submission.request.id;
     m_jobs[id] = std::move(owned);
     setForecast(job);
-    m_crashSuspects.merge(id, job.submission.crashes, now);
+    m_crashSuspects.beginJob(id, job.submission.route);
+    if (!job.submission.crashes.empty()) {
+        m_crashSuspects.merge(id, job.submission.crashes, now);
+        m_crashSuspects.setRoute(id, job.submission.route);
+    }
     adoptRuns(job, now);
     markRunsWithoutGrant(job, now);
     if (m_crashSuspects.verdictOnJob(id) != CrashVerdict::Startable) {
@@ -665,8 +669,6 @@
     });
     for (const auto &submission : due) {
         if (now <= submission.callerDeadline && isGranted(submission, now)) {
-            // The records are those of the job that has ended.
-            m_crashSuspects.clear(submission.request.id);
             submit(submission, now);
         } else {
             endCollidingJob(submission, now > submission.callerDeadline ? JobEndReason::WaitedTooLong : JobEndReason::GrantEnded, {}, now);
--- a/src/scheduling/schedulerruns.cpp
+++ b/src/scheduling/schedulerruns.cpp
@@ -257,6 +257,7 @@
         }
     }
     for (const auto &id : jobs) {
+        m_crashSuspects.setRoute(id, findJob(id)->submission.route);
         m_port.onCrashRecords(findJob(id)->submission, m_crashSuspects.recordsOf(id));
     }
 }
--- a/tests/process/service.cpp
+++ b/tests/process/service.cpp
@@ -302,6 +302,26 @@
     BOOST_TEST(site.duplicateRuns() == 0);
 }
 
+// A job keeps the route with which it came; a DELETE is answered by the routes in force.
+BOOST_AUTO_TEST_CASE(A_job_of_a_queue_that_a_configuration_drops_goes_on)
+{
+    const std::string job = "00000000000000cd";
+    auto waiting = std::async(std::launch::async, [this, job] {
+        return site.submit(0, "checks", job, 1, Seconds(3), Seconds(12));
+    });
+    BOOST_REQUIRE(eventually([this, job] {
+        return site.startCount(job + ".0.0.0") == 1;
+    }));
+    site.publish(2, {"audits"});
+    BOOST_REQUIRE(eventually([this] {
+        return site.request(0, "GET", "/checks/", "").status == 404;
+    }));
+    BOOST_TEST(site.request(0, "DELETE", "/checks/" + job, "").status == 404);
+    const auto answer = waiting.get();
+    BOOST_TEST(answer.status == 200);
+    BOOST_TEST(answer.body == R"({"state":"completed"})");
+}
+
 BOOST_AUTO_TEST_CASE(A_target_that_leaves_is_given_no_new_task)
 {
     BOOST_TEST(completes(0));
--- a/tests/unit/fleet/jobkeys.cpp
+++ b/tests/unit/fleet/jobkeys.cpp
@@ -101,6 +101,32 @@
     BOOST_TEST(port.starts.back().second.payload == "b");
 }
 
+// The submission would wait until its caller's deadline at a dispatcher that ends.
+BOOST_FIXTURE_TEST_CASE(A_dispatcher_that_stops_gives_back_a_job_that_waits_for_another_with_its_id, TwoRoutesFixture)
+{
+    node.onFrame(report("h2", 2, false), now);
+    FleetFrame frame;
+    frame.host = "h2";
+    frame.incarnation = 2;
+    for (const auto *route : {"a", "b"}) {
+        frame.submissions.push_back(jobOf(route));
+        frame.submissions.back().entryHost = "h2";
+        frame.submissions.back().number = frame.submissions.size();
+    }
+    node.onFrame(frame, now);
+    BOOST_REQUIRE(port.starts.size() == 1U);
+    BOOST_TEST(node.scheduler().jobCount() == 2U);
+    node.abandonRemainingJobs(now);
+    BOOST_TEST(node.scheduler().jobCount() == 1U);
+    std::vector<std::string> ended;
+    for (const auto &[endpoint, sent] : port.frames) {
+        for (const auto &notice : sent.ended) {
+            ended.push_back(notice.jobId);
+        }
+    }
+    BOOST_TEST(ended == std::vector<std::string> {"j@b"}, boost::test_tools::per_element());
+}
+
 // Hosts of earlier versions name jobs by their ids alone.
 BOOST_FIXTURE_TEST_CASE(Messages_of_earlier_versions_concern_the_job_with_their_id, HostNodeFixture)
 {
--- a/tests/unit/scheduling/crashsuspects.cpp
+++ b/tests/unit/scheduling/crashsuspects.cpp
@@ -371,4 +371,18 @@
     BOOST_TEST(port.crashesOfJob.contains("j"));
 }
 
+// A job would be given up for the crashes of another queue's job with its id.
+BOOST_AUTO_TEST_CASE(Records_of_a_job_do_not_concern_that_of_another_route_with_its_id)
+{
+    CrashSuspects suspects;
+    suspects.beginJob("j", "a");
+    suspects.merge("j", {{0, 0, 3, 3, 2, true}}, Start);
+    suspects.setRoute("j", "a");
+    suspects.beginJob("j", "a");
+    BOOST_TEST((suspects.verdictOnJob("j") != CrashVerdict::Startable));
+    suspects.beginJob("j", "b");
+    BOOST_TEST((suspects.verdictOnJob("j") == CrashVerdict::Startable));
+    BOOST_TEST(!suspects.mustRunAlone({"j", 0, 0, 0}));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
