--- a/src/fleet/hostnode.cpp
+++ b/src/fleet/hostnode.cpp
@@ -60,6 +60,10 @@
 {
     beginEvent(now);
     const auto id = submission.request.id;
+    if (m_cancelledJobs.contains(id, now)) {
+        m_port.answerCaller(id, replyToCancelled());
+        return;
+    }
     submission.entryHost = m_identity.host;
     EntryJob job;
     job.answerBy = submission.callerDeadline;
@@ -129,19 +133,6 @@
     processSchedulerEvents(now);
 }
 
-/// Cancels a job whose caller waits here, and answers that caller. False when there is none.
-bool HostNode::cancelForCaller(const std::string &jobId, TimePoint now)
-{
-    if (!m_jobs.contains(jobId)) {
-        return false;
-    }
-    cancel(jobId, now);
-    CallerReply reply;
-    reply.reason = "cancelled by its caller";
-    m_port.answerCaller(jobId, reply);
-    return true;
-}
-
 /// Cancels a job that is given up here at the dispatcher that may have it.
 void HostNode::cancelAtDispatcher(const EntryJob &job, TimePoint now)
 {
@@ -560,13 +551,13 @@
 {
     m_observer.onJobEnded(job, result, m_now - job.arrivedAt);
     if (result.end == JobEnd::Abandoned) {
-        noteAbandonedRun(job.request.id);
+        noteAbandonedRun(job.identity());
     }
     if (job.entryHost == m_identity.host) {
-        m_locallyEndedJobs.push_back({job.request.id, result, job.grantEpoch, job.number});
+        m_locallyEndedJobs.push_back({job.identity(), result, job.grantEpoch, job.number});
         return;
     }
-    JobEndNotice notice {job.request.id, result, job.grantEpoch, job.number};
+    JobEndNotice notice {job.identity(), result, job.grantEpoch, job.number};
     notice.result.reason = reasonFor(job.entryHost, result.reason);
     FleetFrame frame;
     frame.ended.push_back(notice);
@@ -577,7 +568,7 @@
 
 void HostNode::onCrashRecords(const JobSubmission &job, const std::vector<TaskCrashes> &crashes)
 {
-    CrashNotice notice {job.request.id, crashes, ++m_lastCrashNoticeNumber};
+    CrashNotice notice {job.identity(), crashes, ++m_lastCrashNoticeNumber};
     if (job.entryHost == m_identity.host) {
         onCrashNotice(notice, m_identity.host, m_identity.incarnation);
         return;
@@ -613,7 +604,7 @@
         return;
     }
     FleetFrame frame;
-    frame.longRuns.push_back({job.request.id, endBy, job.number});
+    frame.longRuns.push_back({job.identity(), endBy, job.number});
     send(job.entryHost, std::move(frame), m_now);
 }
 
--- a/src/fleet/hostnodepeers.cpp
+++ b/src/fleet/hostnodepeers.cpp
@@ -76,6 +76,7 @@
 void HostNode::excludeFromWaits(Duration pause, TimePoint now)
 {
     m_view.onPause(pause, now);
+    m_knownEndpoints.onPause(pause, now);
     for (auto &[target, claimAt] : m_nextClaimAt) {
         if (claimAt > now - pause) {
             claimAt += pause;
@@ -91,6 +92,7 @@
     if (frame.host == m_identity.host) {
         return;
     }
+    completeKeys(frame);
     switch (m_peerProcesses.onFrame(frame, now)) {
     case PeerProcesses::Finding::Unproven:
         onUnprovenFrame(frame, now);
@@ -101,6 +103,7 @@
     case PeerProcesses::Finding::Present:
         break;
     }
+    onCancelledJobs(frame, now);
     const bool mayGrantFromHere = seeCallersOf(frame, now);
     if (frame.report) {
         onReport(frame, now);
@@ -125,12 +128,14 @@
     }
     if (isLate || !isAccepted) {
         for (const auto &submission : frame.submissions) {
-            m_scheduler.refuse(submission, isAccepted ? JobEndReason::WaitedTooLong : JobEndReason::GrantEnded, now);
+            m_scheduler.refuse(namedAtTargets(submission), isAccepted ? JobEndReason::WaitedTooLong : JobEndReason::GrantEnded, now);
         }
         frame.submissions.clear();
     }
     for (auto &submission : frame.submissions) {
-        schedule(std::move(submission), now);
+        if (!refuseCancelled(submission, now)) {
+            schedule(std::move(submission), now);
+        }
     }
     for (const auto &notice : frame.crashNotices) {
         onCrashNotice(notice, frame.host, frame.incarnation);
@@ -180,12 +185,13 @@
 void HostNode::onUnprovenFrame(const FleetFrame &frame, TimePoint now)
 {
     m_observer.onUnprovenFrame(frame.host, frame.incarnation);
+    onCancelledJobs(frame, now);
     for (const auto &notice : frame.ended) {
         onJobResult(notice, frame.host, frame.incarnation, now);
     }
     for (auto submission : frame.submissions) {
         submission.grantEpoch = frame.grant ? frame.grant->epoch : 0;
-        m_scheduler.refuse(submission, JobEndReason::GrantEnded, now);
+        m_scheduler.refuse(namedAtTargets(std::move(submission)), JobEndReason::GrantEnded, now);
     }
     if (frame.report) {
         auto &peer = addPeerEndpoint(frame.report->peerEndpoint, now);
@@ -247,30 +253,6 @@
     }
 }
 
-void HostNode::requestCancel(const std::string &jobId, TimePoint now)
-{
-    beginEvent(now);
-    if (cancelForCaller(jobId, now)) {
-        m_port.onCancelDecided(jobId, CancelOutcome::Cancelled);
-        return;
-    }
-    std::set<std::string> asked;
-    auto longestSilence = FleetView::longestSilence(Duration(0));
-    for (const auto *member : m_view.liveMembers(now)) {
-        FleetFrame frame;
-        frame.cancelInquiries.push_back(jobId);
-        if (send(member->report.host, std::move(frame), now)) {
-            asked.insert(member->report.host);
-            longestSilence = std::max(longestSilence, FleetView::longestSilence(member->report.period));
-        }
-    }
-    const bool isComplete = std::all_of(m_peers.begin(), m_peers.end(), [&](const auto &entry) {
-        const auto &peer = entry.second;
-        return peer.host.empty() || asked.contains(peer.host) || now - peer.lastNamedAt > EndpointExpiry;
-    });
-    m_cancelInquiries.begin(jobId, std::move(asked), isComplete, now + longestSilence);
-}
-
 void HostNode::onCancellations(const FleetFrame &frame, TimePoint now)
 {
     FleetFrame confirmation;
@@ -290,20 +272,6 @@
     }
 }
 
-void HostNode::onCancelFrame(const FleetFrame &frame, TimePoint now)
-{
-    for (const auto &id : frame.cancelInquiries) {
-        FleetFrame answer;
-        answer.cancelAnswers.push_back({id, cancelForCaller(id, now)});
-        send(frame.host, std::move(answer), now);
-    }
-    for (const auto &answer : frame.cancelAnswers) {
-        if (const auto outcome = m_cancelInquiries.onAnswer(answer.jobId, frame.host, answer.cancelled)) {
-            m_port.onCancelDecided(answer.jobId, *outcome);
-        }
-    }
-}
-
 /// How much longer a frame took than the fastest recent one of its sender; 0 for its first one.
 Duration HostNode::excessDelay(const FleetFrame &frame, TimePoint now) const
 {
@@ -365,6 +333,12 @@
     peer.lastNamedAt = now;
     if (becameLive) {
         peer.nextReportAt = now;
+        // A process that has just started must learn of all hosts and of what was cancelled.
+        peer.listedEndpoints = 0;
+        m_owedCancelledJobs.insert(report.host);
+    }
+    if (!frame.knownEndpoints.empty()) {
+        m_knownEndpoints.onListReceived(toString(report.peerEndpoint), now);
     }
     for (const auto &endpoint : frame.knownEndpoints) {
         addNamedEndpoint(endpoint, now);
@@ -435,6 +409,8 @@
         onDispatcherDisconnected(peer->second.host, now);
         // The last report may be lost.
         peer->second.nextReportAt = now;
+        peer->second.cancelledJobsSentAt = TimePoint();
+        m_owedCancelledJobs.insert(peer->second.host);
     }
     processSchedulerEvents(now);
 }
@@ -450,6 +426,7 @@
     recordLostDispatcher(lost, now);
     m_lostDispatchers.at(incarnationKey(report.host, report.incarnation)).lostAt = now;
     m_issuedGrants.removeOld(now);
+    m_cancelAnnouncements.onHostLost(report.host);
     // The host may have been the only one to know what ran. If it is only cut off, it may dispatch on its own now.
     m_scheduler.onHistoryLost(now);
     onDispatcherLost(report.host, report.incarnation, now);
@@ -478,6 +455,7 @@
 {
     const auto [found, added] = m_peers.try_emplace(toString(endpoint));
     auto &peer = found->second;
+    m_knownEndpoints.onNamed(found->first, now);
     if (added) {
         peer.endpoint = endpoint;
         peer.isSeed = std::find(m_identity.seeds.begin(), m_identity.seeds.end(), endpoint) != m_identity.seeds.end();
@@ -500,6 +478,7 @@
         return;
     }
     m_endpointsCheckedAt = now;
+    m_knownEndpoints.removeOld(now);
     for (auto it = m_peers.begin(); it != m_peers.end();) {
         if (!it->second.isSeed && now - it->second.lastNamedAt > EndpointExpiry) {
             m_port.disconnect(it->second.endpoint);
@@ -581,9 +560,7 @@
     finishYields(now);
     placeWaitingJobs(now);
     processSchedulerEvents(now);
-    for (const auto &[jobId, outcome] : m_cancelInquiries.takeDecided(now)) {
-        m_port.onCancelDecided(jobId, outcome);
-    }
+    updateCancellations(now);
     removeUnresponsiveEndpoints(now);
     m_owedCancellations.removeOld(now);
     m_owedResults.removeOld(now);
@@ -752,6 +729,7 @@
         }
     }
     frame.cancellations = m_owedCancellations.cancellationsAt(peer.host);
+    addCancelledJobs(frame, peer, member != nullptr, now);
     m_port.sendFrame(peer.endpoint, frame);
     if (requestsGrant) {
         peer.grantRequestedAt = now;
--- a/src/scheduling/schedulertargets.cpp
+++ b/src/scheduling/schedulertargets.cpp
@@ -530,6 +530,7 @@
     }
     releaseIdleTargets(now);
     updateEvacuation(now);
+    submitCollidingJobs(now);
     updateTimeliness(now);
     endInfeasibleJobs(now);
     for (auto &[name, service] : m_services) {
--- a/tests/process/service.cpp
+++ b/tests/process/service.cpp
@@ -229,6 +229,99 @@
     BOOST_TEST(site.startCount("00000000000000bc.0.0.0") == 0);
 }
 
+// review/8: the POST of a cancelled job was answered 504, so that its caller sent it again and it ran.
+BOOST_AUTO_TEST_CASE(A_cancelled_job_does_not_run_when_its_caller_sends_it_again)
+{
+    const std::string job = "00000000000000ca";
+    auto waiting = std::async(std::launch::async, [this, job] {
+        return site.submit(0, "checks", job, 1, Seconds(20), Seconds(30));
+    });
+    BOOST_REQUIRE(eventually([this, job] {
+        return site.startCount(job + ".0.0.0") == 1;
+    }));
+    BOOST_TEST(site.request(1, "DELETE", "/checks/" + job, "").status == 200);
+    BOOST_TEST(waiting.get().status == 410);
+    // The host that has acknowledged the cancellation is lost.
+    site.host(1).kill();
+    for (const std::size_t host : {0, 2}) {
+        BOOST_TEST(site.submit(host, "checks", job, 1, Milliseconds(30)).status == 410);
+    }
+    site.startHost(1);
+    BOOST_REQUIRE(eventually([this] {
+        return site.isReady();
+    }));
+    BOOST_TEST(site.submit(1, "checks", job, 1, Milliseconds(30)).status == 410);
+    BOOST_TEST(site.startCount(job + ".0.0.0") == 1);
+}
+
+// review/9: a host that had just started answered 410 for a job that waited at another host.
+BOOST_AUTO_TEST_CASE(A_host_that_has_just_started_does_not_deny_a_job_of_another_host)
+{
+    const std::string job = "00000000000000cb";
+    site.host(2).kill();
+    auto waiting = std::async(std::launch::async, [this, job] {
+        return site.submit(0, "checks", job, 1, Seconds(20), Seconds(30));
+    });
+    BOOST_REQUIRE(eventually([this, job] {
+        return site.startCount(job + ".0.0.0") == 1;
+    }));
+    site.startHost(2);
+    int status = 0;
+    BOOST_REQUIRE(eventually([this, job, &status] {
+        status = site.request(2, "DELETE", "/checks/" + job, "").status;
+        return status == 200 || status == 410;
+    }));
+    BOOST_TEST(status == 200);
+    waiting.get();
+}
+
+// review/7: the caller of the second queue got the result of the first one's job, and its DELETE cancelled that.
+BOOST_AUTO_TEST_CASE(Jobs_of_two_queues_with_the_same_id_are_two_jobs)
+{
+    site.publish(2, {"checks", "audits"});
+    BOOST_REQUIRE(eventually([this] {
+        return site.request(0, "GET", "/audits/", "").status == 200 && site.request(1, "GET", "/audits/", "").status == 200;
+    }));
+    const std::string job = "00000000000000cc";
+    auto first = std::async(std::launch::async, [this, job] {
+        return site.submit(0, "checks", job, 1, Seconds(2), Seconds(12));
+    });
+    BOOST_REQUIRE(eventually([this, job] {
+        return site.startCount(job + ".0.0.0") == 1;
+    }));
+    BOOST_TEST(site.request(1, "DELETE", "/audits/" + job, "").status == 410);
+    for (const std::size_t host : {0, 1}) {
+        const auto second = site.submit(host, "audits", job, 1, Milliseconds(30), Seconds(12));
+        BOOST_TEST(second.status == 200);
+        BOOST_TEST(second.body == R"({"state":"completed"})");
+        BOOST_TEST(site.startCount(job + ".0.0.0") == 2 + host);
+    }
+    const auto answer = first.get();
+    BOOST_TEST(answer.status == 200);
+    BOOST_TEST(answer.body == R"({"state":"completed"})");
+    BOOST_TEST(site.duplicateRuns() == 0);
+}
+
+// A job keeps the route with which it came; a DELETE is answered by the routes in force.
+BOOST_AUTO_TEST_CASE(A_job_of_a_queue_that_a_configuration_drops_goes_on)
+{
+    const std::string job = "00000000000000cd";
+    auto waiting = std::async(std::launch::async, [this, job] {
+        return site.submit(0, "checks", job, 1, Seconds(3), Seconds(12));
+    });
+    BOOST_REQUIRE(eventually([this, job] {
+        return site.startCount(job + ".0.0.0") == 1;
+    }));
+    site.publish(2, {"audits"});
+    BOOST_REQUIRE(eventually([this] {
+        return site.request(0, "GET", "/checks/", "").status == 404;
+    }));
+    BOOST_TEST(site.request(0, "DELETE", "/checks/" + job, "").status == 404);
+    const auto answer = waiting.get();
+    BOOST_TEST(answer.status == 200);
+    BOOST_TEST(answer.body == R"({"state":"completed"})");
+}
+
 BOOST_AUTO_TEST_CASE(A_target_that_leaves_is_given_no_new_task)
 {
     BOOST_TEST(completes(0));
--- a/tests/unit/fleet/fleetframe.cpp
+++ b/tests/unit/fleet/fleetframe.cpp
@@ -42,6 +42,10 @@
     frame.cancellations.push_back({"00000000000000cc", 18});
     frame.confirmedCancellations.push_back({"00000000000000ff", 19});
     frame.abandonedRuns.push_back("00000000000000ab");
+    frame.cancelInquiries.push_back("00000000000000a1");
+    frame.cancelAnnouncements.push_back({"00000000000000a2", Now + Seconds(15)});
+    frame.cancelAnswers.push_back({"00000000000000a3", true, true});
+    frame.cancelledJobs.push_back({"00000000000000a4", Now + Seconds(9)});
     frame.grant = JobGrant {3, Now + Milliseconds(700), 41, 8};
     frame.lostDispatchers.push_back({"h3", 9, Seconds(12), Now - Milliseconds(800), {{"a", 1}}, 55});
     frame.releases.push_back({"00000000000000ee", "h3#9", 20});
@@ -75,6 +79,18 @@
     BOOST_REQUIRE(frame->cancellations.size() == 1);
     BOOST_TEST(frame->cancellations.front().jobId == "00000000000000cc");
     BOOST_TEST(frame->cancellations.front().submissionNumber == 18);
+    BOOST_REQUIRE(frame->cancelInquiries.size() == 1);
+    BOOST_TEST(frame->cancelInquiries.front() == "00000000000000a1");
+    BOOST_REQUIRE(frame->cancelAnnouncements.size() == 1);
+    BOOST_TEST(frame->cancelAnnouncements.front().jobId == "00000000000000a2");
+    BOOST_TEST((frame->cancelAnnouncements.front().until == later + Seconds(15)));
+    BOOST_REQUIRE(frame->cancelAnswers.size() == 1);
+    BOOST_TEST(frame->cancelAnswers.front().jobId == "00000000000000a3");
+    BOOST_TEST(frame->cancelAnswers.front().cancelled);
+    BOOST_TEST(frame->cancelAnswers.front().isRemembered);
+    BOOST_REQUIRE(frame->cancelledJobs.size() == 1);
+    BOOST_TEST(frame->cancelledJobs.front().jobId == "00000000000000a4");
+    BOOST_TEST((frame->cancelledJobs.front().until == later + Seconds(9)));
     BOOST_REQUIRE(frame->confirmedCancellations.size() == 1);
     BOOST_TEST(frame->confirmedCancellations.front().jobId == "00000000000000ff");
     BOOST_TEST(frame->confirmedCancellations.front().submissionNumber == 19);
@@ -113,4 +129,40 @@
     BOOST_TEST(decodeFrame(encodeFrame(frame, Now), Now)->submissions.empty());
 }
 
+// Jobs of two queues with the same id were taken for one.
+BOOST_AUTO_TEST_CASE(A_frame_names_the_route_of_each_job)
+{
+    const std::string key = "00000000000000aa@checks";
+    auto sent = completeFrame();
+    sent.submissions.front().request.id = key;
+    sent.submissions.front().route = "checks";
+    sent.crashNotices.front().jobId = key;
+    sent.longRuns.front().jobId = key;
+    sent.ended.front().jobId = key;
+    sent.cancellations.front().jobId = key;
+    sent.confirmedCancellations.front().jobId = key;
+    sent.releases.front().jobId = key;
+    sent.cancelInquiries.front() = key;
+    sent.cancelAnnouncements.front().jobId = key;
+    sent.cancelAnswers.front().jobId = key;
+    sent.cancelledJobs.front().jobId = key;
+    const auto frame = decodeFrame(encodeFrame(sent, Now), Now);
+    BOOST_REQUIRE(frame.has_value());
+    BOOST_TEST(frame->submissions.front().request.id == key);
+    BOOST_TEST(frame->crashNotices.front().jobId == key);
+    BOOST_TEST(frame->longRuns.front().jobId == key);
+    BOOST_TEST(frame->ended.front().jobId == key);
+    BOOST_TEST(frame->cancellations.front().jobId == key);
+    BOOST_TEST(frame->confirmedCancellations.front().jobId == key);
+    BOOST_TEST(frame->releases.front().jobId == key);
+    BOOST_TEST(frame->cancelInquiries.front() == key);
+    BOOST_TEST(frame->cancelAnnouncements.front().jobId == key);
+    BOOST_TEST(frame->cancelAnswers.front().jobId == key);
+    BOOST_TEST(frame->cancelledJobs.front().jobId == key);
+    // Hosts of earlier versions name a route beside a job that they know by its id alone.
+    sent.submissions.front().request.id = "00000000000000aa";
+    const auto earlier = decodeFrame(encodeFrame(sent, Now), Now);
+    BOOST_TEST(earlier->submissions.front().request.id == "00000000000000aa");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
