Answer the POST of a cancelled job with its state

Cause: a POST of a cancelled job was answered 410. A caller may take that for a rejection, which promises that no task starts; a task may have started before the cancellation.

Change: the answer is 200 with the state cancelled, which GET has for such a job. It stays final, so that the caller does not send the job again.

--- a/src/entry/callerrequesthandler.cpp
+++ b/src/entry/callerrequesthandler.cpp
@@ -146,8 +146,8 @@
     case CallerAnswer::NotRun:
         co_return refuse(key, ServiceUnavailable, reply.reason, std::max<Duration>(reply.retryAfter, Seconds(1)));
     case CallerAnswer::Cancelled:
-        // Final, unlike 504, and true whether a task has started or not, unlike 503 and a result.
-        co_return refuse(key, Gone, reply.reason, Duration(0));
+        // Final, unlike 504. A rejection would say that no task has run, which may be untrue.
+        co_return makeResponse(Ok, Platform::encodeCancelledJob());
     case CallerAnswer::Unknown:
         break;
     }
