Bound the jobs that wait for others with their ids

A job that waits for another one with its id was not counted by the limit of tasks, so that clients which send one id to several queues could take a dispatcher's memory: 4,000 jobs of 1,000 steps. Such jobs are now refused as others are (queue_full).

Jobs_that_wait_for_another_with_their_id_count_as_those_in_the_queue failed before.

--- a/src/scheduling/collidingjobs.cpp
+++ b/src/scheduling/collidingjobs.cpp
@@ -28,6 +28,15 @@
     return taken;
 }
 
+std::size_t CollidingJobs::taskCount() const
+{
+    std::size_t tasks = 0;
+    for (const auto &submission : m_submissions) {
+        tasks += submission.taskCount();
+    }
+    return tasks;
+}
+
 const std::vector<JobSubmission> &CollidingJobs::submissions() const
 {
     return m_submissions;
--- a/src/scheduling/collidingjobs.h
+++ b/src/scheduling/collidingjobs.h
@@ -2,6 +2,7 @@
 
 #include "scheduling/jobsubmission.h"
 
+#include <cstddef>
 #include <functional>
 #include <string>
 #include <vector>
@@ -21,6 +22,9 @@
 
     const std::vector<JobSubmission> &submissions() const;
 
+    /// The number of tasks of all submissions, which bounds their memory.
+    std::size_t taskCount() const;
+
 private:
     std::vector<JobSubmission> m_submissions;
 };
--- a/src/scheduling/jobsubmission.h
+++ b/src/scheduling/jobsubmission.h
@@ -5,6 +5,7 @@
 #include "workload/taskcrashes.h"
 
 #include <algorithm>
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -65,6 +66,15 @@
         return key.empty() ? request.id : key;
     }
 
+    std::size_t taskCount() const
+    {
+        std::size_t tasks = 0;
+        for (const auto &step : request.steps) {
+            tasks += step.taskCount;
+        }
+        return tasks;
+    }
+
     /// When no earlier dispatcher can have a run of the job any more.
     TimePoint mayStartAt() const
     {
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -186,10 +186,7 @@
 /// Refuses a job before anything is allocated for its tasks. One that is too large even for an idle dispatcher is not worth a retry.
 bool Scheduler::refuseIfTooLarge(const JobSubmission &submission, TimePoint now)
 {
-    std::size_t tasks = 0;
-    for (const auto &step : submission.request.steps) {
-        tasks += step.taskCount;
-    }
+    const auto tasks = submission.taskCount();
     if (m_taskCount + tasks <= m_limits.maxTasks) {
         return false;
     }
@@ -645,7 +642,8 @@
 /// Lets a submission wait for the end of the job of another route that has its id.
 void Scheduler::holdCollidingJob(JobSubmission submission, TimePoint now)
 {
-    if (m_collidingJobs.submissions().size() >= m_limits.maxQueuedJobs) {
+    const auto tasks = m_taskCount + m_collidingJobs.taskCount() + submission.taskCount();
+    if (m_collidingJobs.submissions().size() >= m_limits.maxQueuedJobs || tasks > m_limits.maxTasks) {
         const auto end = mayHaveRunBefore(submission, now) ? JobEnd::Abandoned : JobEnd::NotRun;
         reportEnd(submission, {end, JobEndReason::QueueFull, Seconds(1), {}}, now);
         return;
--- a/tests/unit/scheduling/scheduler.cpp
+++ b/tests/unit/scheduling/scheduler.cpp
@@ -761,4 +761,25 @@
     BOOST_TEST((port.ended.at(1).result.reason == JobEndReason::NeverFits));
 }
 
+// Clients may send one id to several queues without end.
+BOOST_AUTO_TEST_CASE(Jobs_that_wait_for_another_with_their_id_count_as_those_in_the_queue)
+{
+    SchedulerLimits limits;
+    limits.maxTasks = 10;
+    Scheduler small(limits, port, observer);
+    small.addTarget(entry("t1"), Token, now);
+    small.submit(job("j", 8), now);
+    const auto submitOf = [&](const std::string &route, std::uint32_t tasks) {
+        auto submission = job("j", tasks);
+        submission.route = route;
+        small.submit(submission, now);
+        return port.ended.size();
+    };
+    BOOST_TEST(submitOf("b", 3) == 1U);
+    BOOST_TEST((port.ended.at(0).result.reason == JobEndReason::QueueFull));
+    BOOST_TEST(submitOf("c", 2) == 1U);
+    BOOST_TEST(submitOf("d", 1) == 2U);
+    BOOST_TEST(small.jobCount() == 2U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
