Handle SIGHUP that arrives while a process starts

Cause: SIGHUP in the first 5 ms of a process ended it, because the handler was not installed yet.

Change: main() blocks the signal first, so that it stays pending; dispatch unblocks it when it runs and its handler is installed. Other verbs unblock it at once and end as before.

--- a/src/hostruntime/hostprocess.cpp
+++ b/src/hostruntime/hostprocess.cpp
@@ -8,6 +8,7 @@
 #include "hostruntime/resourceplan.h"
 #include "hostruntime/storefollower.h"
 #include "hostruntime/targetconnections.h"
+#include "kernel/hangupsignal.h"
 #include "kernel/timerservice.h"
 #include "net/descriptorlimit.h"
 #include "net/httpserver.h"
@@ -528,6 +529,7 @@
     asio::post(d->executor, [this] {
         d->start();
     });
+    unblockHangup();
     finished.wait();
     d->loops.stop();
 }
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,3 +1,4 @@
+#include "kernel/hangupsignal.h"
 #include "verbs/verbregistry.h"
 
 #include <iostream>
@@ -20,6 +21,7 @@
 
 int main(int argc, char **argv)
 {
+    blockHangup();
     const std::vector<std::string> arguments(argv + 1, argv + argc);
     if (arguments.empty() || arguments.front() == "--help") {
         printVerbs(arguments.empty() ? std::cerr : std::cout);
@@ -34,5 +36,8 @@
         std::cerr << "command line: there is no verb '" << arguments.front() << "'; see anvilcart --help\n";
         return static_cast<int>(ExitCode::BadInput);
     }
+    if (!verb->handlesHangup()) {
+        unblockHangup();
+    }
     return static_cast<int>(verb->run({arguments.begin() + 1, arguments.end()}));
 }
--- a/src/verbs/dispatch.cpp
+++ b/src/verbs/dispatch.cpp
@@ -35,6 +35,11 @@
         return "run a host on the platform until SIGTERM";
     }
 
+    bool handlesHangup() const override
+    {
+        return true;
+    }
+
     ExitCode run(const std::vector<std::string> &arguments) override
     {
         TCLAP::CmdLine commandLine(
--- a/src/verbs/interfaces/verb.h
+++ b/src/verbs/interfaces/verb.h
@@ -20,6 +20,12 @@
     /// One line for the list of verbs.
     virtual std::string_view summary() const = 0;
 
+    /// True if the verb handles SIGHUP, which is blocked until it calls unblockHangup(). For other verbs the signal ends the process.
+    virtual bool handlesHangup() const
+    {
+        return false;
+    }
+
     /// Runs the verb with the arguments after its name. Blocks until it is done.
     virtual ExitCode run(const std::vector<std::string> &arguments) = 0;
 };
--- a/tests/process/service.cpp
+++ b/tests/process/service.cpp
@@ -6,9 +6,11 @@
 #include <boost/test/unit_test.hpp>
 
 #include <csignal>
+#include <filesystem>
 #include <fstream>
 #include <future>
 #include <sstream>
+#include <sys/stat.h>
 
 using namespace Anvilcart;
 
@@ -256,6 +258,35 @@
     BOOST_TEST(completes(0));
 }
 
+// SIGHUP in the first 5 ms of a process ended it, since the handler was not installed yet. A pipe in place of the settings file holds the
+// process back at its beginning.
+BOOST_AUTO_TEST_CASE(A_request_to_reload_that_arrives_while_a_process_starts_is_handled)
+{
+    const auto host = (dispatcher() + 1) % site.hostCount();
+    site.host(host).terminate();
+    BOOST_REQUIRE(site.host(host).wait() == 0);
+    const auto settings = site.settingsPath(host);
+    const auto pipe = settings.string() + ".pipe";
+    const auto output = settings.string() + ".log";
+    BOOST_REQUIRE(::mkfifo(pipe.c_str(), 0600) == 0);
+    ChildProcess process(
+        std::string(ANVILCART_BINARIES) + "/anvilcart", {"dispatch", "--settings", pipe}, output, settings.string() + ".err");
+    // Opened when the process opens it for reading.
+    std::ofstream writer(pipe);
+    ::kill(process.id(), SIGHUP);
+    writer << std::ifstream(settings).rdbuf();
+    // The process reads the file again when it runs.
+    std::filesystem::remove(pipe);
+    std::filesystem::copy_file(settings, pipe);
+    writer.close();
+    BOOST_TEST(eventually([&] {
+        std::ostringstream log;
+        log << std::ifstream(output).rdbuf();
+        return !process.isRunning() || log.str().find("event=reload") != std::string::npos;
+    }));
+    BOOST_TEST(process.isRunning());
+}
+
 BOOST_AUTO_TEST_CASE(A_refused_job_is_explained_by_its_id)
 {
     const auto refused = site.submit(0, "checks", "00000000000000ee", 1, Milliseconds(9000), Milliseconds(1500));
