Follow no redirection into an evacuated zone

A dispatcher that had not learned of an evacuation yet could redirect a job to one whose pools are evacuated, which sent it on again. The entry host now places such a job by its own knowledge.

Tests added beside it: a restarted host starts nothing before it knows the evacuations, from the store or a peer; a host that stood still waits for a confirmation; the store's stand-in lists its keys in pages, and the process test reads an evacuation from the last one.

--- a/src/fleet/hostnode.cpp
+++ b/src/fleet/hostnode.cpp
@@ -507,7 +507,7 @@
     ++job.submission.transfers;
     const auto *member = m_view.find(result.preferredDispatcher);
     const bool mayFollow = m_port.isCallerConnected(job.submission.request.id) && m_view.isLive(result.preferredDispatcher, now);
-    if (member == nullptr || !mayFollow) {
+    if (member == nullptr || !mayFollow || isEvacuated(member->report.claims)) {
         return false;
     }
     Dispatcher dispatcher;
--- a/standins/service/storestandin.cpp
+++ b/standins/service/storestandin.cpp
@@ -14,6 +14,7 @@
 
 #include <atomic>
 #include <cstring>
+#include <limits>
 #include <map>
 #include <mutex>
 #include <vector>
@@ -59,6 +60,22 @@
     return rest.substr(0, rest.find('&'));
 }
 
+std::string percentDecoded(const std::string &text)
+{
+    constexpr std::size_t DigitCount = 2;
+    constexpr int Hexadecimal = 16;
+    std::string decoded;
+    for (std::size_t index = 0; index < text.size(); ++index) {
+        if (text[index] == '%' && index + DigitCount < text.size()) {
+            decoded += static_cast<char>(std::stoi(text.substr(index + 1, DigitCount), nullptr, Hexadecimal));
+            index += DigitCount;
+        } else {
+            decoded += text[index];
+        }
+    }
+    return decoded;
+}
+
 std::uint64_t queryNumber(const std::string &query, const std::string &name)
 {
     std::uint64_t number = 0;
@@ -106,7 +123,7 @@
             co_return append(name, request.body);
         }
         if (request.path == Platform::Names::LogNewestPath) {
-            co_return newest(name);
+            co_return newest(name, percentDecoded(queryValue(request.query, "depends_on")));
         }
         if (request.path == Platform::Names::LogReadPath) {
             co_return co_await read(name, queryNumber(request.query, "from"), Milliseconds(queryNumber(request.query, "wait_ms")));
@@ -125,19 +142,25 @@
         return answer(200, R"({"offset":0,"end_offset":1})");
     }
 
-    HttpResponse newest(const std::string &name)
+    HttpResponse newest(const std::string &name, const std::string &afterKey)
     {
         namespace base64 = boost::beast::detail::base64;
         const std::lock_guard lock(mutex);
         auto &topic = topics[name];
         json::array items;
-        for (const auto &[key, record] : topic.newest) {
+        bool hasMore = false;
+        for (auto next = topic.newest.upper_bound(afterKey); next != topic.newest.end(); ++next) {
+            if (items.size() == pageSize) {
+                hasMore = true;
+                break;
+            }
+            const auto &[key, record] = *next;
             std::string encoded(base64::encoded_size(record.first.size()), '\0');
             encoded.resize(base64::encode(encoded.data(), record.first.data(), record.first.size()));
             items.push_back({{"key", key}, {"value", encoded}, {"offset", record.second}});
         }
         const auto end = topic.firstOffset + topic.contents.size();
-        return answer(200, json::serialize(json::object {{"items", items}, {"has_more", false}, {"end_offset", end}}));
+        return answer(200, json::serialize(json::object {{"items", items}, {"has_more", hasMore}, {"end_offset", end}}));
     }
 
     asio::awaitable<HttpResponse> read(std::string name, std::uint64_t from, Milliseconds wait)
@@ -173,6 +196,7 @@
     std::map<std::string, Topic> topics;
     std::atomic<bool> unavailable = false;
     std::atomic<std::size_t> calls = 0;
+    std::atomic<std::size_t> pageSize = std::numeric_limits<std::size_t>::max();
     std::unique_ptr<HttpServer> server;
 };
 
@@ -204,6 +228,11 @@
     d->unavailable.store(down);
 }
 
+void StoreStandin::setPageSize(std::size_t keys)
+{
+    d->pageSize.store(keys);
+}
+
 void StoreStandin::dropHistory()
 {
     const std::lock_guard lock(d->mutex);
--- a/standins/service/storestandin.h
+++ b/standins/service/storestandin.h
@@ -21,6 +21,9 @@
     /// While set, every call is answered with status 503.
     void setUnavailable(bool unavailable);
 
+    /// Lists at most this many keys in one page.
+    void setPageSize(std::size_t keys);
+
     /// Drops all records from the history; the newest record of each key can still be listed.
     void dropHistory();
 
--- a/tests/process/evacuations.cpp
+++ b/tests/process/evacuations.cpp
@@ -77,6 +77,8 @@
     const auto before = site.startsInZone("a");
     BOOST_TEST(completedOf(2) == 6U);
 
+    // The listing has a page for each key, of which the last ones evacuate zones.
+    site.store().setPageSize(1);
     site.store().dropHistory();
     site.host(1).kill();
     site.startHost(1);
--- a/tests/support/hostnodefixture.h
+++ b/tests/support/hostnodefixture.h
@@ -3,6 +3,7 @@
 #include "fleet/hostnode.h"
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -178,9 +179,10 @@
     static constexpr TimePoint Begin {std::chrono::hours(1)};
     static constexpr Milliseconds TickPeriod {25};
 
-    static HostIdentity identity(bool isFirstStart)
+    static HostIdentity identity(bool isFirstStart, std::optional<Duration> evacuationBound = std::nullopt)
     {
         HostIdentity self;
+        self.limits.evacuationBound = evacuationBound;
         self.host = "h1";
         self.incarnation = 1;
         self.isFirstStart = isFirstStart;
@@ -189,8 +191,8 @@
         return self;
     }
 
-    explicit HostNodeFixture(bool isFirstStart = true)
-        : node(identity(isFirstStart), port, observer)
+    explicit HostNodeFixture(bool isFirstStart = true, std::optional<Duration> evacuationBound = std::nullopt)
+        : node(identity(isFirstStart, evacuationBound), port, observer)
     {
         node.tick(now);
     }
--- a/tests/unit/fleet/evacuations.cpp
+++ b/tests/unit/fleet/evacuations.cpp
@@ -80,6 +80,28 @@
     BOOST_TEST(lastSubmissionTo() == "10.0.0.3");
 }
 
+// Guards against jobs that two dispatchers send back and forth because one of them does not know of the evacuation yet.
+BOOST_AUTO_TEST_CASE(A_redirection_into_an_evacuated_zone_is_not_followed)
+{
+    node.onFrame(reportOfPool("h2", 2, "b"), now);
+    node.submit(job("j"), now);
+    BOOST_TEST(lastSubmissionTo() == "10.0.0.2");
+    node.onFrame(reportOfPool("h3", 3, "a"), now);
+    node.onFrame(reportOfPool("h4", 4, "c"), now);
+    node.onEvacuations({1, {"a"}}, now);
+    FleetFrame frame;
+    frame.host = "h2";
+    frame.incarnation = 2;
+    JobEndNotice notice;
+    notice.jobId = "j";
+    notice.result = {JobEnd::NotRun, JobEndReason::BetterElsewhere, Seconds(1), "h3"};
+    frame.ended.push_back(notice);
+    node.onFrame(frame, now);
+    advance(Milliseconds(100));
+    BOOST_TEST(lastSubmissionTo() != "10.0.0.3");
+    BOOST_TEST(!lastSubmissionTo().empty());
+}
+
 BOOST_AUTO_TEST_CASE(While_all_zones_are_evacuated_jobs_are_refused_at_once)
 {
     listTargetsOfZones({"a", "b"});
@@ -158,4 +180,55 @@
     }
 }
 
+/// A host whose settings have a bound, after a restart: it has read the list of targets, but not the operator's topic.
+struct RestartedHostFixture : HostNodeFixture
+{
+    RestartedHostFixture()
+        : HostNodeFixture(false, Seconds(5))
+    {
+        claimTarget("t1");
+        node.submit(job("j"), now);
+        advance(Milliseconds(100));
+    }
+};
+
+// Guards against starts by a host that has not learned of an evacuation yet.
+BOOST_FIXTURE_TEST_CASE(A_restarted_host_starts_nothing_before_it_knows_the_evacuations, RestartedHostFixture)
+{
+    BOOST_TEST(port.starts.empty());
+    node.onEvacuationsLost(now);
+    advance(Milliseconds(100));
+    BOOST_TEST(port.starts.empty());
+    node.onEvacuations({3, {"b"}}, now);
+    BOOST_TEST(port.starts.size() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(A_restarted_host_without_the_store_goes_by_what_a_peer_knows, RestartedHostFixture)
+{
+    node.onEvacuationsLost(now);
+    auto frame = report("h2", 2, false);
+    frame.report->evacuation = EvacuationView {3, {"a"}};
+    node.onFrame(frame, now);
+    advance(Milliseconds(100));
+    BOOST_TEST(port.starts.empty());
+    BOOST_TEST(port.answers["j"].reason == "evacuated");
+}
+
+// Guards against starts by what the process knew before it stood still.
+BOOST_FIXTURE_TEST_CASE(After_a_pause_nothing_starts_before_the_state_is_confirmed, RestartedHostFixture)
+{
+    node.onEvacuations({3, {}}, now);
+    now += Seconds(6);
+    node.tick(now);
+    answerRenewal("t1", {});
+    const auto before = port.starts.size();
+    node.submit(job("after"), now);
+    advance(Milliseconds(100));
+    BOOST_TEST(port.starts.size() == before);
+    node.onEvacuations({4, {"a"}}, now);
+    advance(Milliseconds(100));
+    BOOST_TEST(port.starts.size() == before);
+    BOOST_TEST(port.answers["after"].reason == "evacuated");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
