Racks of targets, the far factor and rack-local steps reach the scheduler

Cause: a dispatcher knows neither the rack of a target nor how much longer a task takes far from its data; rack_local is lost between hosts.

Change: TargetEntry has the rack, which is the second label of a target's entry. bounds.far_x is read into SchedulerLimits::farFactor, 1.5 without it. Nothing is decided by any of them yet.

Measured: PlatformSettingsSuite, PlatformMessageSuite and FleetFrameSuite, 17 cases, pass.

--- a/src/fleet/fleetframe.cpp
+++ b/src/fleet/fleetframe.cpp
@@ -36,6 +36,7 @@
     wire.set_required_label(step.requiredLabel);
     wire.set_data_rack(step.dataRack);
     wire.set_max_per_target(step.maxPerTarget);
+    wire.set_rack_local(step.rackLocal);
 }
 
 StepRequest decodeStep(const Wire::Step &wire)
@@ -48,6 +49,7 @@
     step.requiredLabel = wire.required_label();
     step.dataRack = wire.data_rack();
     step.maxPerTarget = wire.max_per_target();
+    step.rackLocal = wire.rack_local();
     return step;
 }
 
--- a/src/hostruntime/hostprocess.cpp
+++ b/src/hostruntime/hostprocess.cpp
@@ -81,6 +81,7 @@
     identity.limits.maxLease = settings.maxLease;
     identity.targetListExpiry = settings.targetHeartbeat;
     identity.limits.stopTime = settings.maxStopTime;
+    identity.limits.farFactor = settings.farFactor;
     if (settings.memoryMb > 0) {
         identity.limits.maxTasks = maxTasksForMemory(settings.memoryMb);
     }
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -34,6 +34,8 @@
     Duration maxLease = Milliseconds(1000);
     /// The longest time that a target takes to stop a run.
     Duration stopTime = Milliseconds(50);
+    /// How many times as long a task takes outside its data rack, or with its step spread over several racks.
+    double farFactor = 1.5;
     /// New jobs are refused when this many wait. A job takes about 2 KB, so this keeps the queue under 8 MB.
     std::size_t maxQueuedJobs = 4000;
     /// New jobs are refused when all jobs together would have more tasks than this, which bounds the memory that they take.
--- a/src/workload/jobrequest.h
+++ b/src/workload/jobrequest.h
@@ -24,9 +24,10 @@
     std::string dataRack;
     /// Maximum number of the step's tasks on one target; 0 means unlimited.
     std::uint32_t maxPerTarget = 0;
+    /// The step's tasks run longer when they run on more than one rack.
+    bool rackLocal = false;
     /// The remaining fields are decoded so that an unsupported feature can be rejected by name; see unsupportedFeature().
     bool gang = false;
-    bool rackLocal = false;
     bool checkpoints = false;
     bool allowDuplicates = false;
     bool longRunning = false;
--- a/src/workload/targetentry.h
+++ b/src/workload/targetentry.h
@@ -17,6 +17,8 @@
     Endpoint endpoint;
     std::string zone;
     std::vector<std::string> labels;
+    /// The label that names its rack; empty when it has none.
+    std::string rack;
     Resources capacity;
     /// The target shuts down soon and must not receive new tasks.
     bool draining = false;
--- a/tests/unit/fleet/fleetframe.cpp
+++ b/tests/unit/fleet/fleetframe.cpp
@@ -27,6 +27,7 @@
     submission.request.id = "00000000000000aa";
     submission.request.steps.push_back({});
     submission.request.steps.back().taskCount = 3;
+    submission.request.steps.back().rackLocal = true;
     submission.entryHost = "h1";
     submission.number = 17;
     submission.service = "service";
@@ -58,6 +59,7 @@
     BOOST_REQUIRE(frame.has_value());
     BOOST_TEST(frame->host == "h1");
     BOOST_TEST(frame->report->claims.at(0).heldTargets.at(0) == "t1");
+    BOOST_TEST(frame->submissions.at(0).request.steps.at(0).rackLocal);
     BOOST_TEST((frame->submissions.at(0).arrivedAt == later - Milliseconds(40)));
     BOOST_TEST((frame->submissions.at(0).callerDeadline == later + Milliseconds(1400)));
     BOOST_TEST((frame->submissions.at(0).earlierRunsEndBy == later + Milliseconds(900)));
--- a/tests/unit/platform/messages.cpp
+++ b/tests/unit/platform/messages.cpp
@@ -62,6 +62,15 @@
     BOOST_TEST(decodeJob(JobId, R"({"steps":[{"count":1,"depends_on":[0]}]})").error == "step 0: depends_on must name earlier steps");
 }
 
+// Guards against a kind that is taken for a rack: tasks of a rack-local step would be spread over all racks of the kind.
+BOOST_AUTO_TEST_CASE(The_rack_of_a_target_is_its_second_label)
+{
+    BOOST_TEST(decodeTargetEntry("i-1", Entry)->rack == "r1");
+    auto withoutRack = Entry;
+    withoutRack.replace(withoutRack.find(R"(["a","r1"])"), 10, R"(["a"])");
+    BOOST_TEST(decodeTargetEntry("i-1", withoutRack)->rack.empty());
+}
+
 BOOST_AUTO_TEST_CASE(An_invalid_target_record_is_rejected)
 {
     BOOST_TEST(decodeTargetEntry("i-1", Entry).has_value());
--- a/tests/unit/platform/settingsfile.cpp
+++ b/tests/unit/platform/settingsfile.cpp
@@ -33,6 +33,17 @@
     BOOST_TEST(parseSettings(RequiredSettings + "bootstrap=perhaps\n").error.message == "bootstrap is 'perhaps'; write true or false");
 }
 
+// Guards against waits that are weighed with another factor than the deployment's.
+BOOST_AUTO_TEST_CASE(The_far_factor_comes_from_the_settings)
+{
+    BOOST_TEST(parseSettings(RequiredSettings).settings->farFactor == 1.5);
+    BOOST_TEST(parseSettings(RequiredSettings + "bounds.far_x=3\n").settings->farFactor == 3);
+    for (const std::string invalid : {"0.5", "nan", "inf", "far"}) {
+        const auto result = parseSettings(RequiredSettings + "bounds.far_x=" + invalid + "\n");
+        BOOST_TEST(result.error.message == "bounds.far_x is '" + invalid + "'; write a number of at least 1");
+    }
+}
+
 BOOST_AUTO_TEST_CASE(An_error_states_its_line_and_the_expected_value)
 {
     const auto address = parseSettings(RequiredSettings + "seeds=nowhere\n");
