Emulator: data racks, rack-local steps and the scenarios hot-racks, hot-racks-high

Cause: no emulated load had tasks that run faster near their data or their group, so that a decision about waiting for such a place could not be measured.

Change: each emulated target has a rack of four. Kinds of jobs may name data racks or be rack-local; a task outside its rack takes the far factor (-x) as long, and a step that is split while some of its tasks run makes these longer too. hot-racks loads three fifths of the capacity, half of the work has its data on two of six racks and a quarter is rack-local; hot-racks-high has 1.4 times that load. The rows get a last column, failed.

--- a/emulator/emulatedcallers.cpp
+++ b/emulator/emulatedcallers.cpp
@@ -38,6 +38,8 @@
     bool isPersistent = false;
     /// The index of its task that crashes each target; nothing for most jobs.
     std::optional<std::uint32_t> crashingTask;
+    /// The racks to which tasks of its rack-local steps were last sent.
+    std::map<TaskName, std::string> rackOfTask;
 
     /// The name under which its result is counted.
     const std::string &resultName() const
@@ -119,6 +121,10 @@
     step.taskCount = kind.tasks;
     step.demand = {kind.milliCores, 64, 0};
     step.estimate = std::chrono::duration_cast<Milliseconds>(job->runTime * std::exp(kind.estimateSigma * normal(m_random)));
+    step.rackLocal = kind.rackLocal;
+    if (!kind.dataRacks.empty()) {
+        step.dataRack = kind.dataRacks[m_random() % kind.dataRacks.size()];
+    }
     job->request.steps.push_back(step);
     job->request.answeredOnCompletion = true;
     job->submittedAt = m_clock.now();
@@ -257,6 +263,34 @@
     }
 }
 
+bool EmulatedCallers::isFar(const CallerJob &job, const TaskName &task, const std::string &rack)
+{
+    const auto &step = job.request.steps[task.step];
+    if (!step.dataRack.empty()) {
+        return rack != step.dataRack;
+    }
+    return step.rackLocal && std::any_of(job.rackOfTask.begin(), job.rackOfTask.end(), [&](const auto &other) {
+               return other.first.step == task.step && other.second != rack;
+           });
+}
+
+TaskProfile EmulatedCallers::profileOnRack(const TaskName &task, const std::string &rack)
+{
+    const auto found = m_jobs.find(task.jobId);
+    if (found == m_jobs.end()) {
+        return {};
+    }
+    auto &job = *found->second;
+    if (job.request.steps[task.step].rackLocal) {
+        job.rackOfTask[task] = rack;
+    }
+    auto profile = profileOf(task);
+    if (isFar(job, task, rack)) {
+        profile.runTime = std::chrono::duration_cast<Duration>(profile.runTime * m_farFactor);
+    }
+    return profile;
+}
+
 TaskProfile EmulatedCallers::profileOf(const TaskName &task) const
 {
     TaskProfile profile;
@@ -306,6 +340,11 @@
     }
 }
 
+void EmulatedCallers::setFarFactor(double factor)
+{
+    m_farFactor = factor;
+}
+
 void EmulatedCallers::setLoadFactor(double factor)
 {
     m_loadFactor = factor;
--- a/emulator/emulatedcallers.h
+++ b/emulator/emulatedcallers.h
@@ -57,8 +57,12 @@
     /// Breaks the connections of all callers to a host whose process has stopped.
     void onHostStopped(std::size_t host);
 
-    /// How a task runs on targets; a default TaskProfile for unknown jobs.
-    TaskProfile profileOf(const Fleet::TaskName &task) const;
+    /// How a task runs on a target of this rack to which it is sent, or runs there now; a default TaskProfile for unknown jobs. A task of a
+    /// rack-local step runs longer once another task of the step was sent to another rack.
+    TaskProfile profileOnRack(const Fleet::TaskName &task, const std::string &rack);
+
+    /// How many times as long tasks take outside their data rack, or with their rack-local step spread over several racks.
+    void setFarFactor(double factor);
 
     /// Shares of the jobs that are submitted from now on: those that their callers cancel halfway through the run time, and those whose
     /// connection to the entry host breaks early in their run time. The callers of the latter send them again, also after an unknown
@@ -91,6 +95,8 @@
     void closeConnection(const std::shared_ptr<CallerJob> &job);
     Duration drawReadDelay();
     void breakConnection(const std::shared_ptr<CallerJob> &job);
+    TaskProfile profileOf(const Fleet::TaskName &task) const;
+    static bool isFar(const CallerJob &job, const Fleet::TaskName &task, const std::string &rack);
 
     SimulatedClock &m_clock;
     std::mt19937_64 &m_random;
@@ -105,6 +111,7 @@
     Duration m_longestReadDelay {0};
     bool m_sendsAgainAfterUnknownOutcomes = false;
     std::map<std::string, double> m_crashingShare;
+    double m_farFactor = 1;
     double m_loadFactor = 1;
     std::map<std::string, double> m_loadFactorOfKind;
     std::uint64_t m_jobCount = 0;
--- a/emulator/emulatedfleet.cpp
+++ b/emulator/emulatedfleet.cpp
@@ -12,12 +12,19 @@
     , m_connections(m_clock, m_network, m_options.seed)
     , m_callers(m_clock, m_random, m_invariants, m_hosts)
 {
+    m_callers.setFarFactor(m_options.limits.farFactor);
     addTargets();
     addHosts();
 }
 
 EmulatedFleet::~EmulatedFleet() = default;
 
+std::string EmulatedFleet::rackOf(const std::string &zone, std::size_t number)
+{
+    constexpr std::size_t TargetsPerRack = 4;
+    return "r" + zone + "-" + std::to_string(number / TargetsPerRack);
+}
+
 void EmulatedFleet::addTargets()
 {
     constexpr std::int64_t SmallTarget = 32000;
@@ -34,9 +41,12 @@
             entry.zone = zone;
             entry.capacity = {number % 3 == 2 ? LargeTarget : SmallTarget, MemoryMb, 0};
             entry.startedAtMs = 1;
-            m_targets.push_back(std::make_unique<SimulatedTarget>(entry, m_clock, m_invariants, [this](const Fleet::TaskName &task) {
-                return m_callers.profileOf(task);
-            }));
+            entry.rack = rackOf(zone, number);
+            entry.labels = {"a", entry.rack};
+            const auto lookUpProfile = [this, rack = entry.rack](const Fleet::TaskName &task) {
+                return m_callers.profileOnRack(task, rack);
+            };
+            m_targets.push_back(std::make_unique<SimulatedTarget>(entry, m_clock, m_invariants, lookUpProfile));
             const bool isSlow = random() % 3 == 0;
             m_targets.back()->setClockRate(isSlow ? SlowestClock : 1);
         }
--- a/emulator/emulatedfleet.h
+++ b/emulator/emulatedfleet.h
@@ -45,6 +45,9 @@
     explicit EmulatedFleet(FleetOptions options);
     ~EmulatedFleet();
 
+    /// The rack of a zone's target with this number.
+    static std::string rackOf(const std::string &zone, std::size_t number);
+
     /// Runs until end; callers submit jobs from firstCallers until lastCallers. All times count from the start of the emulation.
     void run(Duration firstCallers, Duration lastCallers, Duration end);
 
--- a/emulator/fleetpresets.cpp
+++ b/emulator/fleetpresets.cpp
@@ -41,6 +41,28 @@
     return options;
 }
 
+FleetOptions optionsOfHotRacks(std::uint64_t seed)
+{
+    auto options = optionsOfOrdinaryFleet(seed);
+    for (auto &kind : options.kinds) {
+        if (kind.route == "middle") {
+            kind.jobsPerSecond = 40;
+            kind.dataRacks = {EmulatedFleet::rackOf("a", 0), EmulatedFleet::rackOf("b", 0)};
+        }
+        kind.rackLocal = kind.route == "short";
+    }
+    return options;
+}
+
+FleetOptions optionsOfHotRacksAtHighLoad(std::uint64_t seed)
+{
+    auto options = optionsOfHotRacks(seed);
+    for (auto &kind : options.kinds) {
+        kind.jobsPerSecond *= 1.4;
+    }
+    return options;
+}
+
 FleetOptions optionsOfOnePool(std::uint64_t seed)
 {
     auto options = optionsOfOrdinaryFleet(seed);
--- a/emulator/fleetpresets.h
+++ b/emulator/fleetpresets.h
@@ -26,6 +26,13 @@
 /// The same, where the runs of some jobs take longer than their callers wait before they send a job again.
 FleetOptions optionsOfLongRuns(std::uint64_t seed);
 
+/// An ordinary fleet at three fifths of its capacity. Half of the work has its data on two of the six racks, and a quarter are rack-local
+/// steps; the rest runs anywhere.
+FleetOptions optionsOfHotRacks(std::uint64_t seed);
+
+/// The same with 1.4 times the load.
+FleetOptions optionsOfHotRacksAtHighLoad(std::uint64_t seed);
+
 /// An ordinary fleet for half of the seeds, and one of several pools for the others, for half of these with long runs. All callers wait
 /// long.
 FleetOptions optionsOfFaultSeries(std::uint64_t seed);
--- a/emulator/jobkind.h
+++ b/emulator/jobkind.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 namespace Anvilcart::Emulation
 {
@@ -24,5 +25,8 @@
     /// Callers wait for callerTimeout plus callerTimeoutObjectives times the latency objective of their job.
     Duration callerTimeout = Milliseconds(1500);
     double callerTimeoutObjectives = 0;
+    /// Each job has one of these data racks, drawn with equal shares; none when empty.
+    std::vector<std::string> dataRacks;
+    bool rackLocal = false;
 };
 } // namespace Anvilcart::Emulation
--- a/emulator/main.cpp
+++ b/emulator/main.cpp
@@ -35,6 +35,11 @@
     return addFaults(fleet);
 }
 
+std::string addNone(EmulatedFleet &, const FleetOptions &, std::uint64_t)
+{
+    return "none";
+}
+
 constexpr Scenario Scenarios[] = {
     {"mixed", optionsOfOrdinaryFleet, addRandomFaults},
     {"worst-load", optionsOfOrdinaryFleet, addFixed<addWorstLoad>},
@@ -67,11 +72,9 @@
     {"staggered-losses", optionsOfLateFrames, addStaggeredLosses},
     {"late-reads", optionsOfLongRuns, addLateReads},
     {"unanswered-orders", optionsOfOrdinaryFleet, addFixed<addUnansweredOrders>},
-    {"none",
-     optionsOfOrdinaryFleet,
-     [](EmulatedFleet &, const FleetOptions &, std::uint64_t) {
-         return std::string("none");
-     }},
+    {"hot-racks", optionsOfHotRacks, addNone},
+    {"hot-racks-high", optionsOfHotRacksAtHighLoad, addNone},
+    {"none", optionsOfOrdinaryFleet, addNone},
 };
 
 const Scenario &scenarioNamed(const std::string &name)
@@ -81,21 +84,31 @@
     });
 }
 
+/// Settings that the command line makes for every seed.
+struct RunOptions
+{
+    std::string policy;
+    bool refuseInfeasible = true;
+    bool hasConnections = false;
+    double farFactor = 1.5;
+    bool verbose = false;
+};
+
 /// Emulates a fleet with one seed and prints the results; returns the number of violated invariants.
-std::size_t
-runSeed(std::uint64_t seed, const std::string &policy, bool refuseInfeasible, bool hasConnections, const Scenario &scenario, bool verbose)
+std::size_t runSeed(std::uint64_t seed, const RunOptions &run, const Scenario &scenario)
 {
     auto options = scenario.makeOptions(seed);
-    options.hasConnections = options.hasConnections || hasConnections;
-    options.limits.policy = Fleet::queuePolicyNamed(policy);
-    options.limits.refuseInfeasible = refuseInfeasible;
+    options.hasConnections = options.hasConnections || run.hasConnections;
+    options.limits.policy = Fleet::queuePolicyNamed(run.policy);
+    options.limits.refuseInfeasible = run.refuseInfeasible;
+    options.limits.farFactor = run.farFactor;
     EmulatedFleet fleet(options);
     const auto description = scenario.addFaults(fleet, options, seed);
     fleet.run(Seconds(3), Seconds(23), Seconds(28));
     for (const auto &[route, result] : fleet.results()) {
-        std::printf("%llu,%s,%s,%zu,%zu,%zu,%zu,%zu,%zu,%zu\n",
+        std::printf("%llu,%s,%s,%zu,%zu,%zu,%zu,%zu,%zu,%zu,%zu\n",
                     static_cast<unsigned long long>(seed),
-                    policy.c_str(),
+                    run.policy.c_str(),
                     route.c_str(),
                     result.submitted,
                     result.inObjective,
@@ -103,9 +116,10 @@
                     result.overdue,
                     result.refused,
                     result.unanswered,
-                    fleet.invariants().violations().size());
+                    fleet.invariants().violations().size(),
+                    result.failed);
     }
-    if (verbose || !fleet.invariants().violations().empty()) {
+    if (run.verbose || !fleet.invariants().violations().empty()) {
         std::printf("# seed %llu: %s\n", static_cast<unsigned long long>(seed), description.c_str());
         for (const auto &line : fleet.invariants().violations()) {
             std::printf("# broken: %s\n", line.c_str());
@@ -131,16 +145,14 @@
         TCLAP::ValueArg<std::string> scenario("t", "troubles", "fault scenario", false, "mixed", &knownScenarios, commandLine);
         TCLAP::SwitchArg connections("c", "connections", "deliver frames between hosts late after a cut, in every scenario", commandLine);
         TCLAP::SwitchArg verbose("v", "verbose", "print the faults of each seed", commandLine);
+        TCLAP::ValueArg<double> farFactor("x", "far", "run time factor of far placements", false, 1.5, "FACTOR", commandLine);
         commandLine.parse(argc, argv);
-        std::printf("seed,policy,kind,asked,in_objective,late,overdue,refused,unanswered,broken\n");
+        const RunOptions run {
+            policy.getValue(), !keepInfeasible.getValue(), connections.getValue(), farFactor.getValue(), verbose.getValue()};
+        std::printf("seed,policy,kind,asked,in_objective,late,overdue,refused,unanswered,broken,failed\n");
         std::size_t violationCount = 0;
         for (std::uint64_t seed = first.getValue(); seed < first.getValue() + seeds.getValue(); ++seed) {
-            violationCount += runSeed(seed,
-                                      policy.getValue(),
-                                      !keepInfeasible.getValue(),
-                                      connections.getValue(),
-                                      scenarioNamed(scenario.getValue()),
-                                      verbose.getValue());
+            violationCount += runSeed(seed, run, scenarioNamed(scenario.getValue()));
         }
         return violationCount == 0 ? 0 : 1;
     } catch (const TCLAP::ArgException &error) {
--- a/emulator/simulatedtarget.cpp
+++ b/emulator/simulatedtarget.cpp
@@ -107,15 +107,12 @@
     }
     const auto runTime = std::chrono::duration_cast<Duration>(profile.runTime * m_runTimeFactor);
     const auto incarnation = m_incarnation;
-    m_runs[request.name] = {profile.demand, m_clock.now(), m_clock.now() + runTime, incarnation};
+    m_runs[request.name] = {profile.demand, m_clock.now(), m_clock.now() + runTime, incarnation, m_runTimeFactor};
     m_invariants.onRunStarted(m_entry.id, request.name, exceedsCapacity, m_clock.elapsed());
     if (!m_hanging) {
         const bool fails = profile.fails || m_failing;
         m_clock.callAfter(runTime, [this, name = request.name, incarnation, fails] {
-            const auto run = m_runs.find(name);
-            if (run != m_runs.end() && run->second.incarnation == incarnation && m_incarnation == incarnation) {
-                endRun(name, fails ? RunEnd::Failed : RunEnd::Done);
-            }
+            onRunTimeOver(name, incarnation, fails);
         });
     }
     if (profile.crashesAfter > Duration(0)) {
@@ -129,6 +126,24 @@
     return makeReply(RequestResult::Accepted, clockMs());
 }
 
+void SimulatedTarget::onRunTimeOver(const RunName &name, std::uint64_t incarnation, bool fails)
+{
+    const auto found = m_runs.find(name);
+    if (found == m_runs.end() || found->second.incarnation != incarnation || m_incarnation != incarnation) {
+        return;
+    }
+    auto &run = found->second;
+    const auto endsAt = run.startedAt + std::chrono::duration_cast<Duration>(m_lookUpProfile(name.task).runTime * run.runTimeFactor);
+    if (endsAt <= run.endsAt) {
+        endRun(name, fails ? RunEnd::Failed : RunEnd::Done);
+        return;
+    }
+    run.endsAt = endsAt;
+    m_clock.callAfter(endsAt - m_clock.now(), [this, name, incarnation, fails] {
+        onRunTimeOver(name, incarnation, fails);
+    });
+}
+
 TargetReply SimulatedTarget::stop(const Fleet::StopRequest &request)
 {
     if (request.fencingToken < m_fencingToken) {
--- a/emulator/simulatedtarget.h
+++ b/emulator/simulatedtarget.h
@@ -31,6 +31,7 @@
 class SimulatedTarget
 {
 public:
+    /// Called when a task is sent to the target, and when its run time is over.
     using ProfileLookup = std::function<TaskProfile(const Fleet::TaskName &)>;
 
     /// The clock, the invariant checker and the objects that lookUpProfile refers to must outlive the target.
@@ -93,6 +94,7 @@
         TimePoint startedAt;
         TimePoint endsAt;
         std::uint64_t incarnation = 0;
+        double runTimeFactor = 1;
     };
 
     struct PendingRenewal
@@ -102,6 +104,8 @@
     };
 
     void loseState();
+    /// Ends the run, or extends it if its profile has a longer run time by now.
+    void onRunTimeOver(const Fleet::RunName &name, std::uint64_t incarnation, bool fails);
     void endRun(const Fleet::RunName &name, Fleet::RunEnd outcome);
     void extendLease(std::int64_t untilMs);
     void scheduleLeaseExpiry();
--- a/tests/unit/emulator/simulatedtarget.cpp
+++ b/tests/unit/emulator/simulatedtarget.cpp
@@ -189,4 +189,25 @@
     BOOST_TEST(slow.runningCount() == 0);
 }
 
+// Guards against emulated rack-local steps that cost nothing when they are split while some of their tasks run.
+BOOST_AUTO_TEST_CASE(A_run_whose_profile_becomes_longer_ends_later)
+{
+    TaskProfile profile;
+    profile.runTime = Milliseconds(200);
+    SimulatedTarget other(entry(), clock, invariants, [&profile](const TaskName &) {
+        return profile;
+    });
+    StartRequest request;
+    request.name = {{"j", 0, 0, 0}, 1};
+    request.leaseUntilMs = other.clockMs() + LongestLeaseMs;
+    request.fencingToken = 1;
+    other.start(request);
+    advance(Milliseconds(100));
+    profile.runTime = Milliseconds(400);
+    advance(Milliseconds(290));
+    BOOST_TEST(other.runningCount() == 1);
+    advance(Milliseconds(20));
+    BOOST_TEST(other.runningCount() == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
