Tasks wait for near places; rack-local steps run on one rack

Cause: a task with a data rack took a far place at once if no near one was free, rack_local was ignored, and a far run was recorded as a long task on a slow target.

While a task waits, a near target is reserved and other jobs go on. The wait ends at once when no near target may run the task. A rack-local step gets a rack with capacity for all of its tasks, now or soonest, and is split if waiting does not pay. Far runs are expected to take the factor longer, so that they neither raise the forecasts of their route nor make their target look slow. Log lines far_start and near_wait, metrics anvilcart_far_starts_total and anvilcart_near_waits_total.

--- a/emulator/claimobserver.h
+++ b/emulator/claimobserver.h
@@ -32,6 +32,12 @@
     void onStart(const Fleet::JobSubmission &, const std::string &, const Fleet::RunName &, Duration, Duration) override
     {
     }
+    void onFarStart(const Fleet::JobSubmission &, const std::string &, const Fleet::RunName &, const std::string &) override
+    {
+    }
+    void onNearWaitEnded(const Fleet::RunName &, const std::string &, Fleet::NearWaitOutcome, Duration) override
+    {
+    }
     void onStartRefused(const std::string &, const Fleet::RunName &, Fleet::RequestResult) override
     {
     }
--- a/src/hostruntime/hosttelemetry.cpp
+++ b/src/hostruntime/hosttelemetry.cpp
@@ -155,6 +155,21 @@
           LogPriority::Routine);
 }
 
+void HostTelemetry::onFarStart(const JobSubmission &job, const std::string &target, const RunName &run, const std::string &rack)
+{
+    const auto &dataRack = job.request.steps[run.task.step].dataRack;
+    count("anvilcart_far_starts_total", "from", dataRack.empty() ? "step" : "data");
+    write(LogLine("far_start").add("run", formatRun(run)).add("target", target).add("rack", rack).add("data_rack", dataRack),
+          LogPriority::Routine);
+}
+
+void HostTelemetry::onNearWaitEnded(const RunName &run, const std::string &rack, NearWaitOutcome outcome, Duration waited)
+{
+    count("anvilcart_near_waits_total", "outcome", toName(outcome));
+    write(LogLine("near_wait").add("run", formatRun(run)).add("outcome", toName(outcome)).add("rack", rack).add("waited_ms", waited),
+          LogPriority::Routine);
+}
+
 void HostTelemetry::onStartRefused(const std::string &target, const RunName &run, RequestResult result)
 {
     count("anvilcart_starts_refused_total", "reason", toName(result));
--- a/src/hostruntime/hosttelemetry.h
+++ b/src/hostruntime/hosttelemetry.h
@@ -49,6 +49,8 @@
     void onJobQueued(const JobSubmission &job, std::size_t queuedJobs, Duration forecastWait) override;
     void
     onStart(const JobSubmission &job, const std::string &target, const RunName &run, Duration waited, Duration expectedRunTime) override;
+    void onFarStart(const JobSubmission &job, const std::string &target, const RunName &run, const std::string &rack) override;
+    void onNearWaitEnded(const RunName &run, const std::string &rack, NearWaitOutcome outcome, Duration waited) override;
     void onStartRefused(const std::string &target, const RunName &run, RequestResult result) override;
     void onRunEnd(const JobSubmission *job, const std::string &target, const RunName &run, RunEnd end, Duration runTime) override;
     void onStop(const std::string &target, const RunName &run, const char *cause) override;
--- a/src/scheduling/interfaces/schedulerobserver.h
+++ b/src/scheduling/interfaces/schedulerobserver.h
@@ -23,6 +23,23 @@
     return Names[static_cast<std::size_t>(cause)];
 }
 
+/// How the wait of a task for a place near its data or its group ended.
+enum class NearWaitOutcome {
+    Near,
+    /// No near place was free in the time that was fixed when the wait began.
+    Far,
+    /// No near target could be used any more.
+    GaveUp,
+};
+constexpr std::size_t NearWaitOutcomeCount = 3;
+
+/// The name in logs and metrics. Thread-safe.
+constexpr const char *toName(NearWaitOutcome outcome)
+{
+    constexpr const char *Names[NearWaitOutcomeCount] = {"near", "far", "gave_up"};
+    return Names[static_cast<std::size_t>(outcome)];
+}
+
 /// Receives the scheduler's decisions for logs and metrics.
 class SchedulerObserver
 {
@@ -36,6 +53,12 @@
     virtual void
     onStart(const JobSubmission &job, const std::string &target, const RunName &run, Duration waited, Duration expectedRunTime) = 0;
 
+    /// A start is sent to a target that is not on the task's data rack, or not on the rack of the other tasks of its rack-local step.
+    virtual void onFarStart(const JobSubmission &job, const std::string &target, const RunName &run, const std::string &rack) = 0;
+
+    /// A task that waited for a near place is started on a target of this rack.
+    virtual void onNearWaitEnded(const RunName &run, const std::string &rack, NearWaitOutcome outcome, Duration waited) = 0;
+
     /// A start was not accepted.
     virtual void onStartRefused(const std::string &target, const RunName &run, RequestResult result) = 0;
 
--- a/src/scheduling/placementchoice.cpp
+++ b/src/scheduling/placementchoice.cpp
@@ -18,12 +18,9 @@
 constexpr double UrgentTaskTimeRatio = 2.5;
 /// Run times are assumed to exceed their forecast by up to this factor when an objective must be met.
 constexpr double ForecastMargin = 1.3;
-/// Added to the cost of a target on which a task that is not urgent would miss the objective, and of one outside the task's data rack; more
+/// Added to the cost of a target on which a task that is not urgent would miss the objective, and of one far from the task's rack; more
 /// than the whole cost of any other target.
 constexpr double MissedObjectiveCost = 100;
-/// A task that runs outside its data rack is assumed to be slower by this factor; the factor in the settings of every site is at least as
-/// high.
-constexpr double RemoteDataSlowdown = 1.5;
 /// A target slower than this is skipped when the task would miss its caller's deadline there.
 constexpr double SlowTargetRatio = 1.5;
 
@@ -40,8 +37,7 @@
     });
 }
 
-/// Checks every condition for starting the task on the target except free capacity.
-bool isAllowed(const TargetLedger &target, const PlacementRequest &request, TimePoint now)
+bool isUsable(const TargetLedger &target, const PlacementRequest &request, TimePoint now)
 {
     if (target.ownership == Ownership::Claiming || target.leaving || target.unresponsive || target.restartSuspected
         || target.failedProbes > 0 || target.health.isEjected(now)) {
@@ -65,12 +61,15 @@
     if (!hasLabel(target.entry(), *request.requiredLabel) || request.avoidedTargets->contains(target.entry().id)) {
         return false;
     }
-    if (!target.reservedForJob.empty() && target.reservedForJob != request.jobId) {
-        return false;
-    }
     const auto slowness = target.health.slowness(now);
-    if (slowness > SlowTargetRatio
-        && now + std::chrono::duration_cast<Duration>(request.expectedRunTime * slowness) > request.callerDeadline) {
+    return slowness <= SlowTargetRatio
+        || now + std::chrono::duration_cast<Duration>(request.expectedRunTime * slowness) <= request.callerDeadline;
+}
+
+/// Checks every condition for starting the task on the target except free capacity.
+bool isAllowed(const TargetLedger &target, const PlacementRequest &request, TimePoint now)
+{
+    if (!isUsable(target, request, now) || (!target.reservedForJob.empty() && target.reservedForJob != request.jobId)) {
         return false;
     }
     return request.maxPerTarget == 0 || target.runsOfStep(request.jobId, request.step) < request.maxPerTarget;
@@ -106,8 +105,8 @@
         const double unusedShare =
             static_cast<double>(target->freeCapacity().milliCores - request.demand.milliCores) / static_cast<double>(capacity);
         double cost = timeCost(request, slowness, now) + fitWeight * unusedShare;
-        if (!request.dataRack->empty() && !hasLabel(target->entry(), *request.dataRack)) {
-            cost = MissedObjectiveCost + timeCost(request, slowness * RemoteDataSlowdown, now);
+        if (!isNear(*target, request)) {
+            cost = MissedObjectiveCost + timeCost(request, slowness * request.farFactor, now);
         }
         if (cost < bestCost) {
             bestCost = cost;
@@ -122,10 +121,14 @@
     TargetLedger *best = nullptr;
     auto earliest = TimePoint::max();
     for (auto *target : targets) {
-        if (!isAllowed(*target, request, now)) {
+        const bool isTargetNear = isNear(*target, request);
+        if ((request.waitsForNear && !isTargetNear) || !isAllowed(*target, request, now)) {
             continue;
         }
-        const auto expectedAt = target->capacityExpectedAt(request.demand, now);
+        auto expectedAt = target->capacityExpectedAt(request.demand, now);
+        if (expectedAt && !isTargetNear) {
+            *expectedAt += std::chrono::duration_cast<Duration>(request.expectedRunTime * (request.farFactor - 1));
+        }
         if (expectedAt && *expectedAt < earliest) {
             earliest = *expectedAt;
             best = target;
@@ -134,6 +137,16 @@
     return best;
 }
 
+bool isNear(const TargetLedger &target, const PlacementRequest &request)
+{
+    return hasLabel(target.entry(), *request.nearRack);
+}
+
+bool isUsableFor(const TargetLedger &target, const PlacementRequest &request, TimePoint now)
+{
+    return isUsable(target, request, now);
+}
+
 bool fitsWhenEmpty(const TargetEntry &target, const Resources &demand, const std::string &requiredLabel)
 {
     return target.capacity.hasCapacityFor(demand, Resources()) && hasLabel(target, requiredLabel);
--- a/src/scheduling/scheduledjob.cpp
+++ b/src/scheduling/scheduledjob.cpp
@@ -70,6 +70,18 @@
     }));
 }
 
+bool ScheduledTask::isWaitingForNear(TimePoint now) const
+{
+    return nearWait == NearWait::InProgress && now < nearWaitUntil;
+}
+
+bool ScheduledJob::isWaitingForNear(TimePoint now) const
+{
+    return std::all_of(tasks.begin(), tasks.end(), [now](const ScheduledTask &task) {
+        return task.phase != TaskPhase::Waiting || task.isWaitingForNear(now);
+    });
+}
+
 bool ScheduledJob::hasStarted() const
 {
     return started;
--- a/src/scheduling/scheduledjob.h
+++ b/src/scheduling/scheduledjob.h
@@ -3,6 +3,7 @@
 #include "scheduling/jobsubmission.h"
 #include "workload/targetcalls.h"
 
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -29,6 +30,30 @@
     Overdue,
 };
 
+/// The wait of a task for a place near its data or its group. A task waits at most once.
+enum class NearWait {
+    None,
+    /// Until ScheduledTask::nearWaitUntil.
+    InProgress,
+    /// No near target could be used any more.
+    GivenUp,
+    /// The task was started.
+    Ended,
+};
+
+/// Where the tasks of a rack-local step run.
+struct StepRack
+{
+    std::string rack;
+    TimePoint chosenAt;
+    /// A task of the step has been started.
+    bool hasStarted = false;
+    /// The tasks may run anywhere, since waiting for one rack does not pay.
+    bool isGivenUp = false;
+    /// Tasks were started on more than one rack.
+    bool isSplit = false;
+};
+
 /// One task of a job at its dispatcher.
 struct ScheduledTask
 {
@@ -41,8 +66,14 @@
     /// The target on which the task succeeded, and how long it ran there.
     std::string completedOn;
     Duration runTime {0};
+    NearWait nearWait = NearWait::None;
+    TimePoint nearWaitSince;
+    TimePoint nearWaitUntil;
     /// Targets on which a run of the task failed or hung.
     std::set<std::string> avoidedTargets;
+
+    /// True while it waits for a place near its data or its group.
+    bool isWaitingForNear(TimePoint now) const;
 };
 
 /// A job at its dispatcher, from submission to end.
@@ -63,6 +94,9 @@
     bool isDone() const;
     std::size_t count(TaskPhase phase) const;
 
+    /// True while each task that could start waits for a place near its data or its group.
+    bool isWaitingForNear(TimePoint now) const;
+
     /// True once a start was sent: the job may have run.
     bool hasStarted() const;
 
@@ -93,6 +127,8 @@
     /// As of the last ranking.
     Timeliness timeliness = Timeliness::InTime;
     std::set<std::string> failedTargets;
+    /// By the indexes of the rack-local steps for which a rack was chosen.
+    std::map<std::uint32_t, StepRack> rackOfStep;
 
 private:
     void unblockSteps();
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -268,6 +268,7 @@
             const auto &step = job.submission.request.steps[task->step];
             run.estimate = step.estimate;
             run.expectedRunTime = job.expectedRunTimes[task->step];
+            recordRackOfRun(job, *task, *target, m_services[job.submission.service].targets, m_limits.farFactor, true);
         }
         const auto runs = target->runs();
         for (const auto &[name, run] : runs) {
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -8,6 +8,7 @@
 #include "scheduling/interfaces/schedulerport.h"
 #include "scheduling/placementchoice.h"
 #include "scheduling/queuepolicy.h"
+#include "scheduling/rackplacement.h"
 #include "scheduling/recentjobs.h"
 #include "scheduling/repeatbudget.h"
 #include "scheduling/runtimemodel.h"
@@ -254,6 +255,8 @@
     std::size_t reserveTargets(const ScheduledJob &job, const Service &service, std::size_t maxTargets, TimePoint now);
     PlacementRequest placementRequestFor(const ScheduledJob &job, const ScheduledTask &task, TimePoint now) const;
     static bool canSpareTarget(const Service &service, TimePoint now);
+    QueueBesideJob queueBeside(const ScheduledJob &job, const Service &service, TimePoint now) const;
+    void reportRack(const ScheduledJob &job, ScheduledTask &task, const TargetLedger &target, const LedgerRun &run, TimePoint now);
     bool startTasks(ScheduledJob &job, Service &service, TimePoint now);
     void start(ScheduledJob &job, ScheduledTask &task, TargetLedger &target, const PlacementRequest &placement, TimePoint now);
 
--- a/src/scheduling/schedulerqueue.cpp
+++ b/src/scheduling/schedulerqueue.cpp
@@ -286,10 +286,11 @@
         if (task.phase != TaskPhase::Waiting) {
             continue;
         }
-        const auto request = placementRequestFor(job, task, now);
+        auto request = placementRequestFor(job, task, now);
         if (request.alone) {
             continue;
         }
+        request.waitsForNear = task.isWaitingForNear(now);
         auto *target = chooseTargetToReserve(service.targets, request, now);
         if (target == nullptr) {
             break;
@@ -308,7 +309,8 @@
     PlacementRequest request;
     request.demand = step.demand;
     request.requiredLabel = &step.requiredLabel;
-    request.dataRack = &step.dataRack;
+    request.nearRack = &nearRackOf(job, task.step);
+    request.farFactor = m_limits.farFactor;
     request.avoidedTargets = &task.avoidedTargets;
     request.jobId = job.submission.request.id;
     request.step = task.step;
@@ -343,6 +345,23 @@
     return static_cast<double>(used) <= MaxLoadWithoutTarget * static_cast<double>(capacity - largestIdle);
 }
 
+/// The jobs ahead of this one, and the number of those that do not wait for a near place.
+QueueBesideJob Scheduler::queueBeside(const ScheduledJob &job, const Service &service, TimePoint now) const
+{
+    QueueBesideJob queue;
+    queue.cores = usableCores(service, now);
+    bool isAhead = true;
+    for (const auto &[rank, id] : service.queue) {
+        const auto &other = *m_jobs.at(id);
+        isAhead = isAhead && &other != &job;
+        if (isAhead) {
+            queue.ahead.push_back(&other);
+        }
+        queue.others += &other != &job && !other.isWaitingForNear(now) ? 1 : 0;
+    }
+    return queue;
+}
+
 /// Starts the waiting tasks for which there is capacity; true when at least one was started.
 bool Scheduler::startTasks(ScheduledJob &job, Service &service, TimePoint now)
 {
@@ -350,14 +369,17 @@
         return false;
     }
     bool any = false;
+    std::optional<std::uint32_t> waitingStep;
     for (auto &task : job.tasks) {
-        if (task.phase != TaskPhase::Waiting) {
+        // Where one task of a step waits for a near place, there is none for the others either.
+        if (task.phase != TaskPhase::Waiting || (waitingStep == task.step && task.isWaitingForNear(now))) {
             continue;
         }
         auto request = placementRequestFor(job, task, now);
         if (request.alone && !canSpareTarget(service, now)) {
             continue;
         }
+        chooseRack(job, service.targets, request, now);
         auto *target = chooseTarget(service.targets, request, now);
         if (target == nullptr && !task.avoidedTargets.empty()) {
             // A target on which the task failed before is better than none.
@@ -371,6 +393,12 @@
         if (target == nullptr) {
             break;
         }
+        if (!isNear(*target, request)
+            && (continuesWaitForNear(task, service.targets, request, now)
+                || beginWaitForNear(job, task, service.targets, *target, request, queueBeside(job, service, now), now))) {
+            waitingStep = task.step;
+            continue;
+        }
         start(job, task, *target, request, now);
         any = true;
     }
@@ -383,6 +411,20 @@
     return any;
 }
 
+/// Reports a far start, and the outcome of the task's wait for a near place.
+void Scheduler::reportRack(const ScheduledJob &job, ScheduledTask &task, const TargetLedger &target, const LedgerRun &run, TimePoint now)
+{
+    const bool isFar = run.farFactor > 1;
+    if (isFar) {
+        m_observer.onFarStart(job.submission, target.entry().id, run.name, target.entry().rack);
+    }
+    if (task.nearWait == NearWait::InProgress || task.nearWait == NearWait::GivenUp) {
+        const auto outcome = task.nearWait == NearWait::GivenUp ? NearWaitOutcome::GaveUp : NearWaitOutcome::Far;
+        m_observer.onNearWaitEnded(run.name, target.entry().rack, isFar ? outcome : NearWaitOutcome::Near, now - task.nearWaitSince);
+        task.nearWait = NearWait::Ended;
+    }
+}
+
 void Scheduler::start(ScheduledJob &job, ScheduledTask &task, TargetLedger &target, const PlacementRequest &placement, TimePoint now)
 {
     const auto &step = job.submission.request.steps[task.step];
@@ -396,6 +438,7 @@
     run.expectedRunTime = placement.expectedRunTime;
     run.estimate = step.estimate;
     run.grantEndsBy = placement.grantEndsBy;
+    recordRackOfRun(job, task, target, m_services[job.submission.service].targets, m_limits.farFactor, false);
     run.startDeadlineMs = target.leaseEndMs(placement.startLease, now);
     target.recordLease(run.startDeadlineMs, now);
     if (placement.alone) {
@@ -403,8 +446,9 @@
         m_crashSuspects.onStartedAlone(name.task);
         m_port.onCrashRecords(job.submission, m_crashSuspects.recordsOf(job.submission.request.id));
     }
-    const auto expectedOnTarget = std::chrono::duration_cast<Duration>(placement.expectedRunTime * target.health.slowness(now));
+    const auto expectedOnTarget = std::chrono::duration_cast<Duration>(run.expectedRunTime * target.health.slowness(now));
     m_observer.onStart(job.submission, target.entry().id, name, now - job.submission.arrivedAt, expectedOnTarget);
+    reportRack(job, task, target, run, now);
     m_repeatBudget.onFirstRequest();
     sendStart(job, target, run);
 }
--- a/src/scheduling/schedulerruns.cpp
+++ b/src/scheduling/schedulerruns.cpp
@@ -218,6 +218,7 @@
     if (auto *run = target.find(name)) {
         run->estimate = step.estimate;
         run->expectedRunTime = job->expectedRunTimes[task->step];
+        recordRackOfRun(*job, *task, target, m_services[job->submission.service].targets, m_limits.farFactor, true);
     }
     markRunsWithoutGrant(*job, now);
     if (m_crashSuspects.mustRunAlone(name.task)) {
@@ -319,12 +320,14 @@
 
 void Scheduler::onTaskDone(ScheduledJob &job, ScheduledTask &task, TargetLedger &target, const LedgerRun &run, TimePoint now)
 {
-    if (run.expectedRunTime > Duration(0) && run.phase == RunPhase::Running) {
+    if (run.expectedRunTime > Duration(0) && run.phase == RunPhase::Running && !run.isPartlyFar) {
         const auto runTime = now - run.sentAt;
-        m_runTimes.onRun(job.submission.route, run.estimate, runTime, target.health.slowness(now));
+        // A far run is no sign of a longer task or of a slow target.
+        const auto nearRunTime = std::chrono::duration_cast<Duration>(runTime / run.farFactor);
+        m_runTimes.onRun(job.submission.route, run.estimate, nearRunTime, target.health.slowness(now));
         target.health.onRunCompleted(run.expectedRunTime, runTime, now);
         task.completedOn = target.entry().id;
-        task.runTime = runTime;
+        task.runTime = nearRunTime;
     }
     job.onTaskDone(task);
     const auto id = job.submission.request.id;
--- a/src/scheduling/targetledger.h
+++ b/src/scheduling/targetledger.h
@@ -44,8 +44,12 @@
     std::int64_t startDeadlineMs = 0;
     /// The fencing token of its start or, if it was found on the target, of that listing.
     std::uint64_t fencingToken = 0;
-    /// The expected run time on a target of ordinary speed.
+    /// The expected run time on a target of ordinary speed, in this place.
     Duration expectedRunTime {0};
+    /// How many times as long as in a near place that is.
+    double farFactor = 1;
+    /// It is unknown for how much of its time it ran in a near place, so that its run time is no measure of anything.
+    bool isPartlyFar = false;
     /// The caller's estimate, recorded by RunTimeModel when the run succeeds.
     Duration estimate {0};
     /// No other run may be started beside it.
--- a/tests/support/hostnodefixture.h
+++ b/tests/support/hostnodefixture.h
@@ -98,6 +98,12 @@
     void onStart(const JobSubmission &, const std::string &, const RunName &, Duration, Duration) override
     {
     }
+    void onFarStart(const JobSubmission &, const std::string &, const RunName &, const std::string &) override
+    {
+    }
+    void onNearWaitEnded(const RunName &, const std::string &, NearWaitOutcome, Duration) override
+    {
+    }
     void onStartRefused(const std::string &, const RunName &, RequestResult) override
     {
     }
--- a/tests/support/schedulerfixture.h
+++ b/tests/support/schedulerfixture.h
@@ -81,7 +81,7 @@
     std::vector<std::string> released;
 };
 
-/// Records ejections and lost runs, and ignores all other events.
+/// Records ejections, lost runs, far starts and waits for near places, and ignores all other events.
 class FakeSchedulerObserver : public SchedulerObserver
 {
 public:
@@ -91,6 +91,14 @@
     void onStart(const JobSubmission &, const std::string &, const RunName &, Duration, Duration) override
     {
     }
+    void onFarStart(const JobSubmission &, const std::string &target, const RunName &, const std::string &) override
+    {
+        farStarts.push_back(target);
+    }
+    void onNearWaitEnded(const RunName &, const std::string &, NearWaitOutcome outcome, Duration) override
+    {
+        nearWaits.push_back(outcome);
+    }
     void onStartRefused(const std::string &, const RunName &, RequestResult) override
     {
     }
@@ -123,6 +131,8 @@
 
     std::vector<std::pair<std::string, EjectionCause>> ejections;
     std::vector<TargetLoss> losses;
+    std::vector<std::string> farStarts;
+    std::vector<NearWaitOutcome> nearWaits;
 };
 
 /// A scheduler with a clock and with target replies that the test controls.
@@ -130,6 +140,11 @@
 {
     static constexpr std::uint64_t Token = 100;
 
+    explicit SchedulerFixture(const SchedulerLimits &limits = SchedulerLimits())
+        : scheduler(limits, port, observer)
+    {
+    }
+
     TargetEntry entry(const std::string &id, std::int64_t milliCores = 32000) const
     {
         TargetEntry targetEntry;
@@ -307,6 +322,6 @@
     std::int64_t startedAtMs = 1;
     FakeSchedulerPort port;
     FakeSchedulerObserver observer;
-    Scheduler scheduler {SchedulerLimits(), port, observer};
+    Scheduler scheduler;
 };
 } // namespace Anvilcart::Fleet
--- a/tests/unit/scheduling/decisions.cpp
+++ b/tests/unit/scheduling/decisions.cpp
@@ -42,7 +42,7 @@
         PlacementRequest placementRequest;
         placementRequest.demand = {milliCores, 64, 0};
         placementRequest.requiredLabel = &noLabel;
-        placementRequest.dataRack = &noLabel;
+        placementRequest.nearRack = &noLabel;
         placementRequest.avoidedTargets = &noTargets;
         placementRequest.jobId = "j";
         placementRequest.expectedRunTime = expected;
