No wait for a near run that would miss the caller's deadline

Cause: where neither a far run nor a near one was forecast to meet the caller's deadline, nothing bounded the wait, which then lasted beyond that deadline.

Change: a wait is never longer than to the last time at which a near run meets the deadline; without such a time the task starts far at once.

--- a/emulator/main.cpp
+++ b/emulator/main.cpp
@@ -74,6 +74,7 @@
     {"unanswered-orders", optionsOfOrdinaryFleet, addFixed<addUnansweredOrders>},
     {"hot-racks", optionsOfHotRacks, addNone},
     {"hot-racks-high", optionsOfHotRacksAtHighLoad, addNone},
+    {"hot-racks-faults", optionsOfHotRacks, addRandomFaults},
     {"none", optionsOfOrdinaryFleet, addNone},
 };
 
--- a/src/scheduling/nearplacewait.cpp
+++ b/src/scheduling/nearplacewait.cpp
@@ -9,15 +9,12 @@
 /// A wait may last at least this much longer than forecast: ends of runs become known some milliseconds late.
 constexpr Milliseconds MinWaitTolerance {10};
 
-/// The end of a wait that must not make the task miss this limit. A limit that is missed in any case is no reason to give up a wait.
+/// The end of a wait that must not make a far run miss this limit; where a far run misses it in any case, a near run.
 TimePoint latestWaitFor(const NearPlaceForecast &forecast, TimePoint limit)
 {
     const auto lastEnd = limit - forecast.remainingPath;
-    if (forecast.farAt + forecast.farRunTime <= lastEnd) {
-        return lastEnd - forecast.farRunTime;
-    }
-    const auto latestNearStart = lastEnd - forecast.nearRunTime;
-    return *forecast.nearAt <= latestNearStart ? latestNearStart : TimePoint::max();
+    const bool isMetByFarRun = forecast.farAt + forecast.farRunTime <= lastEnd;
+    return lastEnd - (isMetByFarRun ? forecast.farRunTime : forecast.nearRunTime);
 }
 } // namespace
 
@@ -30,7 +27,12 @@
     if (nearAt <= forecast.now) {
         return StartNear {};
     }
-    const auto latest = std::min(latestWaitFor(forecast, forecast.objectiveAt), latestWaitFor(forecast, forecast.callerDeadline));
+    auto latest = latestWaitFor(forecast, forecast.callerDeadline);
+    const auto latestInTime = latestWaitFor(forecast, forecast.objectiveAt);
+    // An objective that is missed either way is no reason to give up a wait. The caller's deadline is one: only an early start may meet it.
+    if (nearAt <= latestInTime || forecast.farAt + forecast.farRunTime + forecast.remainingPath <= forecast.objectiveAt) {
+        latest = std::min(latest, latestInTime);
+    }
     if (nearAt > latest) {
         return StartFar {};
     }
--- a/src/scheduling/nearplacewait.h
+++ b/src/scheduling/nearplacewait.h
@@ -46,7 +46,7 @@
 
 /// Decides whether a task waits for a near placement. It does if it is then expected to end sooner; or if it still ends within the
 /// objective, and the longer far run would delay the queued jobs more than the wait delays this one. It never waits past the last time at
-/// which a far run is expected to meet the objective or the caller's deadline, unless a far run misses that in any case. Meant for many
-/// jobs that want the same few racks. Thread-safe.
+/// which a far run is expected to meet the objective or the caller's deadline, unless a far run misses that in any case; nor past the
+/// last time at which a near run is expected to meet the deadline. Meant for many jobs that want the same few racks. Thread-safe.
 NearPlaceDecision decideNearPlace(const NearPlaceForecast &forecast);
 } // namespace Anvilcart::Fleet
--- a/tests/unit/platform/settingsfile.cpp
+++ b/tests/unit/platform/settingsfile.cpp
@@ -39,8 +39,11 @@
     BOOST_TEST(parseSettings(RequiredSettings).settings->farFactor == 1.5);
     BOOST_TEST(parseSettings(RequiredSettings + "bounds.far_x=3\n").settings->farFactor == 3);
     for (const std::string invalid : {"0.5", "nan", "inf", "far"}) {
-        const auto result = parseSettings(RequiredSettings + "bounds.far_x=" + invalid + "\n");
-        BOOST_TEST(result.error.message == "bounds.far_x is '" + invalid + "'; write a number of at least 1");
+        auto settings = RequiredSettings;
+        settings.append("bounds.far_x=").append(invalid).append("\n");
+        auto message = std::string("bounds.far_x is '");
+        message.append(invalid).append("'; write a number of at least 1");
+        BOOST_TEST(parseSettings(settings).error.message == message);
     }
 }
 
--- a/tests/unit/scheduling/nearplacewait.cpp
+++ b/tests/unit/scheduling/nearplacewait.cpp
@@ -93,6 +93,17 @@
     BOOST_TEST((waitUntil(inputs) == Now + Milliseconds(130)));
 }
 
+// Guards against waits that last beyond the caller's deadline, since a far run would miss that too: an early start may still meet it.
+BOOST_AUTO_TEST_CASE(A_near_run_that_would_miss_the_callers_deadline_is_not_waited_for)
+{
+    auto inputs = forecast(Milliseconds(50));
+    inputs.objectiveAt = Now - Milliseconds(500);
+    inputs.callerDeadline = Now + Milliseconds(140);
+    BOOST_TEST(isFarStart(inputs));
+    inputs.callerDeadline = Now + Milliseconds(170);
+    BOOST_TEST((waitUntil(inputs) == Now + Milliseconds(70)));
+}
+
 BOOST_AUTO_TEST_CASE(What_follows_in_the_job_shortens_the_wait)
 {
     auto inputs = forecast(Milliseconds(50));
@@ -123,6 +134,7 @@
         for (const auto limit : {inputs.objectiveAt, inputs.callerDeadline}) {
             BOOST_REQUIRE((Now + farPath > limit || until + farPath <= limit));
         }
+        BOOST_REQUIRE((until == Now || until + inputs.nearRunTime + inputs.remainingPath <= inputs.callerDeadline));
         BOOST_REQUIRE((until <= *inputs.nearAt + std::max<Duration>(inputs.farRunTime, Milliseconds(10))));
     }
     BOOST_TEST(waits > 1000);
--- a/tests/unit/scheduling/rackplacement.cpp
+++ b/tests/unit/scheduling/rackplacement.cpp
@@ -331,6 +331,29 @@
     BOOST_TEST(std::abs(toMilliseconds(expected) - 100) < 10);
 }
 
+// Guards against adopted runs that are expected to end as soon as near ones, and then look hung or make their target look slow.
+BOOST_AUTO_TEST_CASE(A_far_run_that_an_earlier_dispatcher_started_is_expected_to_take_longer)
+{
+    addTargets("r1-", 1);
+    addTargets("r2-", 1);
+    const RunName data {{"data", 0, 0, 0}, 1};
+    const RunName first {{"step", 0, 0, 0}, 1};
+    const RunName second {{"step", 0, 0, 1}, 1};
+    scheduler.tick(now + Seconds(6));
+    answerRenewal("r1-0", {{first, 0}});
+    answerRenewal("r2-0", {{data, 0}, {second, 0}});
+    submit(jobNear("data", "r1-"));
+    submit(rackLocalJob("step", 2));
+    const auto &near = scheduler.findListedTarget("r1-0")->runs();
+    const auto &far = scheduler.findListedTarget("r2-0")->runs();
+    BOOST_TEST((far.at(data).expectedRunTime == Milliseconds(200)));
+    BOOST_TEST((near.at(first).expectedRunTime == Milliseconds(200)));
+    BOOST_TEST((far.at(second).expectedRunTime == Milliseconds(200)));
+    BOOST_TEST(near.at(first).isPartlyFar);
+    BOOST_TEST(far.at(second).isPartlyFar);
+    BOOST_TEST(port.starts.empty());
+}
+
 // The load pattern of the module: many jobs want the same rack, while others run anywhere. Each far run uses its cores twice as long, so
 // that with far runs at once the capacity does not suffice (0.84 in time).
 BOOST_AUTO_TEST_CASE(A_hot_rack_does_not_make_the_service_late)
