--- a/src/hostruntime/hostprocess.cpp
+++ b/src/hostruntime/hostprocess.cpp
@@ -119,6 +119,7 @@
     identity.targetListExpiry = settings.targetHeartbeat;
     identity.limits.stopTime = settings.maxStopTime;
     identity.limits.evacuationBound = settings.evacuationBound;
+    identity.limits.farFactor = settings.farFactor;
     if (settings.memoryMb > 0) {
         identity.limits.maxTasks = maxTasksForMemory(settings.memoryMb);
     }
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -9,6 +9,7 @@
 #include "scheduling/interfaces/schedulerport.h"
 #include "scheduling/placementchoice.h"
 #include "scheduling/queuepolicy.h"
+#include "scheduling/rackplacement.h"
 #include "scheduling/recentjobs.h"
 #include "scheduling/repeatbudget.h"
 #include "scheduling/runtimemodel.h"
@@ -36,6 +37,8 @@
     Duration maxLease = Milliseconds(1000);
     /// The longest time that a target takes to stop a run.
     Duration stopTime = Milliseconds(50);
+    /// How many times as long a task takes outside its data rack, or with its step spread over several racks.
+    double farFactor = 1.5;
     /// New jobs are refused when this many wait. A job takes about 2 KB, so this keeps the queue under 8 MB.
     std::size_t maxQueuedJobs = 4000;
     /// New jobs are refused when all jobs together would have more tasks than this, which bounds the memory that they take.
@@ -269,6 +272,8 @@
     std::size_t reserveTargets(const ScheduledJob &job, const Service &service, std::size_t maxTargets, TimePoint now);
     PlacementRequest placementRequestFor(const ScheduledJob &job, const ScheduledTask &task, TimePoint now) const;
     static bool canSpareTarget(const Service &service, TimePoint now);
+    QueueBesideJob queueBeside(const ScheduledJob &job, const Service &service, TimePoint now) const;
+    void reportRack(const ScheduledJob &job, ScheduledTask &task, const TargetLedger &target, const LedgerRun &run, TimePoint now);
     bool startTasks(ScheduledJob &job, Service &service, TimePoint now);
     void start(ScheduledJob &job, ScheduledTask &task, TargetLedger &target, const PlacementRequest &placement, TimePoint now);
 
