Hold starts also when a renewal found the target's connections closed

Cause: the renewal of an idle target dropped the connections that a restart had closed without recording it, and a connection that was closed during its call was not counted. A start beside that renewal, or after that call, was sent over a new connection to the next incarnation before its listing was answered.

Change: each use of a target's connections records what has closed, idle or in use. While one that was open before is still open, the process has not ended, and starts are sent. A call that timed out shows nothing.

Measured: of the five tests of TargetConnectionsSuite two fail before (the start is accepted instead of connection_closed) and all pass now.

--- a/src/hostruntime/targetconnections.cpp
+++ b/src/hostruntime/targetconnections.cpp
@@ -7,6 +7,8 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 
+#include <algorithm>
+#include <set>
 #include <utility>
 
 namespace Anvilcart::Fleet
@@ -26,62 +28,100 @@
     {
     }
 
-    struct IdleConnections
+    struct Connections
     {
         Endpoint endpoint;
         std::vector<std::unique_ptr<HttpConnection>> idle;
+        std::set<const HttpConnection *> inUse;
         /// When the target was found to have closed all of them; TimePoint() once a later listing was answered.
         TimePoint closedAt;
+
+        bool hasOpenConnection() const
+        {
+            return !idle.empty() || std::any_of(inUse.begin(), inUse.end(), [](const auto *connection) {
+                return connection->isOpen();
+            });
+        }
+
+        void onConnectionsClosed()
+        {
+            if (!hasOpenConnection()) {
+                closedAt = Clock::now();
+            }
+        }
+
+        /// Drops idle connections that the target has closed. A connection in use may be closed too, and its call not have ended yet.
+        void removeClosed()
+        {
+            const auto closed = std::erase_if(idle, [](const auto &connection) {
+                return !connection->isReusable();
+            });
+            const bool isClosedInUse = std::any_of(inUse.begin(), inUse.end(), [](const auto *connection) {
+                return connection->isClosedByServer();
+            });
+            if (closed > 0 || isClosedInUse) {
+                onConnectionsClosed();
+            }
+        }
     };
 
-    /// True while the target may have restarted since its last listing: it has closed the connections that were kept open.
+    Connections *find(const std::string &target, const Endpoint &endpoint)
+    {
+        const auto found = connectionsByTarget.find(target);
+        return found != connectionsByTarget.end() && found->second.endpoint == endpoint ? &found->second : nullptr;
+    }
+
+    /// True while the target may have restarted since its last listing: it has closed the connections that were open to it.
     bool mayHaveRestarted(const TargetEntry &target)
     {
-        const auto found = idleConnections.find(target.id);
-        if (found == idleConnections.end() || found->second.endpoint != target.endpoint) {
+        auto *connections = find(target.id, target.endpoint);
+        if (connections == nullptr) {
             return false;
         }
-        auto &connections = found->second;
-        const auto closed = std::erase_if(connections.idle, [](const auto &connection) {
-            return !connection->isReusable();
-        });
-        if (closed > 0 && connections.idle.empty()) {
-            connections.closedAt = Clock::now();
-        }
-        return connections.closedAt != TimePoint();
+        connections->removeClosed();
+        return connections->closedAt != TimePoint();
     }
 
-    void onListed(const std::string &target, TimePoint requestedAt)
+    void onListed(const TargetEntry &target, TimePoint requestedAt)
     {
-        const auto found = idleConnections.find(target);
-        if (found != idleConnections.end() && requestedAt >= found->second.closedAt) {
-            found->second.closedAt = TimePoint();
+        auto *connections = find(target.id, target.endpoint);
+        if (connections != nullptr && connections->closedAt != TimePoint() && requestedAt >= connections->closedAt) {
+            connections->closedAt = TimePoint();
         }
     }
 
     std::unique_ptr<HttpConnection> acquire(const std::string &target, const Endpoint &endpoint)
     {
-        auto &connections = idleConnections[target];
+        auto &connections = connectionsByTarget[target];
         if (connections.endpoint != endpoint) {
-            connections.idle.clear();
+            connections = Connections();
             connections.endpoint = endpoint;
-            connections.closedAt = TimePoint();
         }
-        while (!connections.idle.empty()) {
-            auto connection = std::move(connections.idle.back());
+        connections.removeClosed();
+        std::unique_ptr<HttpConnection> connection;
+        if (connections.idle.empty()) {
+            connection = std::make_unique<HttpConnection>(executor, endpoint, std::string());
+        } else {
+            connection = std::move(connections.idle.back());
             connections.idle.pop_back();
-            if (connection->isReusable()) {
-                return connection;
-            }
         }
-        return std::make_unique<HttpConnection>(executor, endpoint, std::string());
+        connections.inUse.insert(connection.get());
+        return connection;
     }
 
-    void release(const std::string &target, const Endpoint &endpoint, std::unique_ptr<HttpConnection> connection)
+    void release(const std::string &target, const Endpoint &endpoint, std::unique_ptr<HttpConnection> connection, const HttpReply &reply)
     {
-        const auto found = idleConnections.find(target);
-        if (found != idleConnections.end() && found->second.endpoint == endpoint && found->second.idle.size() < MaxIdleConnections) {
-            found->second.idle.push_back(std::move(connection));
+        auto *connections = find(target, endpoint);
+        if (connections == nullptr) {
+            return;
+        }
+        connections->inUse.erase(connection.get());
+        const bool isAnswered = reply.progress == CallProgress::Answered;
+        if (isAnswered && reply.keepAlive && connections->idle.size() < MaxIdleConnections) {
+            connections->idle.push_back(std::move(connection));
+        } else if (!isAnswered && !reply.timedOut) {
+            connections->removeClosed();
+            connections->onConnectionsClosed();
         }
     }
 
@@ -90,9 +130,7 @@
     {
         auto connection = acquire(target, endpoint);
         const auto reply = co_await connection->call(std::move(httpCall), timeout);
-        if (reply.progress == CallProgress::Answered && reply.keepAlive) {
-            release(target, endpoint, std::move(connection));
-        }
+        release(target, endpoint, std::move(connection), reply);
         handler(reply);
     }
 
@@ -122,7 +160,7 @@
 
     asio::any_io_executor executor;
     RequestTimeout requestTimeout;
-    std::map<std::string, IdleConnections> idleConnections;
+    std::map<std::string, Connections> connectionsByTarget;
 };
 
 TargetConnections::TargetConnections(const asio::any_io_executor &executor)
@@ -169,11 +207,13 @@
 {
     const auto extraTime = d->requestTimeout.value() - TargetRequestTimeout;
     const auto timeout = renewalTimeout(request, extraTime);
+    // What has closed by now is known before the listing is requested, so that its answer covers it.
+    d->mayHaveRestarted(target);
     const auto onReply =
-        [connections = d.get(), id = target.id, requestedAt = Clock::now(), handler = std::move(handler), request](const HttpReply &reply) {
+        [connections = d.get(), target, requestedAt = Clock::now(), handler = std::move(handler), request](const HttpReply &reply) {
             auto decoded = Platform::decodeRenewalReply(reply);
             if (decoded.result == RequestResult::Accepted) {
-                connections->onListed(id, requestedAt);
+                connections->onListed(target, requestedAt);
             }
             decoded.fencingToken = request.fencingToken;
             decoded.sequence = request.sequence;
@@ -185,6 +225,6 @@
 
 void TargetConnections::closeIdleConnections(const std::string &target)
 {
-    d->idleConnections.erase(target);
+    d->connectionsByTarget.erase(target);
 }
 } // namespace Anvilcart::Fleet
--- a/src/hostruntime/targetconnections.h
+++ b/src/hostruntime/targetconnections.h
@@ -27,7 +27,7 @@
     ~TargetConnections();
 
     /// Sends a request. The handler is called once, asynchronously. A start is not sent, and its result is ConnectionClosed, after the
-    /// target has closed the connections that were kept open to it and until it has answered a renewal that was sent later: only the
+    /// target has closed all connections that were open to it and until it has answered a renewal that was sent later: only the
     /// identifier of a target is named in requests, and it is the same after a restart.
     void start(const TargetEntry &target, const StartRequest &request, ReplyHandler handler);
     void stop(const TargetEntry &target, const StopRequest &request, ReplyHandler handler);
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -35,6 +35,7 @@
 {
     HttpReply reply;
     reply.progress = progress;
+    reply.timedOut = error == beast::error::timeout;
     reply.error = error.message();
     return reply;
 }
@@ -66,6 +67,17 @@
         co_return connectError;
     }
 
+    /// No error when bytes wait to be read, would_block when none do, and another error when the connection is closed.
+    boost::system::error_code peek()
+    {
+        char byte = 0;
+        boost::system::error_code error;
+        auto &socket = stream.socket();
+        socket.non_blocking(true, error);
+        socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+        return error;
+    }
+
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
     Endpoint server;
@@ -83,15 +95,18 @@
 bool HttpConnection::isReusable() const
 {
     // A server that answered twice has left bytes that would be read as the next call's answer.
-    if (!d->connected || d->buffer.size() > 0) {
-        return false;
-    }
-    char byte = 0;
-    boost::system::error_code error;
-    auto &socket = d->stream.socket();
-    socket.non_blocking(true, error);
-    socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
-    return error == asio::error::would_block;
+    return d->connected && d->buffer.size() == 0 && d->peek() == asio::error::would_block;
+}
+
+bool HttpConnection::isOpen() const
+{
+    const auto error = d->peek();
+    return d->connected && (!error || error == asio::error::would_block);
+}
+
+bool HttpConnection::isClosedByServer() const
+{
+    return d->connected && !isOpen();
 }
 
 asio::awaitable<HttpReply> HttpConnection::call(HttpCall call, Duration timeout)
--- a/src/net/httpclient.h
+++ b/src/net/httpclient.h
@@ -42,6 +42,8 @@
     int status = 0;
     std::string body;
     bool keepAlive = false;
+    /// The call ended without an answer because its time was over, not because its connection failed.
+    bool timedOut = false;
     std::string error;
 };
 
@@ -56,6 +58,12 @@
     /// True when an earlier answer left the connection open, and the server has neither closed it nor sent anything since.
     bool isReusable() const;
 
+    /// True while the connection is established and the server has not closed it, also during a call.
+    bool isOpen() const;
+
+    /// True when the server has closed the established connection, also if a call in progress has not ended with that yet.
+    bool isClosedByServer() const;
+
     /// Sends the call and waits for the answer; connecting has a shorter limit of its own. After a reply that is not Answered the
     /// connection is closed. Precondition: no other call is in progress.
     boost::asio::awaitable<HttpReply> call(HttpCall call, Duration timeout);
