Send starts to targets that close each connection after its answer

Cause: such a target, which does not announce the closing, closed the connection of the listing too, so that every start waited for a further listing and none was ever sent.

Change: after three listings in succession for starts that were held, with no connection used again in between, a closed connection holds no start there.

Measured: the new test sees no start sent in four listings before, and passes now. Its stand-in is a loopback server of the test.

--- a/src/hostruntime/targetconnections.cpp
+++ b/src/hostruntime/targetconnections.cpp
@@ -19,6 +19,9 @@
 {
 /// Per target: one for a renewal, which is a long poll, and the others for start and stop requests.
 constexpr std::size_t MaxIdleConnections = 3;
+/// A target that has closed its connections right after this many listings in succession closes each one after its answer, so that a closed
+/// connection shows no restart.
+constexpr int MaxListingsInSuccession = 3;
 } // namespace
 
 struct TargetConnections::Private : std::enable_shared_from_this<TargetConnections::Private>
@@ -35,6 +38,10 @@
         std::set<const HttpConnection *> inUse;
         /// When the target was found to have closed all of them; TimePoint() once a later listing was answered.
         TimePoint closedAt;
+        /// A start was not sent for that.
+        bool hasHeldStart = false;
+        /// Listings for starts that were not sent, since a connection was last used again.
+        int listingsInSuccession = 0;
 
         bool hasOpenConnection() const
         {
@@ -45,7 +52,7 @@
 
         void onConnectionsClosed()
         {
-            if (!hasOpenConnection()) {
+            if (!hasOpenConnection() && listingsInSuccession < MaxListingsInSuccession) {
                 closedAt = Clock::now();
             }
         }
@@ -87,6 +94,7 @@
         auto *connections = find(target.id, target.endpoint);
         if (connections != nullptr && connections->closedAt != TimePoint() && requestedAt >= connections->closedAt) {
             connections->closedAt = TimePoint();
+            connections->listingsInSuccession += std::exchange(connections->hasHeldStart, false) ? 1 : 0;
         }
     }
 
@@ -104,6 +112,7 @@
         } else {
             connection = std::move(connections.idle.back());
             connections.idle.pop_back();
+            connections.listingsInSuccession = 0;
         }
         connections.inUse.insert(connection.get());
         return connection;
@@ -173,6 +182,7 @@
 void TargetConnections::start(const TargetEntry &target, const StartRequest &request, ReplyHandler handler)
 {
     if (d->mayHaveRestarted(target)) {
+        d->connectionsByTarget.at(target.id).hasHeldStart = true;
         TargetReply reply;
         reply.result = RequestResult::ConnectionClosed;
         reply.fencingToken = request.fencingToken;
--- a/tests/unit/hostruntime/targetconnections.cpp
+++ b/tests/unit/hostruntime/targetconnections.cpp
@@ -55,6 +55,7 @@
     }
 
     bool isSilent = false;
+    bool closesAfterAnswers = false;
     int requests = 0;
 
 private:
@@ -82,7 +83,11 @@
                 boost::system::error_code ignored;
                 asio::write(*socket, asio::buffer(answerWith(Listing)), ignored);
             }
-            read(socket);
+            if (closesAfterAnswers) {
+                socket->close();
+            } else {
+                read(socket);
+            }
         });
     }
 
@@ -203,4 +208,18 @@
     BOOST_TEST((lastStart == RequestResult::Accepted));
 }
 
+// Each listing was followed by another closed connection, so that no start was ever sent.
+BOOST_AUTO_TEST_CASE(A_target_that_closes_each_connection_after_its_answer_still_gets_starts)
+{
+    server.closesAfterAnswers = true;
+    constexpr int FewListings = 4;
+    int listings = 0;
+    while (lastStart != RequestResult::Accepted && listings < FewListings) {
+        list();
+        ++listings;
+        start();
+    }
+    BOOST_TEST((lastStart == RequestResult::Accepted));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
