Emulator: overload of the two customers' kinds, by kind, and its bound

The scenarios overload (36 targets, one pool) and overload-pools (75 targets, three pools) have the customers' kinds at about a tenth and a fifth of their rates, 1.3 to 2.5 times that for 4 to 8 s, and 5 to 15% of slow targets.

--- a/emulator/emulatedcallers.cpp
+++ b/emulator/emulatedcallers.cpp
@@ -20,6 +20,19 @@
 constexpr Milliseconds CrashDelay {10};
 /// Answers later than this many objectives are of no use to callers, by the users' rules.
 constexpr int OverdueObjectives = 3;
+/// A job is one of the largest tenth of its kind when its run time is this many standard deviations above the median.
+constexpr double LargestTenthQuantile = 1.2816;
+
+/// How long a task of a job runs on a target of ordinary speed.
+Duration taskRunTime(const JobKind &kind, Duration runTime, std::uint32_t index)
+{
+    constexpr double UniformFactor = 0.85;
+    constexpr std::uint32_t PatternLength = 7;
+    constexpr std::uint32_t PatternStep = 3;
+    const double place = static_cast<double>(index * PatternStep % PatternLength) / (PatternLength - 1);
+    const double factor = kind.taskSpread > 0 ? 1 - kind.taskSpread * place : UniformFactor;
+    return std::chrono::duration_cast<Duration>(runTime * factor);
+}
 } // namespace
 
 /// A job that a caller submitted, and its state at the caller.
@@ -56,6 +69,12 @@
         return kind.callerTimeout + std::chrono::duration_cast<Duration>(objective() * kind.callerTimeoutObjectives);
     }
 
+    /// True for one of the largest tenth of its kind.
+    bool isLarge() const
+    {
+        return runTime > kind.runTime * std::exp(kind.runTimeSigma * LargestTenthQuantile);
+    }
+
     bool isWaiting(TimePoint now) const
     {
         return !finished && now - submittedAt < timeout();
@@ -129,9 +148,29 @@
     }
     m_jobs[job->request.id] = job;
     ++m_results[job->resultName()].submitted;
+    if (job->isLarge()) {
+        ++m_resultsOfLargeJobs[job->resultName()].submitted;
+    }
+    SubmittedJob record {kind.route, job->runTime, job->objective(), m_clock.elapsed(), {}, job->isLarge()};
+    for (std::uint32_t index = 0; index < kind.tasks; ++index) {
+        record.taskRunTimes.push_back(taskRunTime(kind, job->runTime, index));
+    }
+    m_submittedJobs.push_back(std::move(record));
     return job;
 }
 
+/// Applies a change to the results of which the job is a part.
+void EmulatedCallers::count(const CallerJob &job, const std::function<void(JobKindResult &)> &apply)
+{
+    apply(m_results[job.resultName()]);
+    if (job.isLarge()) {
+        apply(m_resultsOfLargeJobs[job.resultName()]);
+    }
+    auto &zone = m_resultsByZone[m_hosts[job.host]->address().zone];
+    ++zone.submitted;
+    apply(zone);
+}
+
 void EmulatedCallers::submit(const std::shared_ptr<CallerJob> &job)
 {
     std::vector<std::size_t> acceptingHosts;
@@ -163,7 +202,9 @@
     m_clock.callAfter(job->timeout(), [this, job] {
         if (!job->finished && !job->isWaiting(m_clock.now())) {
             job->finished = true;
-            ++m_results[job->resultName()].unanswered;
+            count(*job, [](JobKindResult &result) {
+                ++result.unanswered;
+            });
             closeConnection(job);
         }
     });
@@ -233,28 +274,32 @@
         return;
     }
     job.finished = true;
-    auto &result = m_results[job.resultName()];
     const auto response = m_clock.now() + CallerDelay - job.submittedAt;
-    switch (reply.answer) {
-    case CallerAnswer::Completed: {
-        const auto objective = job.objective();
-        if (response <= objective) {
-            ++result.inObjective;
-        } else {
-            ++(response <= OverdueObjectives * objective ? result.late : result.overdue);
-        }
-        break;
-    }
-    case CallerAnswer::NotRun:
-        ++result.refused;
+    if (reply.answer == CallerAnswer::NotRun) {
         m_invariants.onReportedNotRun(jobId, m_clock.elapsed());
-        break;
-    case CallerAnswer::Failed:
-    case CallerAnswer::Unknown:
-        ++(reply.answer == CallerAnswer::Failed ? result.failed : result.unknown);
-        ++result.unanswered;
-        break;
     }
+    count(job, [&job, &reply, response](JobKindResult &result) {
+        switch (reply.answer) {
+        case CallerAnswer::Completed: {
+            const auto objective = job.objective();
+            if (response <= objective) {
+                ++result.inObjective;
+            } else {
+                ++(response <= OverdueObjectives * objective ? result.late : result.overdue);
+            }
+            break;
+        }
+        case CallerAnswer::NotRun:
+            ++result.refused;
+            result.timeToRefusal += response;
+            break;
+        case CallerAnswer::Failed:
+        case CallerAnswer::Unknown:
+            ++(reply.answer == CallerAnswer::Failed ? result.failed : result.unknown);
+            ++result.unanswered;
+            break;
+        }
+    });
 }
 
 TaskProfile EmulatedCallers::profileOf(const TaskName &task) const
@@ -265,10 +310,7 @@
         return profile;
     }
     const auto &job = *found->second;
-    // Run times of a job's tasks differ by up to 15%, in a fixed pattern.
-    constexpr double Step = 0.05;
-    const double factor = 1 + Step * static_cast<double>(static_cast<int>(task.index * 7 % 7) - 3);
-    profile.runTime = std::chrono::duration_cast<Duration>(job.runTime * factor);
+    profile.runTime = taskRunTime(job.kind, job.runTime, task.index);
     profile.demand = job.request.steps[task.step].demand;
     if (job.crashingTask == task.index) {
         profile.crashesAfter = CrashDelay;
@@ -320,4 +362,19 @@
 {
     return m_results;
 }
+
+const std::map<std::string, JobKindResult> &EmulatedCallers::resultsOfLargeJobs() const
+{
+    return m_resultsOfLargeJobs;
+}
+
+const std::map<std::string, JobKindResult> &EmulatedCallers::resultsByZone() const
+{
+    return m_resultsByZone;
+}
+
+const std::vector<SubmittedJob> &EmulatedCallers::submittedJobs() const
+{
+    return m_submittedJobs;
+}
 } // namespace Anvilcart::Emulation
--- a/emulator/emulatedcallers.h
+++ b/emulator/emulatedcallers.h
@@ -8,6 +8,7 @@
 #include "emulator/simulatedtarget.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <random>
@@ -29,6 +30,20 @@
     /// How many of the unanswered jobs were reported as failed, and how many with an unknown outcome. The others got no answer in time.
     std::size_t failed = 0;
     std::size_t unknown = 0;
+    /// From submission to refusal, over all refused jobs.
+    Duration timeToRefusal {0};
+};
+
+/// A job that was submitted, for a replay of the same load.
+struct SubmittedJob
+{
+    std::string route;
+    Duration runTime {0};
+    Duration objective {0};
+    Duration submittedAt {0};
+    /// How long each of its tasks runs on a target of ordinary speed.
+    std::vector<Duration> taskRunTimes;
+    bool isLarge = false;
 };
 
 /// The name under which the results of jobs with a crashing task are counted.
@@ -82,11 +97,19 @@
     /// By the names of kinds, and CrashingJobs.
     const std::map<std::string, JobKindResult> &results() const;
 
+    /// The same for the largest tenth of each kind, by run time, and for all jobs by the zone of the entry host.
+    const std::map<std::string, JobKindResult> &resultsOfLargeJobs() const;
+    const std::map<std::string, JobKindResult> &resultsByZone() const;
+
+    /// All jobs in the order of their submission.
+    const std::vector<SubmittedJob> &submittedJobs() const;
+
 private:
     struct CallerJob;
 
     std::shared_ptr<CallerJob> makeJob(const JobKind &kind);
     void submit(const std::shared_ptr<CallerJob> &job);
+    void count(const CallerJob &job, const std::function<void(JobKindResult &)> &apply);
     void submitAgainAfter(Duration delay, const std::shared_ptr<CallerJob> &job);
     void closeConnection(const std::shared_ptr<CallerJob> &job);
     Duration drawReadDelay();
@@ -99,6 +122,9 @@
     CallerConnections m_connections;
     std::map<std::string, std::shared_ptr<CallerJob>> m_jobs;
     std::map<std::string, JobKindResult> m_results;
+    std::map<std::string, JobKindResult> m_resultsOfLargeJobs;
+    std::map<std::string, JobKindResult> m_resultsByZone;
+    std::vector<SubmittedJob> m_submittedJobs;
     double m_cancelledShare = 0;
     double m_brokenConnectionShare = 0;
     double m_lateReadShare = 0;
--- a/emulator/emulatedfleet.cpp
+++ b/emulator/emulatedfleet.cpp
@@ -33,6 +33,9 @@
             entry.service = "service";
             entry.zone = zone;
             entry.capacity = {number % 3 == 2 ? LargeTarget : SmallTarget, MemoryMb, 0};
+            if (m_options.targetMilliCores > 0) {
+                entry.capacity.milliCores = m_options.targetMilliCores;
+            }
             entry.startedAtMs = 1;
             m_targets.push_back(std::make_unique<SimulatedTarget>(entry, m_clock, m_invariants, [this](const Fleet::TaskName &task) {
                 return m_callers.profileOf(task);
@@ -348,6 +351,11 @@
     return m_callers.results();
 }
 
+const EmulatedCallers &EmulatedFleet::callers() const
+{
+    return m_callers;
+}
+
 std::size_t EmulatedFleet::dispatcherCount() const
 {
     return static_cast<std::size_t>(std::count_if(m_hosts.begin(), m_hosts.end(), [](const auto &host) {
--- a/emulator/emulatedfleet.h
+++ b/emulator/emulatedfleet.h
@@ -26,6 +26,8 @@
     std::vector<std::string> hostZones = {"a", "a", "b", "b", "c", "c"};
     std::vector<std::string> targetZones = {"a", "b", "c"};
     std::size_t targetsPerZone = 8;
+    /// The capacity of each target; 0 for a mix of two sizes.
+    std::int64_t targetMilliCores = 0;
     std::vector<JobKind> kinds;
     Fleet::SchedulerLimits limits;
     Duration delayInZone = std::chrono::microseconds(200);
@@ -98,6 +100,7 @@
 
     const InvariantChecker &invariants() const;
     const std::map<std::string, JobKindResult> &results() const;
+    const EmulatedCallers &callers() const;
 
     /// Number of hosts that currently dispatch to a pool.
     std::size_t dispatcherCount() const;
--- a/emulator/faultscenarios.cpp
+++ b/emulator/faultscenarios.cpp
@@ -2,6 +2,7 @@
 #include "emulator/faultdraws.h"
 #include "emulator/randomfaults.h"
 
+#include <cmath>
 #include <random>
 
 namespace Anvilcart::Emulation
@@ -13,6 +14,32 @@
     return "burst and slow targets from 4 s to 12 s";
 }
 
+Overload overloadOf(const FleetOptions &options, std::uint64_t seed)
+{
+    std::mt19937_64 random(seed * 7919 + 5);
+    const auto drawShare = [&random](double low, double high) {
+        return std::uniform_real_distribution<double>(low, high)(random);
+    };
+    Overload overload;
+    overload.at = OverloadCallersFrom + Seconds(3);
+    overload.length = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(drawShare(4, 8)));
+    overload.loadFactor = drawShare(1.3, 2.5);
+    const auto targets = static_cast<double>(options.targetZones.size() * options.targetsPerZone);
+    overload.slowTargets = static_cast<std::size_t>(std::lround(targets * drawShare(0.05, 0.15)));
+    overload.slowFactor = drawShare(2, 5);
+    return overload;
+}
+
+std::string addOverload(EmulatedFleet &fleet, const FleetOptions &options, std::uint64_t seed)
+{
+    const auto overload = overloadOf(options, seed);
+    fleet.increaseLoad(overload.loadFactor, overload.at, overload.length);
+    fleet.slowTargets(overload.slowTargets, overload.slowFactor, overload.at, overload.length);
+    return std::to_string(overload.loadFactor) + " times the load and " + std::to_string(overload.slowTargets) + " targets "
+        + std::to_string(overload.slowFactor) + " times slower, "
+        + describeSpan(std::chrono::duration_cast<Milliseconds>(overload.at), std::chrono::duration_cast<Milliseconds>(overload.length));
+}
+
 std::string addUnansweredOrders(EmulatedFleet &fleet)
 {
     fleet.delayTargetRequests(0.3, Seconds(6), Seconds(12));
--- a/emulator/faultscenarios.h
+++ b/emulator/faultscenarios.h
@@ -10,6 +10,27 @@
 /// For 8 s, load is 1.5 times as high, and a sixth of the targets is 4.7 times slower. Returns a description with times.
 std::string addWorstLoad(EmulatedFleet &fleet);
 
+/// A load that the capacity does not cover, for some seconds.
+struct Overload
+{
+    Duration at {0};
+    Duration length {0};
+    /// Multiplies the rates of all kinds.
+    double loadFactor = 1;
+    /// The first targets of the first zone take this many times as long.
+    std::size_t slowTargets = 0;
+    double slowFactor = 1;
+};
+
+/// Before this time, refusals are answered as unknown, since hosts that have started lately do not know what ran before.
+constexpr Seconds OverloadCallersFrom {17};
+
+/// The overload of a seed: 1.3 to 2.5 times the load for 4 to 8 s, while 5 to 15% of the targets are 2 to 5 times slower.
+Overload overloadOf(const FleetOptions &options, std::uint64_t seed);
+
+/// Adds overloadOf(). Returns a description with times.
+std::string addOverload(EmulatedFleet &fleet, const FleetOptions &options, std::uint64_t seed);
+
 /// The highest load that the users reported: for 4 s, load is 1.5 times as high, and that of the middle kind 3 times. Returns a
 /// description with times.
 std::string addLoadBurst(EmulatedFleet &fleet);
--- a/emulator/fleetpresets.cpp
+++ b/emulator/fleetpresets.cpp
@@ -86,6 +86,41 @@
     return optionsOfOrdinaryFleet(seed);
 }
 
+FleetOptions optionsOfScarceCapacity(std::uint64_t seed)
+{
+    // The customers state the mean run time of a task; the values below are medians of the longest task of a job.
+    constexpr double MedianOfLongest = 1.085;
+    constexpr double TaskSpread = 0.3;
+    constexpr std::int64_t TaskMilliCores = 8000;
+    const auto runTime = [](double milliseconds) {
+        return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(milliseconds * MedianOfLongest));
+    };
+    auto options = optionsOfOrdinaryFleet(seed);
+    options.targetsPerZone = 12;
+    options.targetMilliCores = 2 * TaskMilliCores;
+    options.kinds = {makeJobKind("short", 20.6, 8, runTime(60), 0),
+                     makeJobKind("long", 3.75, 4, runTime(900), 2),
+                     makeJobKind("middle", 60, 2, runTime(200), 1)};
+    for (auto &kind : options.kinds) {
+        kind.callerTimeout = Seconds(2);
+        kind.callerTimeoutObjectives = 3;
+        kind.milliCores = TaskMilliCores;
+        kind.taskSpread = TaskSpread;
+    }
+    return options;
+}
+
+FleetOptions optionsOfScarceCapacityInPools(std::uint64_t seed)
+{
+    auto options = optionsOfScarceCapacity(seed);
+    constexpr std::size_t TargetsPerZone = 25;
+    for (auto &kind : options.kinds) {
+        kind.jobsPerSecond *= static_cast<double>(TargetsPerZone) / static_cast<double>(options.targetsPerZone);
+    }
+    options.targetsPerZone = TargetsPerZone;
+    return options;
+}
+
 FleetOptions optionsOfLateFrames(std::uint64_t seed)
 {
     auto options = optionsOfLongRuns(seed);
--- a/emulator/fleetpresets.h
+++ b/emulator/fleetpresets.h
@@ -30,6 +30,13 @@
 /// long.
 FleetOptions optionsOfFaultSeries(std::uint64_t seed);
 
+/// The kinds of work of the two customers, on 36 targets of 16 cores, each of which has room for two tasks. The rates are about a tenth of
+/// theirs, which takes two thirds of the capacity.
+FleetOptions optionsOfScarceCapacity(std::uint64_t seed);
+
+/// The same on 75 targets in several pools, with rates in proportion.
+FleetOptions optionsOfScarceCapacityInPools(std::uint64_t seed);
+
 /// A fleet of several pools and long runs, with connections between hosts.
 FleetOptions optionsOfLateFrames(std::uint64_t seed);
 } // namespace Anvilcart::Emulation
--- a/emulator/jobkind.h
+++ b/emulator/jobkind.h
@@ -17,6 +17,8 @@
     /// Standard deviations of the logarithms of run times and of callers' estimates, which are log-normally distributed.
     double runTimeSigma = 0.4;
     double estimateSigma = 0.4;
+    /// The first task of a job takes its run time, the others less by up to this share. With 0, every task takes 0.85 of the run time.
+    double taskSpread = 0;
     std::int64_t milliCores = 14000;
     std::int64_t priority = 0;
     double stretchFactor = 1.6;
--- a/emulator/main.cpp
+++ b/emulator/main.cpp
@@ -2,6 +2,7 @@
 #include "emulator/faultscenarios.h"
 #include "emulator/faultseries.h"
 #include "emulator/fleetpresets.h"
+#include "emulator/queuereplay.h"
 #include "emulator/randomfaults.h"
 
 #include <tclap/CmdLine.h>
@@ -26,6 +27,8 @@
     FleetOptions (*makeOptions)(std::uint64_t seed);
     /// Returns a description of the faults.
     std::string (*addFaults)(EmulatedFleet &fleet, const FleetOptions &options, std::uint64_t seed);
+    /// Callers submit jobs for 20 s from this time on.
+    Duration firstCallers = Seconds(3);
 };
 
 /// Adds faults that depend neither on the fleet's options nor on the seed.
@@ -39,6 +42,8 @@
     {"mixed", optionsOfOrdinaryFleet, addRandomFaults},
     {"worst-load", optionsOfOrdinaryFleet, addFixed<addWorstLoad>},
     {"burst", optionsOfOrdinaryFleet, addFixed<addLoadBurst>},
+    {"overload", optionsOfScarceCapacity, addOverload, OverloadCallersFrom},
+    {"overload-pools", optionsOfScarceCapacityInPools, addOverload, OverloadCallersFrom},
     {"crashing-jobs",
      optionsOfOrdinaryFleet,
      [](EmulatedFleet &fleet, const FleetOptions &, std::uint64_t) {
@@ -81,9 +86,63 @@
     });
 }
 
+/// What is printed of a run.
+struct Output
+{
+    bool verbose = false;
+    bool details = false;
+};
+
+void printResult(
+    std::uint64_t seed, const std::string &policy, const std::string &name, const JobKindResult &result, std::size_t violations)
+{
+    const double meanRefusalMs = result.refused == 0 ? 0 : toMilliseconds(result.timeToRefusal) / static_cast<double>(result.refused);
+    std::printf("%llu,%s,%s,%zu,%zu,%zu,%zu,%zu,%zu,%zu,%.0f\n",
+                static_cast<unsigned long long>(seed),
+                policy.c_str(),
+                name.c_str(),
+                result.submitted,
+                result.inObjective,
+                result.late,
+                result.overdue,
+                result.refused,
+                result.unanswered,
+                violations,
+                meanRefusalMs);
+}
+
+/// Prints the results of large jobs and of zones, and what one queue with full knowledge does with the same load in the same time.
+void printDetails(std::uint64_t seed, const std::string &policy, const EmulatedFleet &fleet, const FleetOptions &options)
+{
+    for (const auto &[route, result] : fleet.callers().resultsOfLargeJobs()) {
+        printResult(seed, policy, "large-" + route, result, 0);
+    }
+    for (const auto &[zone, result] : fleet.callers().resultsByZone()) {
+        printResult(seed, policy, "zone-" + zone, result, 0);
+    }
+    if (options.targetMilliCores == 0) {
+        return;
+    }
+    const auto tasksPerTarget = static_cast<std::size_t>(options.targetMilliCores / options.kinds.front().milliCores);
+    const ReplayCapacity capacity {options.targetsPerZone * options.targetZones.size(), tasksPerTarget, overloadOf(options, seed)};
+    constexpr std::pair<const char *, ReplayOrder> Orders[] = {{"replay-fair-share", ReplayOrder::FairShares},
+                                                               {"replay-newest-first", ReplayOrder::FairSharesNewestFirst},
+                                                               {"replay-least-work", ReplayOrder::LeastWork},
+                                                               {"replay-earliest-objective", ReplayOrder::EarliestObjective}};
+    for (const auto &[name, order] : Orders) {
+        for (const auto &[route, result] : replayWithFullKnowledge(fleet.callers().submittedJobs(), capacity, order)) {
+            printResult(seed, name, route, result, 0);
+        }
+    }
+}
+
 /// Emulates a fleet with one seed and prints the results; returns the number of violated invariants.
-std::size_t
-runSeed(std::uint64_t seed, const std::string &policy, bool refuseInfeasible, bool hasConnections, const Scenario &scenario, bool verbose)
+std::size_t runSeed(std::uint64_t seed,
+                    const std::string &policy,
+                    bool refuseInfeasible,
+                    bool hasConnections,
+                    const Scenario &scenario,
+                    const Output &output)
 {
     auto options = scenario.makeOptions(seed);
     options.hasConnections = options.hasConnections || hasConnections;
@@ -91,21 +150,14 @@
     options.limits.refuseInfeasible = refuseInfeasible;
     EmulatedFleet fleet(options);
     const auto description = scenario.addFaults(fleet, options, seed);
-    fleet.run(Seconds(3), Seconds(23), Seconds(28));
+    fleet.run(scenario.firstCallers, scenario.firstCallers + Seconds(20), scenario.firstCallers + Seconds(25));
     for (const auto &[route, result] : fleet.results()) {
-        std::printf("%llu,%s,%s,%zu,%zu,%zu,%zu,%zu,%zu,%zu\n",
-                    static_cast<unsigned long long>(seed),
-                    policy.c_str(),
-                    route.c_str(),
-                    result.submitted,
-                    result.inObjective,
-                    result.late,
-                    result.overdue,
-                    result.refused,
-                    result.unanswered,
-                    fleet.invariants().violations().size());
+        printResult(seed, policy, route, result, fleet.invariants().violations().size());
+    }
+    if (output.details) {
+        printDetails(seed, policy, fleet, options);
     }
-    if (verbose || !fleet.invariants().violations().empty()) {
+    if (output.verbose || !fleet.invariants().violations().empty()) {
         std::printf("# seed %llu: %s\n", static_cast<unsigned long long>(seed), description.c_str());
         for (const auto &line : fleet.invariants().violations()) {
             std::printf("# broken: %s\n", line.c_str());
@@ -131,8 +183,10 @@
         TCLAP::ValueArg<std::string> scenario("t", "troubles", "fault scenario", false, "mixed", &knownScenarios, commandLine);
         TCLAP::SwitchArg connections("c", "connections", "deliver frames between hosts late after a cut, in every scenario", commandLine);
         TCLAP::SwitchArg verbose("v", "verbose", "print the faults of each seed", commandLine);
+        TCLAP::SwitchArg details(
+            "d", "details", "print the results of the largest jobs and of zones, and a replay with full knowledge", commandLine);
         commandLine.parse(argc, argv);
-        std::printf("seed,policy,kind,asked,in_objective,late,overdue,refused,unanswered,broken\n");
+        std::printf("seed,policy,kind,asked,in_objective,late,overdue,refused,unanswered,broken,refusal_ms\n");
         std::size_t violationCount = 0;
         for (std::uint64_t seed = first.getValue(); seed < first.getValue() + seeds.getValue(); ++seed) {
             violationCount += runSeed(seed,
@@ -140,7 +194,7 @@
                                       !keepInfeasible.getValue(),
                                       connections.getValue(),
                                       scenarioNamed(scenario.getValue()),
-                                      verbose.getValue());
+                                      {verbose.getValue(), details.getValue()});
         }
         return violationCount == 0 ? 0 : 1;
     } catch (const TCLAP::ArgException &error) {
