Do not start a task on a slow target while it can be in time on another

While capacity is short, targets that are several times slower are free most of the time, as all others are taken. Such a task now waits for a target that is expected to have capacity in time; it starts on the slow one when there is none.

The test in decisions.cpp fails without it.

--- a/src/scheduling/placementchoice.cpp
+++ b/src/scheduling/placementchoice.cpp
@@ -24,6 +24,11 @@
 /// A task that runs outside its data rack is assumed to be slower by this factor; the factor in the settings of every site is at least as
 /// high.
 constexpr double RemoteDataSlowdown = 1.5;
+/// A task waits for a target that is faster than the free one by this factor. Smaller differences are within the error of measured speeds,
+/// and would leave capacity unused.
+constexpr double FasterTargetRatio = 1.5;
+/// A target below this slowness is never skipped for a faster one.
+constexpr double MuchSlowerRatio = 2;
 /// A target slower than this is skipped when the task would miss its caller's deadline there.
 constexpr double SlowTargetRatio = 1.5;
 
@@ -134,6 +139,28 @@
     return best;
 }
 
+bool isInTimeElsewhere(const std::vector<TargetLedger *> &targets,
+                       const TargetLedger &chosen,
+                       const PlacementRequest &request,
+                       TimePoint now)
+{
+    const auto endsInTime = [&request](TimePoint start, double slowness) {
+        return start + std::chrono::duration_cast<Duration>(request.expectedRunTime * slowness) <= request.objectiveAt;
+    };
+    const auto slowness = chosen.health.slowness(now);
+    if (slowness < MuchSlowerRatio || endsInTime(now, slowness)) {
+        return false;
+    }
+    return std::any_of(targets.begin(), targets.end(), [&](const TargetLedger *target) {
+        const auto otherSlowness = target->health.slowness(now);
+        if (otherSlowness * FasterTargetRatio > slowness || !isAllowed(*target, request, now)) {
+            return false;
+        }
+        const auto expectedAt = target->capacityExpectedAt(request.demand, now);
+        return expectedAt && endsInTime(*expectedAt, otherSlowness);
+    });
+}
+
 bool fitsWhenEmpty(const TargetEntry &target, const Resources &demand, const std::string &requiredLabel)
 {
     return target.capacity.hasCapacityFor(demand, Resources()) && hasLabel(target, requiredLabel);
--- a/src/scheduling/placementchoice.h
+++ b/src/scheduling/placementchoice.h
@@ -47,6 +47,13 @@
 /// Reserving a target keeps small tasks from using all freed capacity, so that a large task is not starved. Thread-safe.
 TargetLedger *chooseTargetToReserve(const std::vector<TargetLedger *> &targets, const PlacementRequest &request, TimePoint now);
 
+/// True when the task would miss its objective on this target, which is much slower than another one that is expected to have capacity in
+/// time to meet it. The task then waits for that one. Thread-safe.
+bool isInTimeElsewhere(const std::vector<TargetLedger *> &targets,
+                       const TargetLedger &chosen,
+                       const PlacementRequest &request,
+                       TimePoint now);
+
 /// True when the target, if it were empty, has the capacity and the label that the task requires. Thread-safe.
 bool fitsWhenEmpty(const TargetEntry &target, const Resources &demand, const std::string &requiredLabel);
 } // namespace Anvilcart::Fleet
--- a/src/scheduling/schedulerqueue.cpp
+++ b/src/scheduling/schedulerqueue.cpp
@@ -368,6 +368,9 @@
         if (target == nullptr && request.alone) {
             continue;
         }
+        if (target != nullptr && !request.alone && isInTimeElsewhere(service.targets, *target, request, now)) {
+            continue;
+        }
         if (target == nullptr) {
             break;
         }
--- a/tests/unit/scheduling/decisions.cpp
+++ b/tests/unit/scheduling/decisions.cpp
@@ -97,6 +97,20 @@
     BOOST_TEST(chooseTargetToReserve(targets, request(Milliseconds(500), 20000), Now)->entry().id == "soon");
 }
 
+// In an overload, a target that was five times slower was free most of the time, and took tasks that ended late there.
+BOOST_FIXTURE_TEST_CASE(A_task_waits_for_a_faster_target_only_while_it_can_be_in_time_there, PlacementFixture)
+{
+    auto &slow = add("slow", 32000, 2.5);
+    BOOST_TEST(!isInTimeElsewhere(targets, slow, request(Milliseconds(100)), Now));
+    auto &fast = add("fast", 14000, 1);
+    auto &run = fast.addRun({{"other", 0, 0, 0}, 1}, {14000, 64, 0}, Now);
+    run.expectedRunTime = Milliseconds(100);
+    BOOST_TEST(isInTimeElsewhere(targets, slow, request(Milliseconds(100)), Now));
+    BOOST_TEST(!isInTimeElsewhere(targets, fast, request(Milliseconds(100)), Now));
+    run.expectedRunTime = Milliseconds(130);
+    BOOST_TEST(!isInTimeElsewhere(targets, slow, request(Milliseconds(100)), Now));
+}
+
 BOOST_AUTO_TEST_CASE(A_route_within_its_share_is_not_delayed_by_others)
 {
     FairQueueClock clock;
