Refuse late jobs while capacity is short, and reserve capacity for large tasks only

In an overload of seconds a third of the losses had one cause: up to a quarter of the targets was reserved for single waiting jobs, also among tasks of one size, which kept freed capacity from the job at the head of the queue. A reservation now needs a waiting or typical task of less than half the size.

Jobs that had missed their objective waited for seconds until their refusal, or got an answer of no use. They are now refused at the next tick while at least a quarter as many waiting jobs as there are targets are forecast to miss their objective; not where the refusal could not say "not run", and not for routes of which nothing was started for a second. The reason on the wire is "overload", as hosts of earlier versions discard frames with an unknown one; the log line late_job_refused, a metric and "explain" tell the two cases apart.

--- a/src/hostruntime/hosttelemetry.cpp
+++ b/src/hostruntime/hosttelemetry.cpp
@@ -278,6 +278,17 @@
     }
 }
 
+void HostTelemetry::onLateJobRefused(const JobSubmission &job, Duration waited, std::size_t jobsForecastToMiss)
+{
+    count("anvilcart_late_jobs_refused_total", "route", job.route);
+    write(LogLine("late_job_refused")
+              .add("job", job.request.id)
+              .add("route", job.route)
+              .add("waited_ms", waited)
+              .add("forecast_to_miss", std::uint64_t(jobsForecastToMiss)),
+          LogPriority::Important);
+}
+
 void HostTelemetry::onJobsReturned(const std::string &entryHost, std::size_t jobs, const char *cause)
 {
     count("anvilcart_job_returns_total", "cause", cause);
--- a/src/hostruntime/hosttelemetry.h
+++ b/src/hostruntime/hosttelemetry.h
@@ -56,6 +56,7 @@
     void onEjection(const std::string &target, EjectionCause cause, Duration pause) override;
     void onTargetClaimed(const std::string &target, std::uint64_t fencingToken, std::size_t running) override;
     void onTargetResponsivenessChanged(const std::string &target, bool unresponsive, std::size_t lostRuns) override;
+    void onLateJobRefused(const Fleet::JobSubmission &job, Duration waited, std::size_t jobsForecastToMiss) override;
     void onJobsReturned(const std::string &entryHost, std::size_t jobs, const char *cause) override;
     void onRunsLost(const TargetLoss &loss, TimePoint now) override;
     void onJobSent(const EntryJob &job, const std::string &dispatcher, Duration reportAge) override;
--- a/src/scheduling/interfaces/schedulerobserver.h
+++ b/src/scheduling/interfaces/schedulerobserver.h
@@ -4,6 +4,7 @@
 #include "scheduling/targetloss.h"
 #include "workload/targetcalls.h"
 
+#include <cstddef>
 #include <string>
 
 namespace Anvilcart::Fleet
@@ -32,6 +33,10 @@
     /// A job was accepted. queuedJobs is the number of jobs in the queue before it was added, forecastWait its expected time in the queue.
     virtual void onJobQueued(const JobSubmission &job, std::size_t queuedJobs, Duration forecastWait) = 0;
 
+    /// A job that has missed its objective is refused, since that many other jobs are forecast to miss theirs. waited is the time since its
+    /// arrival.
+    virtual void onLateJobRefused(const JobSubmission &job, Duration waited, std::size_t jobsForecastToMiss) = 0;
+
     /// A start is sent. waited is the time since the job's arrival, expectedRunTime the expected run time on this target.
     virtual void
     onStart(const JobSubmission &job, const std::string &target, const RunName &run, Duration waited, Duration expectedRunTime) = 0;
--- a/src/scheduling/jobsubmission.h
+++ b/src/scheduling/jobsubmission.h
@@ -77,7 +77,7 @@
 enum class JobEndReason {
     AllTasksDone,
     AttemptsExhausted,
-    /// The forecast on arrival missed the caller's deadline.
+    /// The forecast on arrival missed the caller's deadline, or the job has missed its objective while capacity is short.
     Overload,
     /// The caller's deadline could no longer be met.
     WaitedTooLong,
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -6,6 +6,7 @@
 #include "scheduling/heldgrants.h"
 #include "scheduling/interfaces/schedulerobserver.h"
 #include "scheduling/interfaces/schedulerport.h"
+#include "scheduling/overloadpolicy.h"
 #include "scheduling/placementchoice.h"
 #include "scheduling/queuepolicy.h"
 #include "scheduling/recentjobs.h"
@@ -237,6 +238,8 @@
     QueueRankInputs rankInputsOf(const ScheduledJob &job) const;
     Timeliness timelinessOf(const ScheduledJob &job, TimePoint now) const;
     void updateTimeliness(TimePoint now);
+    CapacityShortage shortageOf(const Service &service, TimePoint now) const;
+    void refuseLateJobs(TimePoint now);
     const std::string &chargedRouteOf(const ScheduledJob &job) const;
     void assignTag(ScheduledJob &job);
     void reassignTags(const std::string &serviceName, TimePoint now);
@@ -248,6 +251,7 @@
     Duration retryAfter(const Service &service, const std::string &jobId, TimePoint now) const;
 
     void schedule(const std::string &serviceName, TimePoint now);
+    double smallestWaitingShare(const Service &service, const Resources &capacity) const;
     void updateReservedTargets(Service &service, TimePoint now);
     std::size_t reserveTargets(const ScheduledJob &job, const Service &service, std::size_t maxTargets, TimePoint now);
     PlacementRequest placementRequestFor(const ScheduledJob &job, const ScheduledTask &task, TimePoint now) const;
@@ -313,6 +317,7 @@
     std::unordered_map<std::string, TimePoint> m_lostRunsEndBy;
     CrashSuspects m_crashSuspects;
     HeldGrants m_grants;
+    OverloadPolicy m_overloadPolicy;
     std::uint64_t m_claimCount = 0;
     TimePoint m_startsHeldUntil;
     RepeatBudget m_repeatBudget;
--- a/src/scheduling/schedulerqueue.cpp
+++ b/src/scheduling/schedulerqueue.cpp
@@ -56,6 +56,16 @@
     return largest;
 }
 
+/// The capacity of the largest target.
+Resources largestCapacity(const std::vector<TargetLedger *> &targets)
+{
+    Resources largest;
+    for (const auto *target : targets) {
+        largest = target->entry().capacity.milliCores > largest.milliCores ? target->entry().capacity : largest;
+    }
+    return largest;
+}
+
 Duration fromMilliseconds(double milliseconds)
 {
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(milliseconds));
@@ -257,6 +267,17 @@
     }
 }
 
+/// The smallest share of a target's capacity that a waiting job asks for, or the typical one where that is smaller: a job of ordinary size
+/// may arrive any time.
+double Scheduler::smallestWaitingShare(const Service &service, const Resources &capacity) const
+{
+    double smallest = dominantShare({static_cast<std::int64_t>(service.typicalMilliCores), 0, 0}, capacity);
+    for (const auto &[rank, id] : service.queue) {
+        smallest = std::min(smallest, dominantShare(m_jobs.at(id)->submission.request.steps.front().demand, capacity));
+    }
+    return smallest;
+}
+
 /// Recomputes which targets are reserved for tasks that found no capacity.
 void Scheduler::updateReservedTargets(Service &service, TimePoint now)
 {
@@ -264,11 +285,16 @@
         target->reservedForJob.clear();
     }
     auto remaining = std::max<std::size_t>(1, service.targets.size() / TargetsPerReservation);
+    const auto largest = largestCapacity(service.targets);
+    const auto smallestShare = smallestWaitingShare(service, largest);
     for (const auto &[rank, id] : service.queue) {
         const auto &job = *m_jobs.at(id);
         if (remaining == 0 || job.timeliness != Timeliness::InTime) {
             return;
         }
+        if (!needsReservation(dominantShare(job.submission.request.steps.front().demand, largest), smallestShare)) {
+            continue;
+        }
         if (now >= job.submission.mayStartAt() && isGranted(job.submission, now)) {
             remaining -= reserveTargets(job, service, remaining, now);
         }
@@ -409,6 +435,7 @@
     const auto expectedOnTarget = std::chrono::duration_cast<Duration>(placement.expectedRunTime * target.health.slowness(now));
     m_observer.onStart(job.submission, target.entry().id, name, now - job.submission.arrivedAt, expectedOnTarget);
     m_repeatBudget.onFirstRequest();
+    m_overloadPolicy.onStarted(job.submission.route, now);
     sendStart(job, target, run);
 }
 
@@ -423,6 +450,47 @@
     return cores;
 }
 
+CapacityShortage Scheduler::shortageOf(const Service &service, TimePoint now) const
+{
+    CapacityShortage shortage;
+    shortage.targets = service.targets.size();
+    const double cores = usableCores(service, now);
+    double aheadCoreMs = 0;
+    for (const auto &[rank, id] : service.queue) {
+        const auto &job = *m_jobs.at(id);
+        // The remaining tasks of a started job may wait for other reasons than capacity, as those that are suspected of crashes do.
+        if (job.timeliness != Timeliness::InTime || now >= job.objectiveAt || cores <= 0) {
+            continue;
+        }
+        const auto start = now + fromMilliseconds(aheadCoreMs / cores);
+        shortage.jobsForecastToMiss += !job.hasStarted() && timelinessOf(job, start) != Timeliness::InTime ? 1 : 0;
+        aheadCoreMs += job.remainingCoreMs;
+    }
+    return shortage;
+}
+
+/// Refuses jobs that have missed their objective while the capacity does not cover those that can still meet theirs. A job that would be
+/// answered as unknown, since it may have run before, waits on.
+void Scheduler::refuseLateJobs(TimePoint now)
+{
+    std::vector<std::pair<std::string, std::size_t>> refused;
+    for (const auto &[name, service] : m_services) {
+        const auto shortage = shortageOf(service, now);
+        for (const auto &[rank, id] : service.queue) {
+            const auto &job = *m_jobs.at(id);
+            if (!job.hasStarted() && m_overloadPolicy.refuses(job.submission.route, job.timeliness, shortage, now)
+                && !mayHaveRunBefore(job.submission, now)) {
+                refused.emplace_back(id, shortage.jobsForecastToMiss);
+            }
+        }
+    }
+    for (const auto &[id, jobsForecastToMiss] : refused) {
+        const auto &submission = m_jobs.at(id)->submission;
+        m_observer.onLateJobRefused(submission, now - submission.arrivedAt, jobsForecastToMiss);
+        endJob(id, {JobEnd::NotRun, JobEndReason::Overload, retryAfter(m_services[submission.service], id, now), {}}, now);
+    }
+}
+
 /// For each overdue job, the expected wait for the jobs ahead of it.
 std::unordered_map<std::string, Duration> Scheduler::waitsOfOverdueJobs(TimePoint now) const
 {
--- a/src/scheduling/schedulertargets.cpp
+++ b/src/scheduling/schedulertargets.cpp
@@ -528,6 +528,9 @@
     }
     releaseIdleTargets(now);
     updateTimeliness(now);
+    if (m_limits.refuseInfeasible) {
+        refuseLateJobs(now);
+    }
     endInfeasibleJobs(now);
     for (auto &[name, service] : m_services) {
         if (!service.queue.empty()) {
--- a/src/verbs/requestexplanation.cpp
+++ b/src/verbs/requestexplanation.cpp
@@ -154,7 +154,11 @@
     const auto reason = textOf(answered.line, "reason");
     std::vector<std::string> causes {"It was refused after " + milliseconds(numberOf(answered.line, "response_ms"))
                                      + " and has not run: " + reason + "."};
-    if (reason == "overload") {
+    if (const auto *late = last("late_job_refused")) {
+        causes.push_back("It had waited " + milliseconds(numberOf(late->line, "waited_ms"))
+                         + " and could no longer meet its objective, while " + textOf(late->line, "forecast_to_miss")
+                         + " other jobs were forecast to miss theirs.");
+    } else if (reason == "overload") {
         causes.push_back("By the dispatcher's forecast it could not have ended while its caller waits.");
     } else if (reason == "waited_too_long") {
         causes.push_back("It waited in the queue until it could not end while its caller waits.");
--- a/tests/support/schedulerfixture.h
+++ b/tests/support/schedulerfixture.h
@@ -113,6 +113,9 @@
     void onTargetResponsivenessChanged(const std::string &, bool, std::size_t) override
     {
     }
+    void onLateJobRefused(const JobSubmission &, Duration, std::size_t) override
+    {
+    }
     void onJobsReturned(const std::string &, std::size_t, const char *) override
     {
     }
--- a/tests/unit/verbs/requestexplanation.cpp
+++ b/tests/unit/verbs/requestexplanation.cpp
@@ -92,6 +92,15 @@
     BOOST_TEST(contains(text, "just before: host=b event=usage targets=48 queued_jobs=200"), text);
 }
 
+// The reason "overload" alone names the forecast at arrival, which this job had passed.
+BOOST_AUTO_TEST_CASE(A_late_job_that_was_refused_is_told_how_many_others_would_have_been_late)
+{
+    const auto text = explain("host=b event=late_job_refused job=00000000000000aa route=r waited_ms=131.0 forecast_to_miss=17\n"
+                              "host=b event=job_ended job=00000000000000aa end=not_run reason=overload since_ms=131.0\n"
+                              "host=a event=answered job=00000000000000aa answer=not_run reason=overload response_ms=132.0 tries=1\n");
+    BOOST_TEST(contains(text, "It had waited 131 ms and could no longer meet its objective, while 17 other jobs"), text);
+}
+
 BOOST_AUTO_TEST_CASE(A_request_whose_entry_host_ended_is_told_so)
 {
     const auto text = explain("host=a event=job_sent job=00000000000000aa dispatcher=b try=1\n"
