--- a/src/scheduling/placementchoice.cpp
+++ b/src/scheduling/placementchoice.cpp
@@ -23,6 +23,11 @@
 constexpr double MissedObjectiveCost = 100;
 /// Added to the cost of a target in an evacuated zone, which is taken only where no other one has capacity.
 constexpr double EvacuatedZoneCost = 1000;
+/// A task waits for a target that is faster than the free one by this factor. Smaller differences are within the error of measured speeds,
+/// and would leave capacity unused.
+constexpr double FasterTargetRatio = 1.5;
+/// A target below this slowness is never skipped for a faster one.
+constexpr double MuchSlowerRatio = 2;
 /// A target slower than this is skipped when the task would miss its caller's deadline there.
 constexpr double SlowTargetRatio = 1.5;
 
@@ -152,6 +157,28 @@
     return isUsable(target, request, now);
 }
 
+bool isInTimeElsewhere(const std::vector<TargetLedger *> &targets,
+                       const TargetLedger &chosen,
+                       const PlacementRequest &request,
+                       TimePoint now)
+{
+    const auto endsInTime = [&request](TimePoint start, double slowness) {
+        return start + std::chrono::duration_cast<Duration>(request.expectedRunTime * slowness) <= request.objectiveAt;
+    };
+    const auto slowness = chosen.health.slowness(now);
+    if (slowness < MuchSlowerRatio || endsInTime(now, slowness)) {
+        return false;
+    }
+    return std::any_of(targets.begin(), targets.end(), [&](const TargetLedger *target) {
+        const auto otherSlowness = target->health.slowness(now);
+        if (otherSlowness * FasterTargetRatio > slowness || !isAllowed(*target, request, now)) {
+            return false;
+        }
+        const auto expectedAt = target->capacityExpectedAt(request.demand, now);
+        return expectedAt && endsInTime(*expectedAt, otherSlowness);
+    });
+}
+
 bool fitsWhenEmpty(const TargetEntry &target, const Resources &demand, const std::string &requiredLabel)
 {
     return target.capacity.hasCapacityFor(demand, Resources()) && hasLabel(target, requiredLabel);
--- a/src/scheduling/schedulerqueue.cpp
+++ b/src/scheduling/schedulerqueue.cpp
@@ -77,6 +77,16 @@
     return milliCores / 1000.0 * target.zoneAccess.capacityShare / target.health.slowness(now);
 }
 
+/// The capacity of the largest target.
+Resources largestCapacity(const std::vector<TargetLedger *> &targets)
+{
+    Resources largest;
+    for (const auto *target : targets) {
+        largest = target->entry().capacity.milliCores > largest.milliCores ? target->entry().capacity : largest;
+    }
+    return largest;
+}
+
 Duration fromMilliseconds(double milliseconds)
 {
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(milliseconds));
@@ -295,6 +305,17 @@
     }
 }
 
+/// The smallest share of a target's capacity that a waiting job asks for, or the typical one where that is smaller: a job of ordinary size
+/// may arrive any time.
+double Scheduler::smallestWaitingShare(const Service &service, const Resources &capacity) const
+{
+    double smallest = dominantShare({static_cast<std::int64_t>(service.typicalMilliCores), 0, 0}, capacity);
+    for (const auto &[rank, id] : service.queue) {
+        smallest = std::min(smallest, dominantShare(m_jobs.at(id)->submission.request.steps.front().demand, capacity));
+    }
+    return smallest;
+}
+
 /// Recomputes which targets are reserved for tasks that found no capacity.
 void Scheduler::updateReservedTargets(Service &service, TimePoint now)
 {
@@ -302,11 +323,16 @@
         target->reservedForJob.clear();
     }
     auto remaining = std::max<std::size_t>(1, service.targets.size() / TargetsPerReservation);
+    const auto largest = largestCapacity(service.targets);
+    const auto smallestShare = smallestWaitingShare(service, largest);
     for (const auto &[rank, id] : service.queue) {
         const auto &job = *m_jobs.at(id);
         if (remaining == 0 || job.timeliness != Timeliness::InTime) {
             return;
         }
+        if (!needsReservation(dominantShare(job.submission.request.steps.front().demand, largest), smallestShare)) {
+            continue;
+        }
         if (now >= job.submission.mayStartAt() && isGranted(job.submission, now)) {
             remaining -= reserveTargets(job, service, remaining, now);
         }
@@ -428,6 +454,9 @@
         if (target == nullptr && request.alone) {
             continue;
         }
+        if (target != nullptr && !request.alone && isInTimeElsewhere(service.targets, *target, request, now)) {
+            continue;
+        }
         if (target == nullptr) {
             break;
         }
@@ -488,6 +517,7 @@
     m_observer.onStart(job.submission, target.entry().id, name, now - job.submission.arrivedAt, expectedOnTarget);
     reportRack(job, task, target, run, now);
     m_repeatBudget.onFirstRequest();
+    m_overloadPolicy.onStarted(job.submission.route, now);
     sendStart(job, target, run);
 }
 
@@ -501,6 +531,47 @@
     return cores;
 }
 
+CapacityShortage Scheduler::shortageOf(const Service &service, TimePoint now) const
+{
+    CapacityShortage shortage;
+    shortage.targets = service.targets.size();
+    const double cores = usableCores(service, now);
+    double aheadCoreMs = 0;
+    for (const auto &[rank, id] : service.queue) {
+        const auto &job = *m_jobs.at(id);
+        // The remaining tasks of a started job may wait for other reasons than capacity, as those that are suspected of crashes do.
+        if (job.timeliness != Timeliness::InTime || now >= job.objectiveAt || cores <= 0) {
+            continue;
+        }
+        const auto start = now + fromMilliseconds(aheadCoreMs / cores);
+        shortage.jobsForecastToMiss += !job.hasStarted() && timelinessOf(job, start) != Timeliness::InTime ? 1 : 0;
+        aheadCoreMs += job.remainingCoreMs;
+    }
+    return shortage;
+}
+
+/// Refuses jobs that have missed their objective while the capacity does not cover those that can still meet theirs. A job that would be
+/// answered as unknown, since it may have run before, waits on.
+void Scheduler::refuseLateJobs(TimePoint now)
+{
+    std::vector<std::pair<std::string, std::size_t>> refused;
+    for (const auto &[name, service] : m_services) {
+        const auto shortage = shortageOf(service, now);
+        for (const auto &[rank, id] : service.queue) {
+            const auto &job = *m_jobs.at(id);
+            if (!job.hasStarted() && m_overloadPolicy.refuses(job.submission.route, job.timeliness, shortage, now)
+                && !mayHaveRunBefore(job.submission, now)) {
+                refused.emplace_back(id, shortage.jobsForecastToMiss);
+            }
+        }
+    }
+    for (const auto &[id, jobsForecastToMiss] : refused) {
+        const auto &submission = m_jobs.at(id)->submission;
+        m_observer.onLateJobRefused(submission, now - submission.arrivedAt, jobsForecastToMiss);
+        endJob(id, {JobEnd::NotRun, JobEndReason::Overload, retryAfter(m_services[submission.service], id, now), {}}, now);
+    }
+}
+
 /// For each overdue job, the expected wait for the jobs ahead of it.
 std::unordered_map<std::string, Duration> Scheduler::waitsOfOverdueJobs(TimePoint now) const
 {
--- a/src/scheduling/schedulertargets.cpp
+++ b/src/scheduling/schedulertargets.cpp
@@ -532,6 +532,9 @@
     updateEvacuation(now);
     submitCollidingJobs(now);
     updateTimeliness(now);
+    if (m_limits.refuseInfeasible) {
+        refuseLateJobs(now);
+    }
     endInfeasibleJobs(now);
     for (auto &[name, service] : m_services) {
         if (!service.queue.empty()) {
