Let no old or partial read of the store confirm the evacuations

Cause: an answer that the store gave before the process stood still, and that was read after it, counted as a confirmation, and so did the first part of the records that were written while a host was cut off. Until the next read the host started tasks in a zone whose evacuation it did not know; a newer set of zones from a peer was replaced.

Change: a read carries the time of its request and whether it has caught up. One that was requested before the last pause, or after which more records follow, adds zones and does nothing else.

--- a/emulator/emulatedhost.cpp
+++ b/emulator/emulatedhost.cpp
@@ -256,7 +256,7 @@
         m_node->onTargetListFailure(now);
         return;
     }
-    m_node->onEvacuations(m_environment.evacuations, now);
+    m_node->onEvacuations({m_environment.evacuations, now}, now);
     std::map<std::string, TargetEntry> entries;
     for (const auto &target : m_environment.targets) {
         entries[target->entry().id] = target->entry();
--- a/src/fleet/evacuationstate.cpp
+++ b/src/fleet/evacuationstate.cpp
@@ -26,9 +26,16 @@
 {
 }
 
-void EvacuationState::onStoreView(EvacuationView view, TimePoint now)
+void EvacuationState::onStoreView(EvacuationRead read, TimePoint now)
 {
-    m_view = std::move(view);
+    if (!read.isCaughtUp || read.requestedAt < m_pausedAt) {
+        if (m_view) {
+            m_view->zones.merge(read.view.zones);
+            m_view->storeOffset = std::max(m_view->storeOffset, read.view.storeOffset);
+        }
+        return;
+    }
+    m_view = std::move(read.view);
     m_storeReadAt = now;
     m_isStoreCurrent = true;
     m_awaitsConfirmationUntil = TimePoint();
@@ -57,6 +64,7 @@
 void EvacuationState::onPause(TimePoint now)
 {
     m_isStoreCurrent = false;
+    m_pausedAt = now;
     if (m_bound) {
         m_awaitsConfirmationUntil = now + *m_bound / ConfirmationDivisor;
     }
--- a/src/fleet/evacuationstate.h
+++ b/src/fleet/evacuationstate.h
@@ -18,6 +18,16 @@
     bool operator==(const EvacuationView &) const = default;
 };
 
+/// What a read of the operator's topic has shown.
+struct EvacuationRead
+{
+    EvacuationView view;
+    /// When the read was requested.
+    TimePoint requestedAt;
+    /// False while there are further records to be read.
+    bool isCaughtUp = true;
+};
+
 /// What this host knows of the evacuations, from the store or from peers. Not thread-safe.
 class EvacuationState
 {
@@ -28,8 +38,9 @@
     explicit EvacuationState(std::optional<Duration> bound);
 
     /// The store has been read up to the view's offset: the view replaces what was known, also if the offset is lower, since the store may
-    /// have lost its history.
-    void onStoreView(EvacuationView view, TimePoint now);
+    /// have lost its history. A read that has not caught up, or that was requested before a pause of the process and may have been answered
+    /// before it, confirms nothing, and ends no evacuation.
+    void onStoreView(EvacuationRead read, TimePoint now);
 
     /// A read of the store failed: from now on views of peers count too.
     void onStoreLost();
@@ -59,5 +70,6 @@
     /// TimePoint() before the first report of a peer that knows the evacuations.
     TimePoint m_peerHeardAt;
     TimePoint m_awaitsConfirmationUntil;
+    TimePoint m_pausedAt;
 };
 } // namespace Anvilcart::Fleet
--- a/src/fleet/hostnode.h
+++ b/src/fleet/hostnode.h
@@ -98,8 +98,8 @@
     /// Sets the operator's configuration record, which is sent to peers on request.
     void setConfiguration(ConfigurationRecord record);
 
-    /// The operator's topic in the store was read up to this view's offset.
-    void onEvacuations(EvacuationView view, TimePoint now);
+    /// The operator's topic in the store was read up to the view's offset.
+    void onEvacuations(EvacuationRead read, TimePoint now);
 
     /// The operator's topic could not be read.
     void onEvacuationsLost(TimePoint now);
--- a/src/fleet/hostnodeevacuation.cpp
+++ b/src/fleet/hostnodeevacuation.cpp
@@ -14,11 +14,11 @@
 constexpr Seconds EvacuationRetryDelay {5};
 } // namespace
 
-void HostNode::onEvacuations(EvacuationView view, TimePoint now)
+void HostNode::onEvacuations(EvacuationRead read, TimePoint now)
 {
     beginEvent(now);
     const auto before = m_evacuation;
-    m_evacuation.onStoreView(std::move(view), now);
+    m_evacuation.onStoreView(std::move(read), now);
     applyEvacuation(before, true, now);
 }
 
--- a/src/hostruntime/hostprocess.cpp
+++ b/src/hostruntime/hostprocess.cpp
@@ -217,9 +217,9 @@
             [this](const std::string &record) {
                 applyConfiguration(record, "store");
             },
-            [this](const std::optional<EvacuationView> &view) {
-                if (view) {
-                    node.onEvacuations(*view, Clock::now());
+            [this](const std::optional<EvacuationRead> &read) {
+                if (read) {
+                    node.onEvacuations(*read, Clock::now());
                 } else {
                     node.onEvacuationsLost(Clock::now());
                 }
--- a/src/hostruntime/storefollower.cpp
+++ b/src/hostruntime/storefollower.cpp
@@ -93,7 +93,7 @@
     }
     m_nextOffset = answer.page.endOffset;
     m_synchronised = true;
-    reportEvacuations(true);
+    reportEvacuations(startedAt, true);
     co_return true;
 }
 
@@ -111,14 +111,14 @@
 }
 
 /// Until all records are read, no evacuation ends: after a listing, records are read again that are older than parts of it.
-void ConfigurationFollower::reportEvacuations(bool isCaughtUp)
+void ConfigurationFollower::reportEvacuations(TimePoint requestedAt, bool isCaughtUp)
 {
     auto zones = m_evacuatedZones;
     if (!isCaughtUp) {
         zones.insert(m_reportedZones.begin(), m_reportedZones.end());
     }
     m_reportedZones = zones;
-    m_evacuationHandler(EvacuationView {m_nextOffset, std::move(zones)});
+    m_evacuationHandler(EvacuationRead {{m_nextOffset, std::move(zones)}, requestedAt, isCaughtUp});
 }
 
 asio::awaitable<bool> ConfigurationFollower::readNext()
@@ -141,7 +141,7 @@
         apply(record);
     }
     m_nextOffset = answer.page.nextOffset;
-    reportEvacuations(m_nextOffset >= answer.page.endOffset);
+    reportEvacuations(startedAt, m_nextOffset >= answer.page.endOffset);
     co_return true;
 }
 
--- a/src/hostruntime/storefollower.h
+++ b/src/hostruntime/storefollower.h
@@ -26,7 +26,7 @@
     /// Called with each record of the operator's configuration, regardless of its version.
     using Handler = std::function<void(const std::string &record)>;
     /// Called after each read with the evacuated zones and the offset up to which they were read; with nothing when the read failed.
-    using EvacuationHandler = std::function<void(const std::optional<EvacuationView> &view)>;
+    using EvacuationHandler = std::function<void(const std::optional<EvacuationRead> &read)>;
 
     /// The telemetry must outlive the follower. A configuration must be in force within maxDelay of its publication.
     ConfigurationFollower(const boost::asio::any_io_executor &executor,
@@ -45,7 +45,7 @@
     boost::asio::awaitable<bool> readNewest();
     boost::asio::awaitable<bool> readNext();
     void apply(const Platform::KeyedRecord &record);
-    void reportEvacuations(bool isCaughtUp);
+    void reportEvacuations(TimePoint requestedAt, bool isCaughtUp);
     void setReachable(bool reachable, const std::string &error);
 
     boost::asio::any_io_executor m_executor;
--- a/tests/unit/fleet/evacuations.cpp
+++ b/tests/unit/fleet/evacuations.cpp
@@ -53,7 +53,7 @@
     node.onFrame(reportOfPool("h3", 3, "b"), now);
     node.submit(job("before"), now);
     BOOST_TEST(lastSubmissionTo() == "10.0.0.2");
-    node.onEvacuations({1, {"a"}}, now);
+    node.onEvacuations({{1, {"a"}}, now}, now);
     node.submit(job("during"), now);
     BOOST_TEST(lastSubmissionTo() == "10.0.0.3");
     BOOST_TEST(observer.evacuations.back() == "a begun store");
@@ -84,7 +84,7 @@
 {
     listTargetsOfZones({"a", "b"});
     node.onFrame(report("h2", 2, true), now);
-    node.onEvacuations({1, {"a", "b"}}, now);
+    node.onEvacuations({{1, {"a", "b"}}, now}, now);
     node.submit(job("j"), now);
     BOOST_REQUIRE(port.answers.contains("j"));
     BOOST_TEST((port.answers["j"].answer == CallerAnswer::NotRun));
@@ -104,7 +104,7 @@
     }
     node.onTargetList(entries, true, now);
     node.onFrame(report("h2", 2, true), now);
-    node.onEvacuations({1, {"a"}}, now);
+    node.onEvacuations({{1, {"a"}}, now}, now);
     for (const std::string zone : {"a", "b"}) {
         auto submission = job("needs " + zone);
         submission.request.steps.front().requiredLabel = "only-" + zone;
@@ -117,7 +117,7 @@
 // Guards against a host that serves on by an old state because it cannot read the store.
 BOOST_AUTO_TEST_CASE(A_host_that_cannot_read_the_store_learns_of_an_evacuation_from_a_peer_and_passes_it_on)
 {
-    node.onEvacuations({4, {}}, now);
+    node.onEvacuations({{4, {}}, now}, now);
     node.onEvacuationsLost(now);
     auto frame = reportOfPool("h2", 2, "a");
     frame.report->evacuation = EvacuationView {5, {"a"}};
@@ -134,7 +134,7 @@
 BOOST_AUTO_TEST_CASE(A_dispatcher_stays_the_owner_of_its_evacuated_pool)
 {
     claimTarget("t1");
-    node.onEvacuations({1, {"a"}}, now);
+    node.onEvacuations({{1, {"a"}}, now}, now);
     advance(Seconds(3));
     BOOST_TEST(node.isDispatcher());
     BOOST_TEST(node.scheduler().ownsTarget("t1"));
@@ -144,7 +144,7 @@
 BOOST_AUTO_TEST_CASE(An_entry_host_of_an_earlier_version_gets_a_reason_that_it_knows)
 {
     claimTarget("t1");
-    node.onEvacuations({1, {"a"}}, now);
+    node.onEvacuations({{1, {"a"}}, now}, now);
     for (const bool knowsEvacuations : {false, true}) {
         auto frame = report("h2", 2, false);
         frame.report->evacuation = knowsEvacuations ? std::optional(EvacuationView()) : std::nullopt;
