Count fenced starts and the first run in the emulator

Neither the starts that targets refuse under a lower fencing token nor the time of the first run could be read from an emulated fleet, so that repeated claims after a start did not show. The invariant checker counts both; no decision depends on them.

--- a/emulator/invariantchecker.cpp
+++ b/emulator/invariantchecker.cpp
@@ -15,6 +15,7 @@
 void InvariantChecker::onRunStarted(const std::string &target, const Fleet::RunName &run, bool exceedsCapacity, Duration at)
 {
     ++m_startedRunCount;
+    m_firstRunStartedAt = m_firstRunStartedAt.value_or(at);
     if (exceedsCapacity) {
         recordViolation("capacity", textOf(run) + " exceeds " + target, at);
     }
@@ -87,6 +88,21 @@
     return m_startedRunCount;
 }
 
+void InvariantChecker::onStartFenced()
+{
+    ++m_fencedStartCount;
+}
+
+std::uint64_t InvariantChecker::fencedStartCount() const
+{
+    return m_fencedStartCount;
+}
+
+std::optional<Duration> InvariantChecker::firstRunStartedAt() const
+{
+    return m_firstRunStartedAt;
+}
+
 void InvariantChecker::recordViolation(const std::string &invariant, const std::string &details, Duration at)
 {
     m_violations.push_back(std::to_string(toMilliseconds(at)) + " ms: " + invariant + ": " + details);
--- a/emulator/invariantchecker.h
+++ b/emulator/invariantchecker.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -23,6 +24,9 @@
     /// A target has started a run though its zone has been evacuated for longer than the bound.
     void onStartInEvacuatedZone(const std::string &target, const Fleet::RunName &run, Duration at);
 
+    /// A target has refused a start under a fencing token that is not the highest one that it has accepted.
+    void onStartFenced();
+
     /// The run crashed its target.
     void onCrash(const Fleet::RunName &run);
 
@@ -42,6 +46,10 @@
     const std::vector<std::string> &violations() const;
 
     std::uint64_t startedRunCount() const;
+    std::uint64_t fencedStartCount() const;
+
+    /// When a target started a run for the first time, since the start of the emulation.
+    std::optional<Duration> firstRunStartedAt() const;
 
     /// The most targets that any one task has crashed.
     int mostCrashesOfOneTask() const;
@@ -56,5 +64,7 @@
     std::set<std::pair<std::string, std::uint64_t>> m_leasesTakenForEnded;
     std::vector<std::string> m_violations;
     std::uint64_t m_startedRunCount = 0;
+    std::uint64_t m_fencedStartCount = 0;
+    std::optional<Duration> m_firstRunStartedAt;
 };
 } // namespace Anvilcart::Emulation
--- a/emulator/simulatedtarget.cpp
+++ b/emulator/simulatedtarget.cpp
@@ -79,6 +79,7 @@
 TargetReply SimulatedTarget::start(const Fleet::StartRequest &request)
 {
     if (request.fencingToken < m_fencingToken) {
+        m_invariants.onStartFenced();
         return makeReply(RequestResult::Fenced, clockMs());
     }
     m_fencingToken = request.fencingToken;
