Wait for unproven peers before the first claim after a start

Cause: a host claimed a pool 0.4 s after its start when no live host claimed it. The reports of a peer count only after an exchange of echoes, which takes longer where a process reads late, so that a host that started after its peers claimed their pools again. A pool whose preferred host started late waited for the whole period of that host, also when all hosts had heard each other.

Change: StartupClaims decides from when on a process that has just started may claim. Reports that do not count yet, of hosts that claim the pool or are in its zone, hold the claim back until the exchange has succeeded, the connection has closed, or 0.8 s have passed since the start. Once every known host has been heard, the wait is 0.1 s. Time for which the process stood still does not count. Safety does not depend on it, since targets fence by token.

--- a/src/fleet/hostnodepeers.cpp
+++ b/src/fleet/hostnodepeers.cpp
@@ -77,6 +77,7 @@
 {
     m_view.onPause(pause, now);
     m_knownEndpoints.onPause(pause, now);
+    m_assignment.startup().onPause(pause, now);
     for (auto &[target, claimAt] : m_nextClaimAt) {
         if (claimAt > now - pause) {
             claimAt += pause;
@@ -194,6 +195,7 @@
         m_scheduler.refuse(namedAtTargets(std::move(submission)), JobEndReason::GrantEnded, now);
     }
     if (frame.report) {
+        m_assignment.startup().onUnprovenReport(*frame.report, now);
         auto &peer = addPeerEndpoint(frame.report->peerEndpoint, now);
         // A live host that uses the address now still needs its own echoes.
         if (!m_view.isLive(peer.host, now)) {
@@ -313,6 +315,7 @@
     if (report.evacuation) {
         onPeerEvacuation(*report.evacuation, excessDelay(frame, now) > StaleFrameDelay, now);
     }
+    m_assignment.startup().onReport(report.host);
     const auto *known = m_view.find(report.host);
     const bool assignmentChanged = known == nullptr || affectsAssignment(known->report, report);
     const bool loadsChanged = !report.loads.empty() || (known != nullptr && !known->report.loads.empty());
@@ -385,6 +388,7 @@
 {
     beginEvent(now);
     m_view.onDisconnect(host, incarnation, now);
+    m_assignment.startup().onLinkClosed(host, incarnation);
     onDispatcherDisconnected(host, now);
     for (const auto &member : m_view.removeUnresponsive(now)) {
         onHostLost(member, now);
--- a/src/fleet/hostnodepools.cpp
+++ b/src/fleet/hostnodepools.cpp
@@ -97,6 +97,9 @@
             break;
         }
     }
+    m_assignment.startup().setViewComplete(!m_peers.empty() && std::none_of(m_peers.begin(), m_peers.end(), [&](const auto &peer) {
+        return m_knownEndpoints.isUnexplored(peer.first, now);
+    }));
     const auto decision = m_assignment.decide(pools, m_view, now);
     std::set<PoolName> poolsToProbe;
     for (const auto &pool : decision.claim) {
--- a/src/fleet/poolassignment.cpp
+++ b/src/fleet/poolassignment.cpp
@@ -13,9 +13,6 @@
 /// The most targets that one host dispatches to. 48 targets with 10 starts a second each take 0.04 to 0.07 of a core, a quarter of
 /// what the smallest hosts of the sites with such loads have; see docs/CAPACITY.md.
 constexpr std::size_t MaxTargetsPerPool = 72;
-/// After its start a host waits this long for reports of others before it claims a pool. Longer than the 300 ms within which all hosts
-/// of a fleet start, but not by much, since callers may already wait.
-constexpr Milliseconds DiscoveryPeriod {400};
 /// A stronger host, to which a pool moves, has at least this many times the processor time.
 constexpr std::uint32_t MinProcessorRatio = 2;
 /// A pool stays with a host for at least this time before it moves to a stronger one: during a hand-over no task starts for a few
@@ -115,6 +112,11 @@
     return m_self;
 }
 
+StartupClaims &PoolAssignment::startup()
+{
+    return m_startup;
+}
+
 /// Prefers hosts that can read the list of targets, then those of the pool's zone, then those with the fewest other pools, then those with
 /// the most processor time; a hash breaks ties.
 std::string PoolAssignment::preferredHost(const PoolName &pool, const FleetView &view, TimePoint now) const
@@ -199,9 +201,7 @@
 
 PoolDecision PoolAssignment::decide(const std::set<PoolName> &pools, const FleetView &view, TimePoint now)
 {
-    if (m_startedAt == TimePoint()) {
-        m_startedAt = now;
-    }
+    m_startup.begin(now);
     updateHeldSince(now);
     PoolDecision decision;
     // The newest claim of another host to each pool.
@@ -245,7 +245,7 @@
                 decision.yield.push_back(pool);
             }
         } else if (!mine && otherClaim == nullptr && !m_self.leaving) {
-            if (now - m_startedAt >= DiscoveryPeriod && preferredHost(pool, view, now) == m_self.host) {
+            if (m_startup.mayClaim(pool, now) && preferredHost(pool, view, now) == m_self.host) {
                 const bool isYielding = own != m_self.claims.end();
                 (isYielding ? decision.keep : decision.claim).push_back(pool);
             }
--- a/src/fleet/poolassignment.h
+++ b/src/fleet/poolassignment.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "fleet/fleetview.h"
+#include "fleet/startupclaims.h"
 #include "workload/targetentry.h"
 
 #include <map>
@@ -69,6 +70,9 @@
     PoolCandidate &self();
     const PoolCandidate &self() const;
 
+    /// From when on this host may claim pools.
+    StartupClaims &startup();
+
     /// True when this host should not dispatch by its list of targets if another one can.
     bool hasStaleTargets(TimePoint now) const;
 
@@ -79,7 +83,7 @@
     void updateHeldSince(TimePoint now);
 
     PoolCandidate m_self;
-    TimePoint m_startedAt;
+    StartupClaims m_startup;
     /// Since when this host holds each of its pools.
     std::map<PoolName, TimePoint> m_heldSince;
 };
