--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,6 +1,7 @@
 #include "kernel/hangupsignal.h"
 #include "verbs/verbregistry.h"
 
+#include <algorithm>
 #include <iostream>
 #include <string>
 #include <vector>
@@ -13,8 +14,13 @@
 {
     stream << "anvilcart " << ANVILCART_VERSION << ": a dispatcher for jobs of sub-second tasks\n\n"
            << "usage: anvilcart VERB [ARGUMENTS]; anvilcart VERB --help tells more\n\n";
-    for (const auto *verb : VerbRegistry::instance().all()) {
-        stream << "  " << verb->name() << std::string(10 - verb->name().size(), ' ') << verb->summary() << "\n";
+    const auto verbs = VerbRegistry::instance().all();
+    std::size_t width = 0;
+    for (const auto *verb : verbs) {
+        width = std::max(width, verb->name().size() + 2);
+    }
+    for (const auto *verb : verbs) {
+        stream << "  " << verb->name() << std::string(width - verb->name().size(), ' ') << verb->summary() << "\n";
     }
 }
 } // namespace
