--- a/tests/process/checkrecord.cpp
+++ b/tests/process/checkrecord.cpp
@@ -49,4 +49,15 @@
     fs::remove_all(folder);
 }
 
+// Guards against a list of verbs that ends at a name longer than its column.
+BOOST_AUTO_TEST_CASE(The_list_of_verbs_is_whole)
+{
+    const auto output = (fs::temp_directory_path() / ("anvilcart-verbs-" + std::to_string(::getpid()))).string();
+    ChildProcess process(std::string(ANVILCART_BINARIES) + "/anvilcart", {"--help"}, output, output + ".err");
+    BOOST_TEST(process.wait() == 0);
+    BOOST_TEST(readTextFile(output).value_or("").find("\n  submit ") != std::string::npos);
+    fs::remove(output);
+    fs::remove(output + ".err");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
