--- a/emulator/fleetpresets.cpp
+++ b/emulator/fleetpresets.cpp
@@ -125,6 +125,7 @@
         return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(milliseconds * MedianOfLongest));
     };
     auto options = optionsOfOrdinaryFleet(seed);
+    options.limits.refuseLate = true;
     options.targetsPerZone = 12;
     options.targetMilliCores = 2 * TaskMilliCores;
     options.kinds = {makeJobKind("short", 20.6, 8, runTime(60), 0),
--- a/src/fleet/hostnode.h
+++ b/src/fleet/hostnode.h
@@ -2,7 +2,6 @@
 
 #include "fleet/cancelannouncements.h"
 #include "fleet/cancelinquiries.h"
-#include "fleet/cancelledjobs.h"
 #include "fleet/earlierruns.h"
 #include "fleet/evacuationstate.h"
 #include "fleet/fleetview.h"
@@ -15,6 +14,7 @@
 #include "fleet/owedresults.h"
 #include "fleet/peerprocesses.h"
 #include "fleet/poolassignment.h"
+#include "fleet/rememberedcancellations.h"
 #include "fleet/runnotices.h"
 #include "scheduling/scheduler.h"
 
@@ -353,7 +353,7 @@
     std::map<std::string, LossRecord> m_lostDispatchers;
     IssuedGrants m_issuedGrants;
     CancelInquiries m_cancelInquiries;
-    CancelledJobs m_cancelledJobs;
+    RememberedCancellations m_cancelledJobs;
     CancelAnnouncements m_cancelAnnouncements;
     /// Hosts that are to be told of all cancelled jobs with the next report.
     std::set<std::string> m_owedCancelledJobs;
--- a/src/fleet/hostnodecancellations.cpp
+++ b/src/fleet/hostnodecancellations.cpp
@@ -23,7 +23,7 @@
 {
     beginEvent(now);
     if (m_cancelledJobs.contains(jobId, now) || m_jobs.contains(jobId)) {
-        if (rememberCancelled({jobId, now + CancelledJobs::Retention}, now)) {
+        if (rememberCancelled({jobId, now + RememberedCancellations::Retention}, now)) {
             announceCancelled(jobId, {}, now);
         } else {
             m_port.onCancelDecided(jobId, CancelOutcome::Undecided);
@@ -104,7 +104,7 @@
         return false;
     }
     FleetFrame frame;
-    frame.cancelledJobs.push_back({id, now + CancelledJobs::Retention});
+    frame.cancelledJobs.push_back({id, now + RememberedCancellations::Retention});
     send(submission.entryHost, std::move(frame), now);
     m_scheduler.refuse(namedAtTargets(submission), JobEndReason::Cancelled, now);
     return true;
@@ -123,7 +123,7 @@
         hosts.erase(askingHost);
         for (const auto &host : hosts) {
             FleetFrame frame;
-            frame.cancelAnnouncements.push_back({jobId, now + CancelledJobs::Retention});
+            frame.cancelAnnouncements.push_back({jobId, now + RememberedCancellations::Retention});
             send(host, std::move(frame), now);
         }
     }
@@ -154,7 +154,7 @@
             FleetFrame answer;
             answer.cancelAnswers.push_back({id, false, false});
             send(frame.host, std::move(answer), now);
-        } else if (rememberCancelled({id, now + CancelledJobs::Retention}, now)) {
+        } else if (rememberCancelled({id, now + RememberedCancellations::Retention}, now)) {
             announceCancelled(id, frame.host, now);
         }
     }
@@ -178,7 +178,7 @@
     if (!outcome) {
         return;
     }
-    if (*outcome == CancelOutcome::Cancelled && !rememberCancelled({answer.jobId, now + CancelledJobs::Retention}, now)) {
+    if (*outcome == CancelOutcome::Cancelled && !rememberCancelled({answer.jobId, now + RememberedCancellations::Retention}, now)) {
         m_port.onCancelDecided(answer.jobId, CancelOutcome::Undecided);
         return;
     }
--- a/src/fleet/cancelledjobs.cpp
+++ b/src/fleet/rememberedcancellations.cpp
@@ -1,4 +1,4 @@
-#include "fleet/cancelledjobs.h"
+#include "fleet/rememberedcancellations.h"
 
 #include <algorithm>
 
@@ -11,9 +11,9 @@
 } // namespace
 
 /// Callers send a job again within their deadline, at most 14 s on the sites.
-const Duration CancelledJobs::Retention = Seconds(15);
+const Duration RememberedCancellations::Retention = Seconds(15);
 
-bool CancelledJobs::add(const std::string &jobId, TimePoint until, TimePoint now)
+bool RememberedCancellations::add(const std::string &jobId, TimePoint until, TimePoint now)
 {
     if (m_until.size() >= MaxCancelledJobs && !m_until.contains(jobId)) {
         removeOld(now);
@@ -27,13 +27,13 @@
     return true;
 }
 
-bool CancelledJobs::contains(const std::string &jobId, TimePoint now) const
+bool RememberedCancellations::contains(const std::string &jobId, TimePoint now) const
 {
     const auto found = m_until.find(jobId);
     return found != m_until.end() && now < found->second;
 }
 
-std::vector<CancelledJob> CancelledJobs::all(TimePoint now) const
+std::vector<CancelledJob> RememberedCancellations::all(TimePoint now) const
 {
     std::vector<CancelledJob> jobs;
     for (const auto &[jobId, until] : m_until) {
@@ -44,14 +44,14 @@
     return jobs;
 }
 
-void CancelledJobs::removeOld(TimePoint now)
+void RememberedCancellations::removeOld(TimePoint now)
 {
     std::erase_if(m_until, [now](const auto &entry) {
         return now >= entry.second;
     });
 }
 
-std::size_t CancelledJobs::size() const
+std::size_t RememberedCancellations::size() const
 {
     return m_until.size();
 }
--- a/src/fleet/cancelledjobs.h
+++ b/src/fleet/rememberedcancellations.h
@@ -12,7 +12,7 @@
 {
 /// Remembers which jobs were cancelled on request, for as long as their callers may send them again. The memory is bounded: a job that does
 /// not fit must not be reported as cancelled. Not thread-safe.
-class CancelledJobs
+class RememberedCancellations
 {
 public:
     /// How long a cancellation is remembered.
--- a/src/hostruntime/hostprocess.cpp
+++ b/src/hostruntime/hostprocess.cpp
@@ -125,6 +125,7 @@
     }
     identity.limits.policy = queuePolicyNamed(options.queuePolicy);
     identity.limits.refuseInfeasible = options.refuseInfeasible;
+    identity.limits.refuseLate = options.refuseLate;
     return identity;
 }
 } // namespace
--- a/src/hostruntime/hostprocess.h
+++ b/src/hostruntime/hostprocess.h
@@ -16,6 +16,8 @@
     std::string queuePolicy = "fair-share";
     /// Refuse jobs at once that cannot meet their deadline. Off only in baseline measurements.
     bool refuseInfeasible = true;
+    /// Refuse jobs that have missed their objective while capacity is short.
+    bool refuseLate = false;
     /// Port of the metrics endpoint, at the address of the callers' endpoint; 0 disables it.
     std::uint16_t metricsPort = 0;
 };
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -49,6 +49,8 @@
     QueuePolicy policy = FairShareFirst {};
     /// Refuses jobs that are forecast to miss their caller's deadline. Disabled only in baseline measurements.
     bool refuseInfeasible = true;
+    /// Jobs that have missed their objective are refused while capacity is short; see OverloadPolicy.
+    bool refuseLate = false;
 };
 
 /// A dispatcher's load for one service, as reported to other hosts.
--- a/src/scheduling/schedulertargets.cpp
+++ b/src/scheduling/schedulertargets.cpp
@@ -532,7 +532,7 @@
     updateEvacuation(now);
     submitCollidingJobs(now);
     updateTimeliness(now);
-    if (m_limits.refuseInfeasible) {
+    if (m_limits.refuseLate) {
         refuseLateJobs(now);
     }
     endInfeasibleJobs(now);
--- a/src/verbs/dispatch.cpp
+++ b/src/verbs/dispatch.cpp
@@ -58,6 +58,8 @@
         TCLAP::ValuesConstraint<std::string> knownPolicies(policies);
         TCLAP::ValueArg<std::string> policy("q", "queue", "the order of waiting jobs", false, "fair-share", &knownPolicies, commandLine);
         TCLAP::SwitchArg keepHopeless("", "keep-hopeless", "let jobs wait that cannot be served in time (a baseline)", commandLine);
+        TCLAP::SwitchArg refuseLate(
+            "", "refuse-late", "refuse jobs that have missed their objective at once while capacity is short", commandLine);
         if (const auto ended = parseArguments(commandLine, "dispatch", arguments)) {
             return *ended;
         }
@@ -77,6 +79,7 @@
         options.metricsPort = static_cast<std::uint16_t>(metricsPort.getValue());
         options.queuePolicy = policy.getValue();
         options.refuseInfeasible = !keepHopeless.getValue();
+        options.refuseLate = refuseLate.getValue();
         return serve(*result.settings, options);
     }
 
--- a/tests/process/service.cpp
+++ b/tests/process/service.cpp
@@ -235,7 +235,7 @@
 BOOST_AUTO_TEST_CASE(A_cancelled_job_does_not_run_when_its_caller_sends_it_again)
 {
     const std::string job = "00000000000000ca";
-    const std::string Cancelled = R"({"state":"cancelled"})";
+    const std::string cancelled = R"({"state":"cancelled"})";
     auto waiting = std::async(std::launch::async, [this, job] {
         return site.submit(0, "checks", job, 1, Seconds(20), Seconds(30));
     });
@@ -243,17 +243,17 @@
         return site.startCount(job + ".0.0.0") == 1;
     }));
     BOOST_TEST(site.request(1, "DELETE", "/checks/" + job, "").status == 200);
-    BOOST_TEST(waiting.get().body == Cancelled);
+    BOOST_TEST(waiting.get().body == cancelled);
     // The host that has acknowledged the cancellation is lost.
     site.host(1).kill();
     for (const std::size_t host : {0, 2}) {
-        BOOST_TEST(site.submit(host, "checks", job, 1, Milliseconds(30)).body == Cancelled);
+        BOOST_TEST(site.submit(host, "checks", job, 1, Milliseconds(30)).body == cancelled);
     }
     site.startHost(1);
     BOOST_REQUIRE(eventually([this] {
         return site.isReady();
     }));
-    BOOST_TEST(site.submit(1, "checks", job, 1, Milliseconds(30)).body == Cancelled);
+    BOOST_TEST(site.submit(1, "checks", job, 1, Milliseconds(30)).body == cancelled);
     BOOST_TEST(site.startCount(job + ".0.0.0") == 1);
 }
 
--- a/tests/unit/fleet/cancellations.cpp
+++ b/tests/unit/fleet/cancellations.cpp
@@ -1,4 +1,4 @@
-#include "fleet/cancelledjobs.h"
+#include "fleet/rememberedcancellations.h"
 #include "hostnodefixture.h"
 
 #include <boost/test/unit_test.hpp>
@@ -302,7 +302,7 @@
 BOOST_AUTO_TEST_CASE(A_job_for_which_there_is_no_room_is_not_taken_for_a_cancelled_one)
 {
     const TimePoint begin = HostNodeFixture::Begin;
-    CancelledJobs jobs;
+    RememberedCancellations jobs;
     std::size_t added = 0;
     while (jobs.add("job" + std::to_string(added), begin + Seconds(15), begin)) {
         ++added;
--- a/tests/unit/scheduling/evacuations.cpp
+++ b/tests/unit/scheduling/evacuations.cpp
@@ -218,6 +218,8 @@
     auto large = job("large", 1, 30000);
     large.callerDeadline = now + Seconds(9);
     submit(large);
+    // Capacity is reserved only where smaller tasks wait that could take it.
+    submit(job("small", 1, 12000));
     evacuate({"b"});
     answerStart(0);
     answerStart(1);
--- a/tests/unit/scheduling/overload.cpp
+++ b/tests/unit/scheduling/overload.cpp
@@ -11,10 +11,18 @@
 constexpr TimePoint Now {std::chrono::hours(1)};
 constexpr CapacityShortage Short {10, 8};
 
+SchedulerLimits limitsWithRefusals()
+{
+    SchedulerLimits limits;
+    limits.refuseLate = true;
+    return limits;
+}
+
 /// A target with room for two tasks, which are taken, and jobs behind them that have become late.
 struct LateJobsFixture : SchedulerFixture
 {
     LateJobsFixture()
+        : SchedulerFixture(limitsWithRefusals())
     {
         claimTarget("t1");
         submit(job("running", 2));
