Look at one connection to a target for each request

Cause: each start and each call looked at all connections that were open to its target, with two system calls each.

Change: looks end at the connection that is used next: while it is open, the target has not restarted. Sockets are made non-blocking once. The queue scans the free capacity for started jobs apart only while a zone is evacuated.

--- a/src/hostruntime/targetconnections.cpp
+++ b/src/hostruntime/targetconnections.cpp
@@ -57,16 +57,22 @@
             }
         }
 
-        /// Drops idle connections that the target has closed. A connection in use may be closed too, and its call not have ended yet.
+        /// Drops the idle connections that the target has closed, up to the one that is used next: while that is open, the target has not
+        /// restarted, and each look is a system call. A connection in use may be closed too, and its call not have ended yet.
         void removeClosed()
         {
-            const auto closed = std::erase_if(idle, [](const auto &connection) {
-                return !connection->isReusable();
-            });
-            const bool isClosedInUse = std::any_of(inUse.begin(), inUse.end(), [](const auto *connection) {
-                return connection->isClosedByServer();
-            });
-            if (closed > 0 || isClosedInUse) {
+            bool isAnyClosed = false;
+            while (!idle.empty() && !idle.back()->isReusable()) {
+                idle.pop_back();
+                isAnyClosed = true;
+            }
+            if (!idle.empty()) {
+                return;
+            }
+            isAnyClosed = isAnyClosed || std::any_of(inUse.begin(), inUse.end(), [](const auto *connection) {
+                              return connection->isClosedByServer();
+                          });
+            if (isAnyClosed) {
                 onConnectionsClosed();
             }
         }
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -64,6 +64,8 @@
         const tcp::endpoint remote(asio::ip::make_address(server.address), server.port);
         auto [connectError] = co_await stream.async_connect(remote, Awaitable);
         socket.set_option(tcp::no_delay(true), error);
+        // For peek(), which must not block.
+        socket.non_blocking(true, error);
         co_return connectError;
     }
 
@@ -72,9 +74,7 @@
     {
         char byte = 0;
         boost::system::error_code error;
-        auto &socket = stream.socket();
-        socket.non_blocking(true, error);
-        socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+        stream.socket().receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
         return error;
     }
 
--- a/src/scheduling/schedulerqueue.cpp
+++ b/src/scheduling/schedulerqueue.cpp
@@ -286,7 +286,8 @@
 {
     auto &service = m_services[serviceName];
     auto largestForNew = largestFreeMilliCores(service.targets, false, now);
-    auto largestForStarted = largestFreeMilliCores(service.targets, true, now);
+    const bool isEvacuating = m_zoneEvacuation.isActive();
+    auto largestForStarted = isEvacuating ? largestFreeMilliCores(service.targets, true, now) : largestForNew;
     const auto fits = [&](const ScheduledJob &job) {
         return job.submission.request.steps.front().demand.milliCores <= (job.hasStarted() ? largestForStarted : largestForNew);
     };
@@ -300,7 +301,7 @@
     for (auto *job : fitting) {
         if (fits(*job) && startTasks(*job, service, now)) {
             largestForNew = largestFreeMilliCores(service.targets, false, now);
-            largestForStarted = largestFreeMilliCores(service.targets, true, now);
+            largestForStarted = isEvacuating ? largestFreeMilliCores(service.targets, true, now) : largestForNew;
         }
     }
 }
