--- a/src/fleet/evacuationstate.cpp
+++ b/src/fleet/evacuationstate.cpp
@@ -10,7 +10,7 @@
 /// The part of the bound for which a host waits for a confirmation after a pause: longer than a read of a slow store and its repetition
 /// take.
 constexpr int ConfirmationDivisor = 4;
-/// A host that hears nothing more may start tasks for this part of the bound after it read the store, and after it heard a peer, which may
+/// A host that receives nothing may start tasks for this part of the bound after its last read, and after a peer's last report, which may
 /// have read the store 2 s before that. A start that was sent last takes effect up to 0.45 s later.
 constexpr double LastStoreReadShare = 0.75;
 constexpr double LastPeerReportShare = 0.5;
--- a/src/fleet/hostnodecancellations.cpp
+++ b/src/fleet/hostnodecancellations.cpp
@@ -9,13 +9,13 @@
 {
 namespace
 {
-/// A host that was heard, and has been silent for this time, which is longer than callers wait, need not be asked.
+/// A host whose last report is older than this, which is longer than callers wait, need not be asked.
 constexpr Seconds LostHostRelevance {20};
 /// A host that does not answer counts as lost by its longest silence after the question, at the next tick. The host that announces a
 /// cancellation waits for that, and the host that has asked it for that answer.
 constexpr Milliseconds AnnouncementMargin {50};
 constexpr Milliseconds InquiryMargin {150};
-/// An endpoint at which no live host is known gets the list of cancelled jobs at this interval, until it is heard.
+/// An endpoint at which no live host is known gets the list of cancelled jobs at this interval, until it reports.
 constexpr Seconds CancelledJobsInterval {1};
 } // namespace
 
@@ -56,7 +56,7 @@
 /// True when every endpoint belongs to a host that was asked or can have no job of a caller.
 bool HostNode::hasAskedAllHosts(const std::set<std::string> &asked, TimePoint now) const
 {
-    // A host that has heard nobody may be the one that is cut off, so that refusals show nothing.
+    // A host that no other one has reported to may be the one that is cut off, so that refusals show nothing.
     const bool hasHeardAny = std::any_of(m_peers.begin(), m_peers.end(), [](const auto &entry) {
         return !entry.second.host.empty();
     });
--- a/src/fleet/knownendpoints.h
+++ b/src/fleet/knownendpoints.h
@@ -18,11 +18,11 @@
     /// The endpoint's host has listed the endpoints that it knows.
     void onListReceived(const std::string &endpoint, TimePoint now);
 
-    /// This host stood still, and could hear nobody.
+    /// This host was paused, and received no reports.
     void onPause(Duration pause, TimePoint now);
 
-    /// True until the endpoint's host has listed its endpoints, or has had the time in which any live host is heard. An endpoint that is
-    /// named again does not get that time anew.
+    /// True until the endpoint's host has listed its endpoints, or has had the time in which any live host reports. An endpoint that is
+    /// named again does not get that time again.
     bool isUnexplored(const std::string &endpoint, TimePoint now) const;
 
     /// Removes the endpoints that nobody has named lately.
--- a/src/fleet/startupclaims.cpp
+++ b/src/fleet/startupclaims.cpp
@@ -9,7 +9,7 @@
 /// After its start a host waits this long for reports of others before it claims a pool. Longer than the 300 ms within which all hosts
 /// of a fleet start, but not by much, since callers may already wait.
 constexpr Milliseconds DiscoveryPeriod {400};
-/// The same once every known host has been heard. In this time the connections of hosts that this one does not know arrive.
+/// The same once every known host has reported. In this time the connections of hosts that this one does not know arrive.
 constexpr Milliseconds CompleteViewPeriod {100};
 /// Processes that may have ended prevent claims for this much longer at most, however many there are and whenever their reports arrive.
 /// Two frames that wait 200 ms each for a process whose processor time is used up take as long.
--- a/src/fleet/startupclaims.h
+++ b/src/fleet/startupclaims.h
@@ -27,7 +27,7 @@
     /// The only connection from this process of the host has closed.
     void onLinkClosed(const std::string &host, std::uint64_t incarnation);
 
-    /// This host stood still, and could hear nobody.
+    /// This host was paused, and received no reports.
     void onPause(Duration pause, TimePoint now);
 
     /// Whether every endpoint that this host knows belongs to a host whose reports count, and that has named the endpoints it knows.
--- a/src/net/httpserver.h
+++ b/src/net/httpserver.h
@@ -13,7 +13,7 @@
 
 namespace Anvilcart
 {
-/// Bounds of one door. A request that exceeds its own bounds gets a 4xx answer; one that exceeds a bound of all connections together is
+/// Bounds of one endpoint. A request that exceeds its own bounds gets a 4xx answer; one that exceeds a bound of all connections together is
 /// refused with QueueFull before it reaches the handler.
 struct HttpLimits
 {
@@ -33,7 +33,7 @@
     Duration requestTime = Seconds(10);
 };
 
-/// What a door has turned away since its start.
+/// What an endpoint has turned away since its start.
 struct HttpServerCounts
 {
     /// Connections that made room for others.
