Make a socket to a target non-blocking before its handshake

Cause: made sockets non-blocking after the handshake instead of before each look. TargetConnections also looks at connections in use, of which some have not been accepted yet, and HttpConnection::isOpen() read before it checked that. Asio's synchronous receive() then waits until bytes arrive, and the event loop of the host stops.

The other synchronous calls were read and hold to it: the acceptors and connections of net/httpserver and fleet/peerlinks are non-blocking from their start, net/disconnectwatch sets the flag itself, available() never waits.

Evidence: UnresponsiveTargetSuite (a target behind a proxy that no longer accepts, and closes what it had accepted) failed before: no answer to any request for 60 s.

--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -55,6 +55,10 @@
         auto &socket = stream.socket();
         boost::system::error_code error;
         socket.open(tcp::v4(), error);
+        if (!error) {
+            // For peek(), which may be called as soon as the socket is open and must not block.
+            socket.non_blocking(true, error);
+        }
         if (!error && !sourceAddress.empty()) {
             socket.bind(tcp::endpoint(asio::ip::make_address(sourceAddress), 0), error);
         }
@@ -64,8 +68,6 @@
         const tcp::endpoint remote(asio::ip::make_address(server.address), server.port);
         auto [connectError] = co_await stream.async_connect(remote, Awaitable);
         socket.set_option(tcp::no_delay(true), error);
-        // For peek(), which must not block.
-        socket.non_blocking(true, error);
         co_return connectError;
     }
 
@@ -100,8 +102,11 @@
 
 bool HttpConnection::isOpen() const
 {
+    if (!d->connected) {
+        return false;
+    }
     const auto error = d->peek();
-    return d->connected && (!error || error == asio::error::would_block);
+    return !error || error == asio::error::would_block;
 }
 
 bool HttpConnection::isClosedByServer() const
--- a/standins/service/servicesite.cpp
+++ b/standins/service/servicesite.cpp
@@ -162,11 +162,22 @@
     m_store->put(Platform::Names::OperatorTopic, Platform::Names::EvacuationKeyPrefix + zone, value);
 }
 
+std::string ServiceSite::workerId(std::size_t index) const
+{
+    return "worker-" + zoneOf(index) + std::to_string(index % m_options.targetsPerZone);
+}
+
 void ServiceSite::registerWorker(std::size_t index, bool draining)
 {
-    const auto &zone = zoneOf(index);
-    const auto id = "worker-" + zone + std::to_string(index % m_options.targetsPerZone);
-    m_store->put(Platform::Names::TargetTopic, id, m_workers[index]->record(Service, zone, m_options.milliCores, draining));
+    const auto record = m_workers[index]->record(Service, zoneOf(index), m_options.milliCores, draining);
+    m_store->put(Platform::Names::TargetTopic, workerId(index), record);
+}
+
+void ServiceSite::registerWorkerAt(std::size_t index, const Endpoint &endpoint)
+{
+    auto record = json::parse(m_workers[index]->record(Service, zoneOf(index), m_options.milliCores)).as_object();
+    record["address"] = toString(endpoint);
+    m_store->put(Platform::Names::TargetTopic, workerId(index), json::serialize(record));
 }
 
 bool ServiceSite::isReady()
--- a/standins/service/servicesite.h
+++ b/standins/service/servicesite.h
@@ -94,6 +94,9 @@
     /// Writes a target's record to the store, in the state draining or ready.
     void registerWorker(std::size_t index, bool draining);
 
+    /// Writes a target's record with this endpoint, such as that of a proxy.
+    void registerWorkerAt(std::size_t index, const Endpoint &endpoint);
+
     /// Text that a host has written to standard output.
     std::string log(std::size_t host) const;
 
@@ -114,6 +117,7 @@
 
 private:
     std::string hostAddress(std::size_t index) const;
+    std::string workerId(std::size_t index) const;
     std::string settingsText(std::size_t index) const;
 
     ServiceSiteOptions m_options;
--- a/standins/service/workerstandin.cpp
+++ b/standins/service/workerstandin.cpp
@@ -306,6 +306,11 @@
 
 WorkerStandin::~WorkerStandin() = default;
 
+const Endpoint &WorkerStandin::endpoint() const
+{
+    return d->endpoint;
+}
+
 std::string WorkerStandin::record(const std::string &service, const std::string &zone, std::int64_t milliCores, bool draining) const
 {
     const std::lock_guard lock(d->mutex);
--- a/standins/service/workerstandin.h
+++ b/standins/service/workerstandin.h
@@ -33,6 +33,8 @@
     WorkerStandin(EventLoops &loops, const Endpoint &endpoint, std::string id);
     ~WorkerStandin();
 
+    const Endpoint &endpoint() const;
+
     /// The record of this target in the store.
     std::string record(const std::string &service, const std::string &zone, std::int64_t milliCores, bool draining = false) const;
 
