--- a/tests/process/untrustedclients.cpp
+++ b/tests/process/untrustedclients.cpp
@@ -1,12 +1,9 @@
-#include "untrustedclients.h"
-#include "processsupport.h"
-#include "rawconnection.h"
-#include "service/servicesite.h"
+#include "crowds.h"
+#include "untrustedclientsfixture.h"
 
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
-#include <cstdio>
 #include <sstream>
 #include <string>
 
@@ -14,15 +11,6 @@
 
 namespace
 {
-// The limits in the settings of the tested host. The numbers of clients and bytes exceed them by a factor of about two, so that a host
-// without bounds exceeds them, and the machine is not loaded much.
-constexpr std::uint64_t MemoryLimitMb = 64;
-constexpr std::size_t DescriptorLimit = 400;
-/// Of the limit, as the platform says.
-constexpr std::size_t ReservedForFiles = 200;
-constexpr std::size_t HeaderLimit = 16384;
-constexpr std::size_t BodyLimit = 262144;
-
 constexpr std::size_t EndlessSenders = 4;
 constexpr std::size_t EndlessBytesEach = 32 * 1024 * 1024;
 constexpr std::size_t HeaderBytesEach = 8 * 1024 * 1024;
@@ -35,61 +23,8 @@
 constexpr std::size_t FrameBytesEach = 3500000;
 constexpr std::size_t LargeJobs = 200;
 
-ServiceSiteOptions oneHost()
+struct UntrustedCallersFixture : UntrustedClientsFixture
 {
-    ServiceSiteOptions options;
-    options.hostZones = {"a"};
-    options.settings = "limits.memory_mb=" + std::to_string(MemoryLimitMb) + "\nlimits.max_fds=" + std::to_string(DescriptorLimit) + "\n";
-    options.maxHeaderBytes = HeaderLimit;
-    options.maxBodyBytes = BodyLimit;
-    return options;
-}
-
-struct UntrustedClientsFixture
-{
-    UntrustedClientsFixture()
-        : site(oneHost(), ANVILCART_BINARIES)
-    {
-        site.publish(1, {"checks"});
-        BOOST_REQUIRE(eventually([this] {
-            return completesOne();
-        }));
-    }
-
-    bool completesOne()
-    {
-        return site.submit(0, "checks", nextId(), 1, Milliseconds(10)).status == 200;
-    }
-
-    std::string nextId()
-    {
-        char text[17];
-        std::snprintf(text, sizeof(text), "%016x", ++jobs);
-        return text;
-    }
-
-    bool exceedsMemory()
-    {
-        return statusKb(site.host(0).id(), "VmRSS") > MemoryLimitMb * 1024;
-    }
-
-    /// The host lives, stays within its limits and answers an ordinary request.
-    void checkHost()
-    {
-        const auto process = site.host(0).id();
-        BOOST_TEST(site.host(0).isRunning());
-        const auto descriptors = countDescriptors(process);
-        BOOST_TEST_MESSAGE("peak memory " << statusKb(process, "VmHWM") << " KB, descriptors " << descriptors.all << ", sockets "
-                                          << descriptors.sockets);
-        BOOST_TEST(statusKb(process, "VmHWM") <= MemoryLimitMb * 1024);
-        BOOST_TEST(descriptors.all <= DescriptorLimit);
-        BOOST_TEST(descriptors.sockets <= DescriptorLimit - ReservedForFiles);
-        BOOST_TEST(eventually([this] {
-            return completesOne();
-        }));
-        BOOST_TEST(site.host(0).isRunning());
-    }
-
     void sendEndlessly(const std::string &head, const std::string &piece, std::size_t bytesEach = EndlessBytesEach)
     {
         UntrustedClients clients(site.callerEndpoint(0), EndlessSenders);
@@ -112,37 +47,8 @@
         std::this_thread::sleep_for(Milliseconds(500));
         checkHost();
     }
-
-    std::string postHead()
-    {
-        return "POST /checks/" + nextId() + " HTTP/1.1\r\nHost: desk.example\r\n";
-    }
-
-    std::string chunkedHead()
-    {
-        return postHead() + "Transfer-Encoding: chunked\r\n\r\n";
-    }
-
-    std::string answerTo(const std::string &request)
-    {
-        RawConnection caller(site.callerEndpoint(0));
-        BOOST_TEST(caller.send(request));
-        return caller.readAll();
-    }
-
-    unsigned jobs = 0;
-    ServiceSite site;
 };
 
-std::string repeated(const std::string &text, std::size_t bytes)
-{
-    std::string result;
-    while (result.size() < bytes) {
-        result += text;
-    }
-    return result;
-}
-
 /// A job whose text is so long.
 std::string paddedJob(std::size_t bytes)
 {
@@ -177,7 +83,7 @@
 
 // Four connections that sent trailers for 8 s took a host from 8 MB to 2.2 GB, and none was closed. These tests check what does not depend
 // on the speed of the machine: the process lives, stays within its limits, and answers an ordinary request afterwards.
-BOOST_FIXTURE_TEST_SUITE(UntrustedClientsSuite, UntrustedClientsFixture)
+BOOST_FIXTURE_TEST_SUITE(UntrustedClientsSuite, UntrustedCallersFixture)
 
 BOOST_AUTO_TEST_CASE(Endless_trailer_lines_take_bounded_memory)
 {
@@ -305,6 +211,13 @@
 constexpr std::uint64_t ServeMemoryLimitMb = 128;
 /// Twice the limit with the number of endless senders.
 constexpr std::size_t ServeBytesEach = 64 * 1024 * 1024;
+
+bool completesOrdinaryJob(Site &site)
+{
+    return eventually([&site] {
+        return codeOf(site.call(site.callerDoor(0, 0), "POST", "/v1/jobs", jobBody("ordinary", 1, Milliseconds(5)))) == 0;
+    });
+}
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(UntrustedClientsOfServeSuite)
@@ -324,9 +237,7 @@
     }
     BOOST_TEST_MESSAGE("peak memory " << statusKb(process, "VmHWM") << " KB");
     BOOST_TEST(statusKb(process, "VmHWM") <= ServeMemoryLimitMb * 1024);
-    BOOST_TEST(eventually([&] {
-        return codeOf(site.call(site.callerDoor(0, 0), "POST", "/v1/jobs", jobBody("ordinary", 1, Milliseconds(5)))) == 0;
-    }));
+    BOOST_TEST(completesOrdinaryJob(site));
     BOOST_TEST(site.entryHost(0, 0).isRunning());
 }
 
--- a/tests/support/untrustedclients.h
+++ b/tests/support/untrustedclients.h
@@ -3,7 +3,9 @@
 #include "kernel/time.h"
 #include "model/endpoint.h"
 
+#include <algorithm>
 #include <arpa/inet.h>
+#include <array>
 #include <cerrno>
 #include <filesystem>
 #include <fstream>
@@ -17,12 +19,19 @@
 
 namespace Anvilcart
 {
-/// Connections that send bytes and never read. None of them blocks.
+/// What clients do with the answers that they get.
+enum class Answers {
+    Unread,
+    Dropped,
+};
+
+/// Connections that send bytes. None of them blocks.
 class UntrustedClients
 {
 public:
     /// Begins to open the connections.
-    UntrustedClients(const Endpoint &endpoint, std::size_t count)
+    UntrustedClients(const Endpoint &endpoint, std::size_t count, Answers answers = Answers::Unread)
+        : m_answers(answers)
     {
         sockaddr_in address {};
         address.sin_family = AF_INET;
@@ -31,8 +40,10 @@
         for (std::size_t index = 0; index < count; ++index) {
             Client client;
             client.socket = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-            const int receiveBuffer = 2048;
-            ::setsockopt(client.socket, SOL_SOCKET, SO_RCVBUF, &receiveBuffer, sizeof(receiveBuffer));
+            if (answers == Answers::Unread) {
+                const int receiveBuffer = 2048;
+                ::setsockopt(client.socket, SOL_SOCKET, SO_RCVBUF, &receiveBuffer, sizeof(receiveBuffer));
+            }
             // A connection that is not accepted yet fails later, when it sends.
             (void)::connect(client.socket, reinterpret_cast<const sockaddr *>(&address), sizeof(address));
             m_clients.push_back(client);
@@ -65,6 +76,17 @@
         }
     }
 
+    /// True when the other side has closed each connection. Reads what it has sent.
+    bool areClosed() const
+    {
+        return std::all_of(m_clients.begin(), m_clients.end(), [](const Client &client) {
+            drop(client);
+            char byte = 0;
+            const auto count = ::recv(client.socket, &byte, 1, MSG_DONTWAIT | MSG_PEEK);
+            return count == 0 || (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+        });
+    }
+
 private:
     struct Client
     {
@@ -73,9 +95,18 @@
         std::size_t sent = 0;
     };
 
+    static void drop(const Client &client)
+    {
+        std::array<char, 16384> dropped;
+        while (::recv(client.socket, dropped.data(), dropped.size(), MSG_DONTWAIT) > 0) { }
+    }
+
     /// Sends up to one piece; false when the connection is closed.
-    static bool sendSome(Client &client, const std::string &head, const std::string &piece)
+    bool sendSome(Client &client, const std::string &head, const std::string &piece) const
     {
+        if (m_answers == Answers::Dropped) {
+            drop(client);
+        }
         const bool inHead = client.sent < head.size();
         const auto &text = inHead ? head : piece;
         const auto offset = inHead ? client.sent : (client.sent - head.size()) % piece.size();
@@ -94,6 +125,7 @@
     static constexpr std::chrono::microseconds ConnectPause {500};
 
     std::vector<Client> m_clients;
+    Answers m_answers;
 };
 
 /// A line of /proc/PID/status in KB, such as VmRSS or VmHWM, the peak of it.
