Bound the endpoints that a host connects to

Callers saw: a host that was told of many endpoints ran out of descriptors, and new callers were not accepted.

Cause: each endpoint that any message names became a peer at once: a connection that is opened, and opened again for 20 s. Nothing bounded their number, and reports pass them on to the other hosts.

Change: a host connects to as many endpoints as a tenth of its descriptors allows (1,024 at most; 287 with 3,075). Lists fill only what is free. For a reporting host, a seed or an endpoint from the store, the endpoint that was named first of those at which no host is known makes room.

--- a/src/fleet/hostnode.h
+++ b/src/fleet/hostnode.h
@@ -40,6 +40,8 @@
     std::uint32_t processorPercent = 100;
     /// Peer endpoints to connect to from the start; never removed.
     std::vector<Endpoint> seeds;
+    /// The most endpoints to connect to, and the most other hosts to know.
+    std::size_t maxPeers = 1024;
     SchedulerLimits limits;
     /// A list of targets that could not be read for this long is stale.
     Duration targetListExpiry = Milliseconds(1500);
@@ -279,6 +281,8 @@
     PeerRecord &addPeerEndpoint(const Endpoint &endpoint, TimePoint now);
     void addNamedEndpoint(const Endpoint &endpoint, TimePoint now);
     void removeUnresponsiveEndpoints(TimePoint now);
+    bool hasRoomFor(const Endpoint &endpoint) const;
+    bool makeRoomFor(const Endpoint &endpoint);
     void sendReports(TimePoint now);
     HostReport makeReport(TimePoint now);
     Duration reportPeriod(const FleetMember *recipient, TimePoint now) const;
--- a/src/fleet/hostnodepeers.cpp
+++ b/src/fleet/hostnodepeers.cpp
@@ -90,7 +90,7 @@
 void HostNode::onFrame(FleetFrame frame, TimePoint now)
 {
     beginEvent(now);
-    if (frame.host == m_identity.host) {
+    if (frame.host == m_identity.host || (frame.report && !makeRoomFor(frame.report->peerEndpoint))) {
         return;
     }
     completeKeys(frame);
@@ -344,7 +344,9 @@
         m_knownEndpoints.onListReceived(toString(report.peerEndpoint), now);
     }
     for (const auto &endpoint : frame.knownEndpoints) {
-        addNamedEndpoint(endpoint, now);
+        if (hasRoomFor(endpoint)) {
+            addNamedEndpoint(endpoint, now);
+        }
     }
     for (const auto &claim : report.claims) {
         m_highestRound = std::max(m_highestRound, claim.round);
@@ -451,7 +453,9 @@
 void HostNode::onKnownEndpoints(const std::vector<Endpoint> &endpoints)
 {
     for (const auto &endpoint : endpoints) {
-        addNamedEndpoint(endpoint, m_now);
+        if (makeRoomFor(endpoint)) {
+            addNamedEndpoint(endpoint, m_now);
+        }
     }
 }
 
@@ -497,6 +501,35 @@
 {
     m_configuration = std::move(record);
     m_loadReportsDue = true;
+bool HostNode::hasRoomFor(const Endpoint &endpoint) const
+{
+    return m_peers.size() < m_identity.maxPeers || m_peers.contains(toString(endpoint)) || endpoint == m_identity.peerEndpoint;
+}
+
+/// Removes the endpoint that was named first of those at which no host is known to be, if there is no room for another one; false if all
+/// are needed.
+bool HostNode::makeRoomFor(const Endpoint &endpoint)
+{
+    if (hasRoomFor(endpoint)) {
+        return true;
+    }
+    auto removed = m_peers.end();
+    for (auto it = m_peers.begin(); it != m_peers.end(); ++it) {
+        const auto &peer = it->second;
+        const bool isNeeded = peer.isSeed || (!peer.host.empty() && m_port.isConnected(peer.endpoint));
+        if (!isNeeded && (removed == m_peers.end() || peer.lastNamedAt < removed->second.lastNamedAt)) {
+            removed = it;
+        }
+    }
+    if (removed == m_peers.end()) {
+        return false;
+    }
+    m_knownEndpoints.remove(removed->first);
+    m_port.disconnect(removed->second.endpoint);
+    m_peers.erase(removed);
+    return true;
+}
+
 }
 
 void HostNode::onTimeGap(Duration pause, TimePoint now)
--- a/src/fleet/knownendpoints.cpp
+++ b/src/fleet/knownendpoints.cpp
@@ -37,6 +37,11 @@
     return found != m_records.end() && !found->second.hasSentList && now - found->second.firstNamedAt < ExplorationTime;
 }
 
+void KnownEndpoints::remove(const std::string &endpoint)
+{
+    m_records.erase(endpoint);
+}
+
 void KnownEndpoints::removeOld(TimePoint now)
 {
     std::erase_if(m_records, [now](const auto &entry) {
--- a/src/fleet/knownendpoints.h
+++ b/src/fleet/knownendpoints.h
@@ -25,6 +25,8 @@
     /// named again does not get that time again.
     bool isUnexplored(const std::string &endpoint, TimePoint now) const;
 
+    void remove(const std::string &endpoint);
+
     /// Removes the endpoints that nobody has named lately.
     void removeOld(TimePoint now);
 
--- a/src/hostruntime/hostprocess.cpp
+++ b/src/hostruntime/hostprocess.cpp
@@ -115,6 +115,7 @@
     identity.peerEndpoint = settings.peerEndpoint;
     identity.processorPercent = static_cast<std::uint32_t>(settings.processorShare * Percent);
     identity.seeds = settings.seeds;
+    identity.maxPeers = planFor(settings, 0).outgoingPeerConnections;
     identity.limits.maxLease = settings.maxLease;
     identity.targetListExpiry = settings.targetHeartbeat;
     identity.limits.stopTime = settings.maxStopTime;
--- a/src/hostruntime/resourceplan.cpp
+++ b/src/hostruntime/resourceplan.cpp
@@ -36,6 +36,7 @@
     ResourcePlan plan;
     plan.callerConnections = std::min({usable / 2, share / BytesPerConnection, MaxCallerConnections});
     plan.peerConnections = std::min(usable / 5, MaxPeerConnections);
+    plan.outgoingPeerConnections = std::min(usable / 10, MaxPeerConnections);
     plan.auxiliaryConnections = std::clamp(usable / 64, MinAuxiliaryConnections, MaxAuxiliaryConnections);
     plan.callerBodyBytes = std::max(share, maxBodyBytes * bodyCopies);
     plan.callerHeaderMemory = share;
--- a/src/hostruntime/resourceplan.h
+++ b/src/hostruntime/resourceplan.h
@@ -18,6 +18,8 @@
     std::size_t auxiliaryConnections = 0;
     /// Connections that other hosts open.
     std::size_t peerConnections = 0;
+    /// Connections that the host opens to other hosts.
+    std::size_t outgoingPeerConnections = 0;
     /// Incomplete messages of other hosts.
     std::size_t peerBufferBytes = 0;
 };
--- a/tests/unit/hostruntime/resourceplan.cpp
+++ b/tests/unit/hostruntime/resourceplan.cpp
@@ -29,6 +29,8 @@
         const auto memory = static_cast<std::size_t>(limits.memoryMb) * 1024 * 1024;
         BOOST_TEST(plan.callerConnections + plan.peerConnections + 2 * plan.auxiliaryConnections <= usable * 4 / 5);
         BOOST_TEST(plan.callerBodyBytes + plan.callerHeaderMemory + plan.peerBufferBytes <= memory / 2);
+        BOOST_TEST(plan.callerConnections + plan.peerConnections + plan.outgoingPeerConnections + 2 * plan.auxiliaryConnections
+                   <= usable * 9 / 10);
         BOOST_TEST(plan.callerConnections >= usable / 3);
         BOOST_TEST(plan.callerBodyBytes >= BodyBytes * Copies);
     }
@@ -45,6 +47,7 @@
     const auto plan = planResources(0, 0, ManyDescriptors, BodyBytes, Copies);
     BOOST_TEST(plan.callerConnections == 4096);
     BOOST_TEST(plan.peerConnections == 1024);
+    BOOST_TEST(plan.outgoingPeerConnections == 1024);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
