Estimate the decoded size of a message between hosts before decoding it

Callers saw: one message of 4 MB of rows without content took a host beyond its memory, and platforms end such a process.

Cause: only the encoded size was bounded. A row without content takes two bytes there, and 30 to 140 times as much as a message and as a decoded structure.

Change: fleet/framesize walks through the encoded fields and adds what their rows will take; a frame of more than 16 MB is not decoded, and counts as bad input. That is room for 60,000 rows; the longest known list, of cancelled jobs, has 16,384.

--- a/src/fleet/fleetframe.cpp
+++ b/src/fleet/fleetframe.cpp
@@ -1,6 +1,7 @@
 #include "fleet/fleetframe.h"
 
 #include "fleet/fleet.pb.h"
+#include "fleet/framesize.h"
 #include "workload/jobkey.h"
 
 #include <algorithm>
@@ -9,6 +10,9 @@
 {
 namespace
 {
+/// Holds 60,000 cancellations; hosts remember 16,384.
+constexpr std::size_t MaxDecodedBytes = 16 * 1024 * 1024;
+
 std::int64_t toMicroseconds(Duration duration)
 {
     return std::chrono::duration_cast<std::chrono::microseconds>(duration).count();
@@ -381,6 +385,9 @@
 
 std::optional<FleetFrame> decodeFrame(std::string_view bytes, TimePoint now)
 {
+    if (estimateDecodedBytes(bytes) > MaxDecodedBytes) {
+        return std::nullopt;
+    }
     Wire::Frame wire;
     if (!wire.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())) || wire.host().empty()) {
         return std::nullopt;
