Reject messages between hosts that have long names

Callers saw: hosts or jobs with names of megabytes took a host beyond its memory.

Cause: names outlive the message that has them, in records, metrics and queues whose bounds count entries and not bytes.

Change: a frame with a name of a host, zone, route, service, job or held target of more than 512 bytes counts as bad input.

--- a/src/fleet/fleetframe.cpp
+++ b/src/fleet/fleetframe.cpp
@@ -13,6 +13,9 @@
 /// Holds 60,000 cancellations; hosts remember 16,384.
 constexpr std::size_t MaxDecodedBytes = 16 * 1024 * 1024;
 
+/// Of a host, job, route, service, zone or target. Receivers keep names for longer than frames.
+constexpr int MaxNameBytes = 512;
+
 std::int64_t toMicroseconds(Duration duration)
 {
     return std::chrono::duration_cast<std::chrono::microseconds>(duration).count();
@@ -292,6 +295,71 @@
     }
     return lost;
 }
+bool isName(const std::string &text)
+{
+    return text.size() <= MaxNameBytes;
+}
+
+template<typename Rows>
+bool areNames(const Rows &texts)
+{
+    return std::all_of(texts.begin(), texts.end(), isName);
+}
+
+/// True when the names of the jobs in these rows are not too long.
+template<typename Rows>
+bool nameJobs(const Rows &rows)
+{
+    return std::all_of(rows.begin(), rows.end(), [](const auto &row) {
+        return isName(row.id()) && isName(row.route());
+    });
+}
+
+bool hasNames(const Wire::Heartbeat &report)
+{
+    const auto &claims = report.claims();
+    const auto &loads = report.loads();
+    return isName(report.zone()) && isName(report.address()) && areNames(report.evacuation().zones())
+        && std::all_of(claims.begin(),
+                       claims.end(),
+                       [](const Wire::PoolClaim &claim) {
+                           return isName(claim.zone()) && areNames(claim.held_targets());
+                       })
+        && std::all_of(loads.begin(), loads.end(), [](const Wire::ServiceLoad &load) {
+               return isName(load.service());
+           });
+}
+
+bool hasNames(const Wire::SubmitJob &job)
+{
+    return isName(job.service()) && isName(job.entry_host()) && isName(job.lost_dispatcher());
+}
+
+bool hasNames(const Wire::LostDispatcher &lost)
+{
+    return isName(lost.host()) && std::all_of(lost.claims().begin(), lost.claims().end(), [](const Wire::PoolClaim &claim) {
+               return isName(claim.zone());
+           });
+}
+
+/// True when no name in the frame is too long.
+bool hasNames(const Wire::Frame &frame)
+{
+    const auto &jobs = frame.submits();
+    const auto &lost = frame.lost_dispatchers();
+    return isName(frame.host()) && hasNames(frame.heartbeat()) && nameJobs(jobs) && nameJobs(frame.crash_notices())
+        && nameJobs(frame.long_runs()) && nameJobs(frame.ended()) && nameJobs(frame.releases()) && nameJobs(frame.cancels())
+        && nameJobs(frame.cancelled()) && nameJobs(frame.cancel_inquiries()) && nameJobs(frame.cancel_answers())
+        && nameJobs(frame.cancelled_jobs()) && areNames(frame.abandoned_runs())
+        && std::all_of(jobs.begin(),
+                       jobs.end(),
+                       [](const Wire::SubmitJob &job) {
+                           return hasNames(job);
+                       })
+        && std::all_of(lost.begin(), lost.end(), [](const Wire::LostDispatcher &row) {
+               return hasNames(row);
+           });
+}
 } // namespace
 
 std::string encodeFrame(const FleetFrame &frame, TimePoint now)
@@ -389,7 +457,7 @@
         return std::nullopt;
     }
     Wire::Frame wire;
-    if (!wire.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())) || wire.host().empty()) {
+    if (!wire.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())) || wire.host().empty() || !hasNames(wire)) {
         return std::nullopt;
     }
     FleetFrame frame;
