Bound the lost dispatchers that a host remembers

Callers saw: a host that was told of 150,000 lost dispatchers answered nobody for more than 60 s, in one message.

Cause: each row of the list looked through all records for old ones, so that the time grew with the square of the rows; and nothing bounded the records.

Jobs of a dispatcher that is not recorded wait for the end of its leases.

--- a/src/fleet/hostnode.h
+++ b/src/fleet/hostnode.h
@@ -253,6 +253,7 @@
     bool isStale(const FleetFrame &frame, TimePoint now);
     bool acceptGrant(FleetFrame &frame, TimePoint now);
     void addGrant(FleetFrame &frame, const FleetMember &recipient, TimePoint now);
+    void removeOldLostDispatchers(TimePoint now);
     void recordLostDispatcher(const LostDispatcher &lost, TimePoint now);
     void probePoolsOfOtherZones(const std::set<PoolName> &pools, TimePoint now);
     bool onProbeReply(const std::string &target, const RenewalReply &reply, TimePoint now);
--- a/src/fleet/hostnodepeers.cpp
+++ b/src/fleet/hostnodepeers.cpp
@@ -43,6 +43,8 @@
 constexpr Seconds LostDispatcherRetention {10};
 /// The processor time of an overloaded host is divided by this. The true factor is unknown; the result must be below that of the others.
 constexpr std::uint32_t OverloadDivisor = 4;
+/// Processes of a host whose delays are remembered, on average: it restarts now and then.
+constexpr std::size_t ProcessesPerHost = 8;
 /// Period of the reports of target usage to the observer.
 constexpr Seconds UsagePeriod {1};
 
@@ -114,6 +116,9 @@
     }
     for (const auto &lost : frame.lostDispatchers) {
         recordLostDispatcher(lost, now);
+    if (!frame.lostDispatchers.empty()) {
+        removeOldLostDispatchers(now);
+    }
     }
     for (const auto &jobId : frame.abandonedRuns) {
         m_scheduler.onRunElsewhere(jobId, now);
@@ -245,10 +250,13 @@
 /// Keeps what the newest report of a lost dispatcher has said, whichever host it has reached.
 void HostNode::recordLostDispatcher(const LostDispatcher &lost, TimePoint now)
 {
-    std::erase_if(m_lostDispatchers, [now](const auto &entry) {
-        return now - entry.second.lostAt > LostDispatcherRetention;
-    });
-    const auto [found, added] = m_lostDispatchers.try_emplace(incarnationKey(lost.host, lost.incarnation), LossRecord {lost, now});
+    const auto key = incarnationKey(lost.host, lost.incarnation);
+    // Jobs of a dispatcher that is not recorded wait for the end of its leases instead of its successor.
+    const bool isNeeded = !lost.pools.empty() && m_lostDispatchers.size() < ProcessesPerHost * m_identity.maxPeers;
+    if (!isNeeded && !m_lostDispatchers.contains(key)) {
+        return;
+    }
+    const auto [found, added] = m_lostDispatchers.try_emplace(key, LossRecord {lost, now});
     auto &known = found->second.dispatcher;
     if (!added && lost.reportSentAt > known.reportSentAt) {
         known = lost;
@@ -257,6 +265,13 @@
 
 void HostNode::onCancellations(const FleetFrame &frame, TimePoint now)
 {
+void HostNode::removeOldLostDispatchers(TimePoint now)
+{
+    std::erase_if(m_lostDispatchers, [now](const auto &entry) {
+        return now - entry.second.lostAt > LostDispatcherRetention;
+    });
+}
+
     FleetFrame confirmation;
     for (const auto &cancellation : frame.cancellations) {
         const auto &[id, number] = cancellation;
@@ -430,7 +445,11 @@
         lost.pools.push_back(claim.pool);
     }
     recordLostDispatcher(lost, now);
-    m_lostDispatchers.at(incarnationKey(report.host, report.incarnation)).lostAt = now;
+    const auto recorded = m_lostDispatchers.find(incarnationKey(report.host, report.incarnation));
+    if (recorded != m_lostDispatchers.end()) {
+        recorded->second.lostAt = now;
+    }
+    removeOldLostDispatchers(now);
     m_issuedGrants.removeOld(now);
     m_cancelAnnouncements.onHostLost(report.host);
     // The host may have been the only one to know what ran. If it is only cut off, it may dispatch on its own now.
--- a/tests/process/untrustedpeers.cpp
+++ b/tests/process/untrustedpeers.cpp
@@ -22,9 +22,12 @@
 constexpr std::size_t LargestFrame = 4 * 1024 * 1024;
 constexpr std::size_t NamedEndpoints = 1000;
 constexpr std::size_t ForgedHosts = 60000;
+constexpr std::size_t LargeReports = 40;
+constexpr std::size_t ClaimsOfLargeReport = 7000;
 constexpr std::size_t LongNames = 40;
 constexpr std::size_t LongNameBytes = 3 * 1024 * 1024;
 constexpr std::size_t LostDispatchers = 150000;
+constexpr std::size_t LostDispatchersPerFrame = 1000;
 constexpr std::size_t ForgedJobs = 400000;
 constexpr std::size_t ForgedJobsPerFrame = 20000;
 constexpr std::size_t LongJobs = 100;
@@ -199,16 +202,36 @@
     checkHost();
 }
 
-BOOST_AUTO_TEST_CASE(Reports_of_many_processes_of_one_host_take_bounded_memory)
+BOOST_DATA_TEST_CASE_F(UntrustedPeersFixture, Reports_of_many_processes_of_one_host_take_bounded_memory, data::make({0, 1}), pools)
 {
     std::string bytes;
     for (std::size_t number = 0; number < ForgedHosts; ++number) {
-        bytes += framed(reportOf("forged", number + 1));
+        auto frame = reportOf("forged", number + 1);
+        for (int pool = 0; pool < pools; ++pool) {
+            frame.mutable_heartbeat()->add_claims()->set_zone("z");
+        }
+        bytes += framed(frame);
     }
     sendFrames(bytes);
     checkHost();
 }
 
+BOOST_AUTO_TEST_CASE(Large_reports_of_many_hosts_take_bounded_memory)
+{
+    for (std::size_t number = 0; number < LargeReports && !exceedsMemory(); ++number) {
+        auto frame = reportOf("forged-" + std::to_string(number), number + 1);
+        // The host stays live for as long as it has promised the next report.
+        frame.mutable_heartbeat()->set_period_ms(600000);
+        for (std::size_t row = 0; row < ClaimsOfLargeReport; ++row) {
+            auto &claim = *frame.mutable_heartbeat()->add_claims();
+            claim.set_zone(std::to_string(row));
+            claim.add_held_targets(std::string(500, 't'));
+        }
+        sendFrames(framed(frame));
+    }
+    checkHost();
+}
+
 BOOST_AUTO_TEST_CASE(Hosts_with_long_names_take_bounded_memory)
 {
     for (std::size_t number = 0; number < LongNames && !exceedsMemory(); ++number) {
@@ -217,18 +240,38 @@
     checkHost();
 }
 
-BOOST_AUTO_TEST_CASE(A_list_of_many_lost_dispatchers_does_not_stop_the_host)
+BOOST_DATA_TEST_CASE_F(UntrustedPeersFixture, A_list_of_many_lost_dispatchers_does_not_stop_the_host, data::make({0, 1}), pools)
 {
     auto frame = reportOf("forged", 1);
     for (std::size_t number = 0; number < LostDispatchers; ++number) {
         auto &row = *frame.add_lost_dispatchers();
         row.set_host(std::to_string(number));
         row.set_incarnation(number + 1);
+        for (int pool = 0; pool < pools; ++pool) {
+            row.add_claims()->set_zone("z");
+        }
     }
     sendFrames(framed(frame));
     checkHost();
 }
 
+BOOST_AUTO_TEST_CASE(Many_short_lists_of_lost_dispatchers_do_not_stop_the_host)
+{
+    std::string bytes;
+    for (std::size_t number = 0; number < LostDispatchers; number += LostDispatchersPerFrame) {
+        auto frame = reportOf("forged", 1);
+        for (std::size_t row = number; row < number + LostDispatchersPerFrame; ++row) {
+            auto &lost = *frame.add_lost_dispatchers();
+            lost.set_host(std::to_string(row));
+            lost.set_incarnation(row + 1);
+            lost.add_claims()->set_zone("z");
+        }
+        bytes += framed(frame);
+    }
+    sendFrames(bytes);
+    checkHost();
+}
+
 BOOST_AUTO_TEST_CASE(Jobs_of_a_forged_entry_host_take_bounded_memory)
 {
     for (std::size_t number = 0; number < ForgedJobs && !exceedsMemory();) {
