Bound the hosts and processes that messages name

Callers saw: a host that got 60,000 short reports, of as many hosts or of as many processes of one host, answered nobody for more than 60 s; its records and its metrics kept every name.

Cause: each new host or process looked through the records of all others (PeerProcesses, IssuedGrants), in the square of their number, and several records and the metrics' label values had no bound.

Change: a host knows as many others as it may connect to; a host beyond that is not heard until one that has echoed nothing for 2 s, or has been silent for 5 minutes, makes room. Of each it remembers 16 processes. What else is kept by host or process is removed with it once there is more than that, and a metric has at most 1,024 values of a label, then "other".

--- a/src/fleet/hostnode.cpp
+++ b/src/fleet/hostnode.cpp
@@ -47,7 +47,7 @@
     , m_port(port)
     , m_observer(observer)
     , m_scheduler(m_identity.limits, *this, observer)
-    , m_peerProcesses(m_identity.incarnation)
+    , m_peerProcesses(m_identity.incarnation, m_identity.maxPeers)
     , m_assignment({m_identity.host, m_identity.zone, m_identity.processorPercent, false, {}, {}, m_identity.targetListExpiry})
     , m_lastSubmissionNumber(submissionNumber(m_identity.incarnation, 0))
     , m_evacuation(m_identity.limits.evacuationBound)
--- a/src/fleet/hostnode.h
+++ b/src/fleet/hostnode.h
@@ -281,9 +281,10 @@
 
     PeerRecord &addPeerEndpoint(const Endpoint &endpoint, TimePoint now);
     void addNamedEndpoint(const Endpoint &endpoint, TimePoint now);
-    void removeUnresponsiveEndpoints(TimePoint now);
     bool hasRoomFor(const Endpoint &endpoint) const;
     bool makeRoomFor(const Endpoint &endpoint);
+    void removeUnresponsiveEndpoints(TimePoint now);
+    void removeRecordsOfUnknownHosts();
     void sendReports(TimePoint now);
     HostReport makeReport(TimePoint now);
     Duration reportPeriod(const FleetMember *recipient, TimePoint now) const;
--- a/src/fleet/hostnodepeers.cpp
+++ b/src/fleet/hostnodepeers.cpp
@@ -97,6 +97,8 @@
     }
     completeKeys(frame);
     switch (m_peerProcesses.onFrame(frame, now)) {
+    case PeerProcesses::Finding::Refused:
+        return;
     case PeerProcesses::Finding::Unproven:
         onUnprovenFrame(frame, now);
         return;
@@ -114,11 +116,11 @@
     } else if (mayGrantFromHere) {
         m_issuedGrants.onFrame(frame.host, frame.incarnation, frame.sentAt, now);
     }
-    for (const auto &lost : frame.lostDispatchers) {
-        recordLostDispatcher(lost, now);
     if (!frame.lostDispatchers.empty()) {
         removeOldLostDispatchers(now);
     }
+    for (const auto &lost : frame.lostDispatchers) {
+        recordLostDispatcher(lost, now);
     }
     for (const auto &jobId : frame.abandonedRuns) {
         m_scheduler.onRunElsewhere(jobId, now);
@@ -263,8 +265,6 @@
     }
 }
 
-void HostNode::onCancellations(const FleetFrame &frame, TimePoint now)
-{
 void HostNode::removeOldLostDispatchers(TimePoint now)
 {
     std::erase_if(m_lostDispatchers, [now](const auto &entry) {
@@ -272,6 +272,8 @@
     });
 }
 
+void HostNode::onCancellations(const FleetFrame &frame, TimePoint now)
+{
     FleetFrame confirmation;
     for (const auto &cancellation : frame.cancellations) {
         const auto &[id, number] = cancellation;
@@ -444,12 +446,12 @@
     for (const auto &claim : report.claims) {
         lost.pools.push_back(claim.pool);
     }
+    removeOldLostDispatchers(now);
     recordLostDispatcher(lost, now);
     const auto recorded = m_lostDispatchers.find(incarnationKey(report.host, report.incarnation));
     if (recorded != m_lostDispatchers.end()) {
         recorded->second.lostAt = now;
     }
-    removeOldLostDispatchers(now);
     m_issuedGrants.removeOld(now);
     m_cancelAnnouncements.onHostLost(report.host);
     // The host may have been the only one to know what ran. If it is only cut off, it may dispatch on its own now.
@@ -499,27 +501,6 @@
     }
 }
 
-void HostNode::removeUnresponsiveEndpoints(TimePoint now)
-{
-    if (now - m_endpointsCheckedAt < EndpointCheckPeriod) {
-        return;
-    }
-    m_endpointsCheckedAt = now;
-    m_knownEndpoints.removeOld(now);
-    for (auto it = m_peers.begin(); it != m_peers.end();) {
-        if (!it->second.isSeed && now - it->second.lastNamedAt > EndpointExpiry) {
-            m_port.disconnect(it->second.endpoint);
-            it = m_peers.erase(it);
-        } else {
-            ++it;
-        }
-    }
-}
-
-void HostNode::setConfiguration(ConfigurationRecord record)
-{
-    m_configuration = std::move(record);
-    m_loadReportsDue = true;
 bool HostNode::hasRoomFor(const Endpoint &endpoint) const
 {
     return m_peers.size() < m_identity.maxPeers || m_peers.contains(toString(endpoint)) || endpoint == m_identity.peerEndpoint;
@@ -549,6 +530,58 @@
     return true;
 }
 
+void HostNode::removeUnresponsiveEndpoints(TimePoint now)
+{
+    if (now - m_endpointsCheckedAt < EndpointCheckPeriod) {
+        return;
+    }
+    m_endpointsCheckedAt = now;
+    m_knownEndpoints.removeOld(now);
+    for (auto it = m_peers.begin(); it != m_peers.end();) {
+        if (!it->second.isSeed && now - it->second.lastNamedAt > EndpointExpiry) {
+            m_port.disconnect(it->second.endpoint);
+            it = m_peers.erase(it);
+        } else {
+            ++it;
+        }
+    }
+}
+
+/// Keeps the records of hosts and of their processes from growing with each name or incarnation that a message states.
+void HostNode::removeRecordsOfUnknownHosts()
+{
+    const auto isUnknown = [this](const std::string &host) {
+        return !m_peerProcesses.isKnown(host);
+    };
+    const auto limit = m_identity.maxPeers;
+    if (m_callersSeenAt.size() > limit) {
+        std::erase_if(m_callersSeenAt, [&](const auto &entry) {
+            return isUnknown(entry.first);
+        });
+    }
+    if (m_reconnectedAt.size() > limit) {
+        std::erase_if(m_reconnectedAt, [&](const auto &entry) {
+            return isUnknown(entry.first);
+        });
+    }
+    if (m_owedCancelledJobs.size() > limit) {
+        std::erase_if(m_owedCancelledJobs, isUnknown);
+    }
+    if (m_shortestDelay.size() > ProcessesPerHost * limit) {
+        std::set<std::uint64_t> present;
+        for (const auto *member : m_view.liveMembers(m_now)) {
+            present.insert(member->report.incarnation);
+        }
+        std::erase_if(m_shortestDelay, [&](const auto &entry) {
+            return !present.contains(entry.first);
+        });
+    }
+}
+
+void HostNode::setConfiguration(ConfigurationRecord record)
+{
+    m_configuration = std::move(record);
+    m_loadReportsDue = true;
 }
 
 void HostNode::onTimeGap(Duration pause, TimePoint now)
@@ -618,6 +651,7 @@
     processSchedulerEvents(now);
     updateCancellations(now);
     removeUnresponsiveEndpoints(now);
+    removeRecordsOfUnknownHosts();
     m_owedCancellations.removeOld(now);
     m_owedResults.removeOld(now);
     m_earlierRuns.removeOld(now);
--- a/src/fleet/issuedgrants.cpp
+++ b/src/fleet/issuedgrants.cpp
@@ -10,6 +10,8 @@
 constexpr double ClockDrift = 0.02;
 /// Records are kept this long after the last grant: longer than callers wait.
 constexpr Seconds RecordRetention {30};
+/// More than a host restarts in that time.
+constexpr std::size_t MaxProcessesPerHost = 16;
 /// Leases end this much later than by the dispatcher's clock, for drift and for the time until it has noticed the end of its grant.
 constexpr Milliseconds LeaseExpiryMargin {120};
 } // namespace
@@ -19,6 +21,7 @@
     const auto [found, added] = m_records.try_emplace({host, incarnation});
     auto &record = found->second;
     if (added) {
+        removeExcessProcesses(host, incarnation);
         record.epoch = m_firstEpoch;
     }
     if (!added && sentAt < record.reportSentAt) {
@@ -111,6 +114,26 @@
     return std::min(leasesEndBy, record->endOf(epoch) + afterGrant + drift);
 }
 
+/// Removes the process of the host that was heard least recently, if there are too many beside this one.
+void IssuedGrants::removeExcessProcesses(const std::string &host, std::uint64_t newIncarnation)
+{
+    auto oldest = m_records.end();
+    std::size_t processes = 0;
+    for (auto it = m_records.lower_bound({host, 0}); it != m_records.end() && it->first.first == host; ++it) {
+        if (it->first.second == newIncarnation) {
+            continue;
+        }
+        ++processes;
+        if (oldest == m_records.end() || it->second.frameArrivedAt < oldest->second.frameArrivedAt) {
+            oldest = it;
+        }
+    }
+    if (processes >= MaxProcessesPerHost) {
+        m_firstEpoch = std::max(m_firstEpoch, oldest->second.epoch + 1);
+        m_records.erase(oldest);
+    }
+}
+
 void IssuedGrants::removeOld(TimePoint now)
 {
     std::erase_if(m_records, [&](const auto &entry) {
--- a/src/fleet/issuedgrants.h
+++ b/src/fleet/issuedgrants.h
@@ -53,6 +53,8 @@
     void removeOld(TimePoint now);
 
 private:
+    void removeExcessProcesses(const std::string &host, std::uint64_t newIncarnation);
+
     using Key = std::pair<std::string, std::uint64_t>;
 
     struct Record
--- a/src/fleet/peerprocesses.cpp
+++ b/src/fleet/peerprocesses.cpp
@@ -11,22 +11,28 @@
 constexpr Seconds EarlierVersionDelay {2};
 /// In this time a living process of an earlier version that was taken for ended by mistake counts again.
 constexpr Seconds ReplacedRetention {30};
+/// Of one host. More than it restarts in that time.
+constexpr std::size_t MaxReplacedProcesses = 16;
+constexpr Seconds UnprovenRetention {2};
 /// Records of hosts that were removed from the fleet.
 constexpr Seconds RecordRetention {300};
 } // namespace
 
-PeerProcesses::PeerProcesses(std::uint64_t ownIncarnation)
+PeerProcesses::PeerProcesses(std::uint64_t ownIncarnation, std::size_t maxHosts)
     : m_ownIncarnation(ownIncarnation)
+    , m_maxHosts(maxHosts)
 {
 }
 
 PeerProcesses::Finding PeerProcesses::onFrame(const FleetFrame &frame, TimePoint now)
 {
+    if (!isKnown(frame.host) && !makeRoom(now)) {
+        return Finding::Refused;
+    }
     const auto [found, added] = m_records.try_emplace(frame.host);
     auto &record = found->second;
     if (added) {
         record.lastFrameAt = now;
-        removeOld(now);
     }
     if (record.lastRead.recipientIncarnation != frame.incarnation || record.lastRead.sentAt < frame.sentAt) {
         record.lastRead = {frame.incarnation, frame.sentAt};
@@ -45,6 +51,11 @@
         return now - entry.second > ReplacedRetention;
     });
     if (record.incarnation != 0) {
+        if (record.replaced.size() >= MaxReplacedProcesses) {
+            record.replaced.erase(std::min_element(record.replaced.begin(), record.replaced.end(), [](const auto &left, const auto &right) {
+                return left.second < right.second;
+            }));
+        }
         record.replaced[record.incarnation] = now;
     }
     record.lastReplaced = record.incarnation;
@@ -72,12 +83,30 @@
     return found == m_records.end() ? 0 : found->second.lastReplaced;
 }
 
+bool PeerProcesses::isKnown(const std::string &host) const
+{
+    return m_records.contains(host);
+}
+
 FrameEcho PeerProcesses::echoFor(const std::string &host) const
 {
     const auto found = m_records.find(host);
     return found == m_records.end() ? FrameEcho() : found->second.lastRead;
 }
 
+/// Makes room for another host; false if there is none. A host that has echoed nothing is soon removed when there is need: all hosts but
+/// those of earlier versions have read a frame of this one within that time.
+bool PeerProcesses::makeRoom(TimePoint now)
+{
+    removeOld(now);
+    if (m_records.size() >= m_maxHosts) {
+        std::erase_if(m_records, [now](const auto &entry) {
+            return !entry.second.sendsEchoes && now - entry.second.lastFrameAt > UnprovenRetention;
+        });
+    }
+    return m_records.size() < m_maxHosts;
+}
+
 void PeerProcesses::removeOld(TimePoint now)
 {
     std::erase_if(m_records, [now](const auto &entry) {
--- a/src/fleet/peerprocesses.h
+++ b/src/fleet/peerprocesses.h
@@ -3,6 +3,7 @@
 #include "fleet/fleetframe.h"
 #include "kernel/time.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -26,10 +27,12 @@
         /// It may have ended: the frame must not be acted upon as one of the present process. A process that lives proves it with the echo
         /// of the next frame that it is sent.
         Unproven,
+        /// Its host is unknown, and as many hosts are known as are allowed.
+        Refused,
     };
 
-    /// The incarnation is that of this process.
-    explicit PeerProcesses(std::uint64_t ownIncarnation);
+    /// The incarnation is that of this process. At most maxHosts other hosts are known at a time.
+    explicit PeerProcesses(std::uint64_t ownIncarnation, std::size_t maxHosts = 1024);
 
     /// Judges a frame that has just arrived. Hosts of earlier versions send no echo: their reports count unless the process is known to
     /// have ended.
@@ -38,6 +41,9 @@
     /// The incarnation that the present process of the host has replaced; 0 if none is known.
     std::uint64_t replacedIncarnation(const std::string &host) const;
 
+    /// True while a frame of the host is remembered.
+    bool isKnown(const std::string &host) const;
+
     /// The echo for the next frame to a host: the last frame that has been read from there, whichever process sent it.
     FrameEcho echoFor(const std::string &host) const;
 
@@ -58,8 +64,10 @@
 
     bool isProven(const Record &record, const FleetFrame &frame, TimePoint now) const;
     void removeOld(TimePoint now);
+    bool makeRoom(TimePoint now);
 
     std::uint64_t m_ownIncarnation;
+    std::size_t m_maxHosts;
     std::map<std::string, Record> m_records;
 };
 } // namespace Anvilcart::Fleet
--- a/src/hostruntime/hosttelemetry.cpp
+++ b/src/hostruntime/hosttelemetry.cpp
@@ -18,6 +18,10 @@
 {
 const prometheus::Histogram::BucketBoundaries HistogramBucketsMs = {1, 2, 5, 10, 20, 50, 100, 200, 500, 1000, 2000, 5000};
 
+/// Of one metric. More than there are hosts in a fleet.
+constexpr std::size_t MaxLabelValues = 1024;
+const std::string OtherLabelValue = "other";
+
 std::string formatRun(const RunName &run)
 {
     return run.task.jobId + '/' + std::to_string(run.task.step) + '/' + std::to_string(run.task.index) + '#' + std::to_string(run.run);
@@ -65,7 +69,7 @@
     prometheus::Histogram &forecastError;
     prometheus::Histogram &storeCall;
     prometheus::Gauge &evacuatedZones;
-    std::map<std::pair<std::string, std::string>, prometheus::Counter *> counters;
+    std::map<std::string, std::map<std::string, prometheus::Counter *>> counters;
 };
 
 HostTelemetry::HostTelemetry(EventLog &log)
@@ -82,9 +86,12 @@
 
 void HostTelemetry::count(const char *metric, const char *label, const std::string &value, std::uint64_t amount)
 {
-    auto &counter = d->counters[{metric, value}];
+    auto &counters = d->counters[metric];
+    // Some values come from the network.
+    const auto &counted = counters.size() < MaxLabelValues || counters.contains(value) ? value : OtherLabelValue;
+    auto &counter = counters[counted];
     if (counter == nullptr) {
-        counter = &prometheus::BuildCounter().Name(metric).Help("See docs/METRICS.md.").Register(d->registry).Add({{label, value}});
+        counter = &prometheus::BuildCounter().Name(metric).Help("See docs/METRICS.md.").Register(d->registry).Add({{label, counted}});
     }
     counter->Increment(static_cast<double>(amount));
 }
