Bound the connections between hosts of anvilcart serve

Callers saw: with 800 idle connections to its endpoint for other hosts, a process that may open 400 descriptors accepted no caller any more.

Cause: TcpLink kept every connection that it accepted. Without descriptors its accept failed at once and was called again at once, so that the link's thread never rested either.

Change: as in fleet/peerlinks, a connection beyond a fifth of the descriptors (1,024 at most) takes the place of the oldest one on which no message has arrived, or is closed if there is none. After a failed accept it waits 50 ms, and without descriptors it first closes such a connection.

--- a/src/net/descriptorlimit.cpp
+++ b/src/net/descriptorlimit.cpp
@@ -8,6 +8,16 @@
 
 namespace Anvilcart
 {
+namespace
+{
+/// Descriptors that are not reserved for files.
+std::size_t usableDescriptors()
+{
+    constexpr std::size_t ReservedForFiles = 200;
+    return std::max(descriptorLimit(), ReservedForFiles) - ReservedForFiles;
+}
+} // namespace
+
 std::size_t descriptorLimit()
 {
     rlimit limit {};
@@ -19,9 +29,14 @@
 
 std::size_t defaultDoorConnections()
 {
-    constexpr std::size_t ReservedForFiles = 200;
     constexpr std::size_t MinConnections = 32;
-    const auto limit = std::max(descriptorLimit(), ReservedForFiles) - ReservedForFiles;
-    return std::clamp(limit / 2, MinConnections, HttpLimits().connections);
+    return std::clamp(usableDescriptors() / 2, MinConnections, HttpLimits().connections);
+}
+
+std::size_t defaultPeerConnections()
+{
+    constexpr std::size_t MinConnections = 32;
+    constexpr std::size_t MaxConnections = 1024;
+    return std::clamp(usableDescriptors() / 5, MinConnections, MaxConnections);
 }
 } // namespace Anvilcart
--- a/src/peer/peerplugin.cpp
+++ b/src/peer/peerplugin.cpp
@@ -2,6 +2,7 @@
 #include "dispatch/dispatchservice.h"
 #include "kernel/kernel.h"
 #include "kernel/pluginregistry.h"
+#include "net/descriptorlimit.h"
 #include "observe/metrics.h"
 #include "peer/incarnation.h"
 #include "peer/peercodec.h"
@@ -52,7 +53,7 @@
         m_metrics = std::make_unique<PeerMetrics>(kernel.service<Metrics>().registry());
         const auto &settings = kernel.service<const Settings>();
         const PeerIdentity self {settings.host, settings.zone, settings.peerDoor, makeIncarnation()};
-        m_link = std::make_unique<TcpLink>(settings.peerDoor, MaxFrameBytes, [this](std::string message) {
+        m_link = std::make_unique<TcpLink>(settings.peerDoor, MaxFrameBytes, defaultPeerConnections(), [this](std::string message) {
             m_dispatch->perform([this, message = std::move(message)](Dispatcher &, TimePoint now) {
                 onMessage(message, now);
             });
--- a/src/peer/tcplink.cpp
+++ b/src/peer/tcplink.cpp
@@ -24,7 +24,6 @@
 #include <cstring>
 #include <deque>
 #include <map>
-#include <set>
 #include <stdexcept>
 #include <thread>
 #include <utility>
@@ -43,6 +42,7 @@
 constexpr Milliseconds MinRetryDelay {50};
 /// A restarting host is reachable again within seconds.
 constexpr Milliseconds MaxRetryDelay {1000};
+constexpr Milliseconds AcceptRetryDelay {50};
 
 tcp::endpoint toTcpEndpoint(const Endpoint &endpoint)
 {
@@ -178,9 +178,18 @@
 
 struct TcpLink::Private
 {
-    Private(const Endpoint &endpoint, std::size_t maxBytes, Receiver messageReceiver)
+    /// A connection that was accepted.
+    struct Incoming
+    {
+        tcp::socket socket;
+        /// A whole message has arrived on it.
+        bool hasDelivered = false;
+    };
+
+    Private(const Endpoint &endpoint, std::size_t maxBytes, std::size_t connections, Receiver messageReceiver)
         : receiver(std::move(messageReceiver))
         , maxMessageBytes(maxBytes)
+        , maxIncoming(connections)
         , acceptor(context)
         , workGuard(context.get_executor())
     {
@@ -195,56 +204,87 @@
     {
         while (acceptor.is_open()) {
             auto [error, socket] = co_await acceptor.async_accept(Awaitable);
-            if (!error) {
-                auto connection = std::make_shared<tcp::socket>(std::move(socket));
-                incomingSockets.insert(connection);
-                asio::co_spawn(context, receiveMessages(connection), asio::detached);
+            if (error == asio::error::operation_aborted) {
+                co_return;
+            }
+            if (error == asio::error::no_descriptors) {
+                closeLeastUseful();
+            }
+            if (error) {
+                asio::steady_timer pause(context, AcceptRetryDelay);
+                co_await pause.async_wait(Awaitable);
+                continue;
+            }
+            if (incoming.size() < maxIncoming || closeLeastUseful()) {
+                const auto connection = std::make_shared<Incoming>(Incoming {std::move(socket)});
+                incoming[++lastAccepted] = connection;
+                asio::co_spawn(context, receiveMessages(connection, lastAccepted), asio::detached);
             }
         }
     }
 
-    asio::awaitable<void> receiveMessages(std::shared_ptr<tcp::socket> socket)
+    /// Closes the oldest connection on which no message has arrived; false if there is none.
+    bool closeLeastUseful()
+    {
+        const auto oldest = std::find_if(incoming.begin(), incoming.end(), [](const auto &entry) {
+            return !entry.second->hasDelivered;
+        });
+        if (oldest == incoming.end()) {
+            return false;
+        }
+        boost::system::error_code ignored;
+        oldest->second->socket.close(ignored);
+        incoming.erase(oldest);
+        return true;
+    }
+
+    asio::awaitable<void> receiveMessages(std::shared_ptr<Incoming> connection, std::uint64_t number)
     {
-        while (socket->is_open()) {
+        auto &socket = connection->socket;
+        while (socket.is_open()) {
             std::uint32_t length = 0;
-            const auto [lengthError, lengthBytes] = co_await asio::async_read(*socket, asio::buffer(&length, sizeof(length)), Awaitable);
+            const auto [lengthError, lengthBytes] = co_await asio::async_read(socket, asio::buffer(&length, sizeof(length)), Awaitable);
             boost::endian::big_to_native_inplace(length);
             if (lengthError || length > maxMessageBytes) {
                 break;
             }
             std::string message(length, '\0');
-            const auto [error, bytes] = co_await asio::async_read(*socket, asio::buffer(message), Awaitable);
+            const auto [error, bytes] = co_await asio::async_read(socket, asio::buffer(message), Awaitable);
             if (error) {
                 break;
             }
+            connection->hasDelivered = true;
             receiver(std::move(message));
         }
-        incomingSockets.erase(socket);
+        incoming.erase(number);
     }
 
     void closeIncoming()
     {
         boost::system::error_code ignored;
         acceptor.close(ignored);
-        for (const auto &socket : incomingSockets) {
-            socket->close(ignored);
+        for (const auto &[number, connection] : incoming) {
+            connection->socket.close(ignored);
         }
     }
 
     Receiver receiver;
     std::size_t maxMessageBytes;
+    std::size_t maxIncoming;
     asio::io_context context;
     tcp::acceptor acceptor;
     asio::executor_work_guard<asio::io_context::executor_type> workGuard;
-    std::set<std::shared_ptr<tcp::socket>> incomingSockets;
+    /// In the order in which they were accepted.
+    std::map<std::uint64_t, std::shared_ptr<Incoming>> incoming;
+    std::uint64_t lastAccepted = 0;
     std::map<std::string, std::shared_ptr<OutgoingConnection>> connections;
     std::thread thread;
 };
 
-TcpLink::TcpLink(const Endpoint &endpoint, std::size_t maxMessageBytes, Receiver receiver)
+TcpLink::TcpLink(const Endpoint &endpoint, std::size_t maxMessageBytes, std::size_t maxIncoming, Receiver receiver)
 {
     try {
-        d = std::make_unique<Private>(endpoint, maxMessageBytes, std::move(receiver));
+        d = std::make_unique<Private>(endpoint, maxMessageBytes, maxIncoming, std::move(receiver));
     } catch (const boost::system::system_error &error) {
         throw std::runtime_error("peer: cannot listen on " + toString(endpoint) + ": " + error.code().message());
     }
--- a/src/peer/tcplink.h
+++ b/src/peer/tcplink.h
@@ -2,6 +2,7 @@
 
 #include "peer/interfaces/peerlink.h"
 
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <string>
@@ -17,7 +18,8 @@
     using Receiver = std::function<void(std::string)>;
 
     /// Listens on the endpoint. Throws std::runtime_error if that fails. The receiver is called until stopReceiving() or destruction.
-    TcpLink(const Endpoint &endpoint, std::size_t maxMessageBytes, Receiver receiver);
+    /// A connection beyond maxIncoming takes the place of the oldest one on which no message has arrived, or is closed if there is none.
+    TcpLink(const Endpoint &endpoint, std::size_t maxMessageBytes, std::size_t maxIncoming, Receiver receiver);
     ~TcpLink() override;
 
     /// Stops receiving. The receiver is not running when this returns. Must not be called from the receiver.
--- a/standins/site/site.cpp
+++ b/standins/site/site.cpp
@@ -142,6 +142,11 @@
     return m_options.zones[zone] + "-" + std::to_string(target + 1);
 }
 
+Endpoint Site::peerDoor(std::size_t zone, std::size_t host) const
+{
+    return {address(zone, host + 1), PeerPort};
+}
+
 Endpoint Site::targetDoor(std::size_t zone, std::size_t target) const
 {
     return {address(zone, FirstTargetAddress + target), TargetPort};
@@ -304,8 +309,8 @@
         for (std::size_t host = 0; host < m_options.entryHostsPerZone; ++host) {
             const auto name = entryHostName(zone, host);
             const auto entry = R"({"name":")" + name + R"(","availability_zone":")" + m_options.zones[zone]
-                + R"(","role":"entry","state":"live","peer_door":")" + toString({address(zone, host + 1), PeerPort})
-                + R"(","operator_door":")" + toString(operatorDoor(zone, host)) + R"("})";
+                + R"(","role":"entry","state":"live","peer_door":")" + toString(peerDoor(zone, host)) + R"(","operator_door":")"
+                + toString(operatorDoor(zone, host)) + R"("})";
             call(platform(), "PUT", "/control/hosts/" + name, entry);
         }
     }
@@ -351,7 +356,7 @@
     std::ostringstream settings;
     settings << "host: " << entryHostName(zone, host) << "\navailability_zone: " << m_options.zones[zone]
              << "\ncaller_door: " << toString(callerDoor(zone, host)) << "\noperator_door: " << toString(operatorDoor(zone, host))
-             << "\npeer_door: " << toString({address(zone, host + 1), PeerPort}) << "\nplatform: ['" << toString(platform())
+             << "\npeer_door: " << toString(peerDoor(zone, host)) << "\nplatform: ['" << toString(platform())
              << "']\npeers: " << peersOf(zone, host) << "\ncarry_forward_period_s: " << m_options.carryForwardSeconds
              << "\nio_threads: " << m_options.ioThreads << "\ndrain_limit_s: 60\n";
     return settings.str();
--- a/standins/site/site.h
+++ b/standins/site/site.h
@@ -47,6 +47,9 @@
     /// The operator door of an entry host.
     Endpoint operatorDoor(std::size_t zone, std::size_t host) const;
 
+    /// Where other hosts reach an entry host.
+    Endpoint peerDoor(std::size_t zone, std::size_t host) const;
+
     /// The process of an entry host.
     ChildProcess &entryHost(std::size_t zone, std::size_t host);
 
--- a/tests/process/untrustedclients.cpp
+++ b/tests/process/untrustedclients.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <sstream>
 #include <string>
+#include <sys/resource.h>
 
 using namespace Anvilcart;
 
@@ -210,8 +211,39 @@
 /// As in DoorSuite.
 constexpr std::uint64_t ServeMemoryLimitMb = 128;
 /// Twice the limit with the number of endless senders.
+/// Below the length that the messages declare.
+constexpr std::size_t ServeMessageBytes = 16000;
 constexpr std::size_t ServeBytesEach = 64 * 1024 * 1024;
 
+/// Lets the processes that are started meanwhile open so many descriptors.
+class LowDescriptorLimit
+{
+public:
+    explicit LowDescriptorLimit(rlim_t descriptors)
+    {
+        ::getrlimit(RLIMIT_NOFILE, &m_before);
+        const rlimit lowered {descriptors, m_before.rlim_max};
+        ::setrlimit(RLIMIT_NOFILE, &lowered);
+    }
+
+    ~LowDescriptorLimit()
+    {
+        ::setrlimit(RLIMIT_NOFILE, &m_before);
+    }
+
+    LowDescriptorLimit(const LowDescriptorLimit &) = delete;
+    LowDescriptorLimit &operator=(const LowDescriptorLimit &) = delete;
+
+private:
+    rlimit m_before {};
+};
+
+std::unique_ptr<Site> siteWithFewDescriptors()
+{
+    const LowDescriptorLimit lowered(DescriptorLimit);
+    return std::make_unique<Site>(SiteOptions(), ANVILCART_BINARIES);
+}
+
 bool completesOrdinaryJob(Site &site)
 {
     return eventually([&site] {
@@ -241,4 +273,33 @@
     BOOST_TEST(site.entryHost(0, 0).isRunning());
 }
 
+// A site of 400 descriptors for each process: half of those not reserved for files are the callers'.
+BOOST_AUTO_TEST_CASE(Idle_connections_leave_descriptors_free_at_every_door)
+{
+    const auto site = siteWithFewDescriptors();
+    const auto process = site->entryHost(0, 0).id();
+    for (const auto &door : {site->callerDoor(0, 0), site->operatorDoor(0, 0), site->peerDoor(0, 0)}) {
+        const UntrustedClients clients(door, 2 * OpenConnections);
+        std::this_thread::sleep_for(Milliseconds(500));
+        BOOST_TEST(countDescriptors(process).sockets <= DescriptorLimit - ReservedForFiles);
+        BOOST_TEST(completesOrdinaryJob(*site));
+    }
+    BOOST_TEST(site->entryHost(0, 0).isRunning());
+}
+
+BOOST_AUTO_TEST_CASE(Incomplete_messages_between_hosts_leave_descriptors_free)
+{
+    const auto site = siteWithFewDescriptors();
+    const auto process = site->entryHost(0, 0).id();
+    UntrustedClients clients(site->peerDoor(0, 0), 2 * OpenConnections);
+    const std::string length {'\0', '\0', '\x3f', '\0'};
+    clients.send(length, std::string(1000, 'x'), ServeMessageBytes, [process] {
+        return statusKb(process, "VmRSS") > ServeMemoryLimitMb * 1024;
+    });
+    BOOST_TEST(countDescriptors(process).sockets <= DescriptorLimit - ReservedForFiles);
+    BOOST_TEST(statusKb(process, "VmHWM") <= ServeMemoryLimitMb * 1024);
+    BOOST_TEST(completesOrdinaryJob(*site));
+    BOOST_TEST(site->entryHost(0, 0).isRunning());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/peer/tcplink.cpp
+++ b/tests/unit/peer/tcplink.cpp
@@ -17,6 +17,7 @@
 namespace
 {
 constexpr std::size_t MaxBytes = 1000;
+constexpr std::size_t MaxConnections = 8;
 constexpr Seconds PollTimeout {30};
 constexpr Milliseconds PollInterval {5};
 
@@ -66,8 +67,8 @@
 {
     Inbox inbox;
     const auto endpoint = findFreeEndpoint();
-    TcpLink receiving(endpoint, MaxBytes, inbox.receiver());
-    TcpLink sending(findFreeEndpoint(), MaxBytes, [](const std::string &) {});
+    TcpLink receiving(endpoint, MaxBytes, MaxConnections, inbox.receiver());
+    TcpLink sending(findFreeEndpoint(), MaxBytes, MaxConnections, [](const std::string &) {});
     BOOST_TEST(!sending.send("entry-2", "nobody is connected"));
     sending.connect("entry-2", endpoint);
     BOOST_TEST(sending.send("entry-2", std::string(MaxBytes + 1, 'x')));
@@ -83,11 +84,11 @@
 BOOST_AUTO_TEST_CASE(A_link_connects_to_a_peer_that_starts_later_and_restarts)
 {
     const auto endpoint = findFreeEndpoint();
-    TcpLink sending(findFreeEndpoint(), MaxBytes, [](const std::string &) {});
+    TcpLink sending(findFreeEndpoint(), MaxBytes, MaxConnections, [](const std::string &) {});
     sending.connect("entry-2", endpoint);
     for (int start = 0; start < 2; ++start) {
         Inbox inbox;
-        TcpLink receiving(endpoint, MaxBytes, inbox.receiver());
+        TcpLink receiving(endpoint, MaxBytes, MaxConnections, inbox.receiver());
         waitUntil([&] {
             sending.send("entry-2", "hello");
             return !inbox.messages().empty();
@@ -99,8 +100,8 @@
 BOOST_AUTO_TEST_CASE(An_endpoint_that_is_in_use_is_an_error)
 {
     const auto endpoint = findFreeEndpoint();
-    const TcpLink first(endpoint, MaxBytes, [](const std::string &) {});
-    BOOST_CHECK_THROW(TcpLink(endpoint, MaxBytes, [](const std::string &) {}), std::runtime_error);
+    const TcpLink first(endpoint, MaxBytes, MaxConnections, [](const std::string &) {});
+    BOOST_CHECK_THROW(TcpLink(endpoint, MaxBytes, MaxConnections, [](const std::string &) {}), std::runtime_error);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
