Shorten the values of log lines

Callers saw: nothing themselves, but one job with a data rack of 100,000 bytes wrote lines as long for each of its tasks that started elsewhere, and the lines of other events were left out of the log meanwhile.

Cause: the log bounds the lines of a second and the bytes that wait to be written, and neither the length of a line. Callers choose some values; three such lines fill the buffer.

Change: a value has up to 1,024 bytes in a line, and ends with "..." if it was longer.

--- a/src/hostruntime/eventlog.cpp
+++ b/src/hostruntime/eventlog.cpp
@@ -11,6 +11,8 @@
 {
 /// Limit of the buffer for a slow reader; holds about 2,000 lines.
 constexpr std::size_t MaxBufferedBytes = 256 * 1024;
+/// Callers choose some values, and a buffer of long lines leaves out the others.
+constexpr std::size_t MaxValueBytes = 1024;
 /// A pipe that polls as writable accepts PIPE_BUF bytes without blocking.
 constexpr std::size_t ChunkBytes = 4096;
 
@@ -30,12 +32,15 @@
 
 LogLine &LogLine::add(std::string_view key, std::string_view value)
 {
+    const bool isShortened = value.size() > MaxValueBytes;
+    value = value.substr(0, MaxValueBytes);
     m_text += ' ';
     m_text += key;
     m_text += '=';
     const bool unquoted = !value.empty() && value.find_first_of(" \"=\n") == std::string_view::npos;
     if (unquoted) {
         m_text += value;
+        m_text += isShortened ? "..." : "";
         return *this;
     }
     m_text += '"';
@@ -45,7 +50,7 @@
         }
         m_text += character == '\n' ? ' ' : character;
     }
-    m_text += '"';
+    m_text += isShortened ? "...\"" : "\"";
     return *this;
 }
 
