Add review case 11: a store entry of another writer crashes dispatchers

Cause, by reading and with the address sanitizer: Scheduler::updateTarget() takes over an entry with another service, but the target stays in the list of its earlier service. eraseTarget() removes it from the list of the new one and frees it, so that the earlier service reads freed memory.

Nothing is fixed.

--- /dev/null
+++ b/review/support-3/cases.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "record.h"
+
+#include <string>
+
+namespace Review
+{
+/// What a case needs. Without trouble it does the same without the disruption.
+struct CaseContext
+{
+    std::string binary;
+    bool hasTrouble = true;
+    Record &record;
+};
+
+/// False when the case could not be played. Broken rules are in the record.
+using Case = bool (*)(const CaseContext &context);
+
+/// An idle worker loses power, and starts again as a smaller kind under its id, just before a large job comes.
+bool playReturnOfSmallerWorker(const CaseContext &context);
+
+/// Another writer writes an entry under the id of a worker, with a service that is not named, and drops it again.
+bool playEntryOfAnotherWriter(const CaseContext &context);
+
+/// A configuration removes or replaces the queue of a running job, and the job's caller cancels it.
+bool playCancelledAfterRouteChange(const CaseContext &context);
+
+/// A host stands still for less than half a second, in which a job is handed in there and cancelled at another host.
+bool playCancelledBeforeRead(const CaseContext &context);
+
+/// All hosts are killed after a job was cancelled, and a late copy of its request arrives when they run again.
+bool playCancelledBeforeRestart(const CaseContext &context);
+} // namespace Review
