Add review case 11: one entry in the store stops the service of all hosts

Cause, by reading: a host that dispatches names each service of the store's entries in its reports, whatever its length, and hosts drop a message with a name of more than 512 bytes as a whole. No dispatcher is heard then, and all hosts take the targets from each other.

The stand-ins have a loop for the store of their own: with two loops in one group they ended by a signal at the end of one run.

--- a/review/support-3/entryofanotherwriter.cpp
+++ b/review/support-3/entryofanotherwriter.cpp
@@ -18,7 +18,9 @@
 constexpr std::size_t Hosts = 2;
 constexpr std::size_t Workers = 8;
 constexpr std::size_t Callers = 8;
-constexpr int Rounds = 24;
+constexpr int MaxRounds = 60;
+/// Entries of the other writer in a round.
+constexpr std::size_t OtherEntries = 4;
 constexpr Milliseconds CallerTimeout {1500};
 /// Workers write their entries each 1.5 s, at the begin of a round. The other writer's entry stands for a part of that time.
 constexpr Milliseconds TimeToOtherEntry {100};
@@ -63,18 +65,24 @@
         });
     }
     std::array<int, Hosts> ends {};
-    for (int round = 0; round < Rounds; ++round) {
+    const auto machinesWithFault = [&ends] {
+        return std::count_if(ends.begin(), ends.end(), [](int count) {
+            return count >= EndsOfFault;
+        });
+    };
+    for (int round = 0; round < MaxRounds && machinesWithFault() < MachinesOfFault; ++round) {
         for (std::size_t worker = 0; worker < Workers; ++worker) {
             site.registerWorker(worker);
         }
         std::this_thread::sleep_for(TimeToOtherEntry);
-        auto &worker = site.worker(static_cast<std::size_t>(round) % Workers);
-        if (context.hasTrouble) {
+        for (std::size_t number = 0; number < OtherEntries && context.hasTrouble; ++number) {
+            const auto &worker = site.worker((static_cast<std::size_t>(round) + 2 * number) % Workers);
             site.store().put(Platform::Names::TargetTopic, worker.id(), worker.entry("archive", "fraser"));
             context.record.note("another writer: " + worker.id() + " is of the service archive");
         }
         std::this_thread::sleep_for(TimeOfOtherEntry);
-        if (context.hasTrouble) {
+        for (std::size_t number = 0; number < OtherEntries && context.hasTrouble; ++number) {
+            const auto &worker = site.worker((static_cast<std::size_t>(round) + 2 * number) % Workers);
             site.store().put(Platform::Names::TargetTopic, worker.id(), "");
             context.record.note("another writer: drops its entry of " + worker.id());
         }
@@ -82,7 +90,7 @@
         for (std::size_t host = 0; host < Hosts; ++host) {
             if (!site.host(host).isRunning()) {
                 ++ends[host];
-                context.record.broken("Fault host " + std::to_string(host) + " has ended by itself, " + site.endOf(host));
+                context.record.note("CRASH host " + std::to_string(host) + " has ended by itself, " + site.endOf(host));
                 site.startHost(host);
             }
         }
@@ -91,11 +99,12 @@
     for (auto &caller : callers) {
         caller.join();
     }
-    const auto machines = std::count_if(ends.begin(), ends.end(), [](int count) {
-        return count >= EndsOfFault;
-    });
-    context.record.note(std::to_string(machines) + " machines with three ends or more; the gate allows "
-                        + std::to_string(MachinesOfFault - 1));
+    const auto text = "ends by themselves: " + std::to_string(ends[0]) + " of host 0, " + std::to_string(ends[1]) + " of host 1";
+    if (machinesWithFault() >= MachinesOfFault) {
+        context.record.broken("Fault " + text);
+    } else {
+        context.record.note(text);
+    }
     context.record.note(std::to_string(served) + " of " + std::to_string(jobs) + " jobs were served");
     return served > 0;
 }
--- a/review/support-3/gate.cpp
+++ b/review/support-3/gate.cpp
@@ -1,7 +1,10 @@
 #include "gate.h"
 
+#include "kernel/time.h"
+
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
 #include <future>
@@ -12,6 +15,9 @@
 
 namespace
 {
+/// To a machine in another zone and back, by the users' sheet.
+constexpr Anvilcart::Milliseconds RoundTrip {3};
+
 asio::ip::tcp::endpoint toAsio(const Anvilcart::Endpoint &endpoint)
 {
     return {asio::ip::make_address(endpoint.address), endpoint.port};
@@ -118,10 +124,13 @@
         if (error) {
             return;
         }
-        boost::system::error_code ignored;
-        pair->peer.set_option(asio::socket_base::linger(true, 0), ignored);
-        close(*pair);
-        m_pairs.erase(pair);
+        auto timer = std::make_shared<asio::steady_timer>(m_context, RoundTrip);
+        timer->async_wait([this, pair, timer](const boost::system::error_code &) {
+            boost::system::error_code ignored;
+            pair->peer.set_option(asio::socket_base::linger(true, 0), ignored);
+            close(*pair);
+            m_pairs.erase(pair);
+        });
     });
 }
 
--- a/review/support-3/gate.h
+++ b/review/support-3/gate.h
@@ -27,7 +27,8 @@
     /// From now on nothing is answered, and open connections stay open without a sign.
     void powerOff();
 
-    /// New connections are served again. An earlier one is reset when bytes arrive on it, as by a machine that does not know it.
+    /// New connections are served again. An earlier one is reset a round trip after bytes arrive on it, as by a machine
+    /// in another zone that does not know it.
     void powerOn();
 
 private:
--- a/review/support-3/main.cpp
+++ b/review/support-3/main.cpp
@@ -13,7 +13,9 @@
         {"cancelled-before-read", Review::playCancelledBeforeRead},
         {"cancelled-before-restart", Review::playCancelledBeforeRestart},
         {"entry-of-another-writer", Review::playEntryOfAnotherWriter},
+        {"long-name-in-store", Review::playLongNameInStore},
         {"return-of-smaller-worker", Review::playReturnOfSmallerWorker},
+        {"same-id-in-two-queues", Review::playSameIdInTwoQueues},
     };
     constexpr int ArgumentCount = 4;
     const auto found = argc == ArgumentCount ? Cases.find(argv[1]) : Cases.end();
--- a/review/support-3/site.cpp
+++ b/review/support-3/site.cpp
@@ -4,6 +4,7 @@
 #include "platform/names.h"
 
 #include <boost/json/array.hpp>
+#include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 
 #include <cstdlib>
@@ -49,10 +50,11 @@
     , m_binary(binary)
     , m_folder(std::filesystem::temp_directory_path()
                / ("anvilcart-review-" + std::to_string(::getpid()) + "-" + std::to_string(m_block.number())))
-    , m_loops(2)
+    , m_loops(1)
+    , m_storeLoops(1)
 {
     std::filesystem::create_directories(m_folder);
-    m_store = std::make_unique<StoreStandin>(m_loops, Endpoint {address(StoreNet, 0), StorePort});
+    m_store = std::make_unique<StoreStandin>(m_storeLoops, Endpoint {address(StoreNet, 0), StorePort});
     for (std::size_t index = 0; index < workers.size(); ++index) {
         m_workers.push_back(std::make_unique<Worker>(m_loops,
                                                      Endpoint {address(WorkerNet, index), WorkerPort},
@@ -73,6 +75,7 @@
 {
     m_hosts.clear();
     m_loops.stop();
+    m_storeLoops.stop();
     std::error_code error;
     std::filesystem::remove_all(m_folder, error);
 }
@@ -127,11 +130,29 @@
 
 void Site::publish(std::uint64_t version, const std::vector<std::string> &queues)
 {
-    json::array routes;
+    std::vector<std::pair<std::string, std::string>> pairs;
     for (const auto &queue : queues) {
+        pairs.emplace_back(queue, Queue);
+    }
+    publish(version, pairs);
+}
+
+void Site::publishApart(std::uint64_t version, const std::vector<std::string> &queues)
+{
+    std::vector<std::pair<std::string, std::string>> pairs;
+    for (const auto &queue : queues) {
+        pairs.emplace_back(queue, queue);
+    }
+    publish(version, pairs);
+}
+
+void Site::publish(std::uint64_t version, const std::vector<std::pair<std::string, std::string>> &queuesAndPaths)
+{
+    json::array routes;
+    for (const auto &[queue, path] : queuesAndPaths) {
         routes.push_back({{"name", queue},
                           {"host", CallerHost},
-                          {"path_prefix", std::string("/") + Queue + "/"},
+                          {"path_prefix", "/" + path + "/"},
                           {"timeout_ms", 1500},
                           {"target_latency_ms", 60},
                           {"priority", 0},
@@ -151,21 +172,32 @@
     m_store->put(Platform::Names::TargetTopic, m_workers[index]->id(), m_workers[index]->entry(Service, Zones[index % Zones.size()]));
 }
 
-HttpCall Site::jobCall(const std::string &id, const JobText &job, Milliseconds timeout)
+std::string Site::specOf(const JobText &job)
+{
+    return std::to_string(job.runTime.count()) + " " + std::to_string(job.milliCores);
+}
+
+HttpCall Site::jobCall(const std::string &id, const JobText &job, Milliseconds timeout, const std::string &path)
 {
     json::object step {{"count", job.tasks}, {"cpu", job.milliCores}, {"mem_mb", 64}, {"estimate_ms", job.runTime.count()}};
     if (!job.requiredLabel.empty()) {
         step["required_label"] = job.requiredLabel;
     }
-    const auto spec = std::to_string(job.runTime.count()) + " " + std::to_string(job.milliCores);
-    const json::object body {{"spec", spec}, {"steps", json::array {step}}, {"best_effort", true}};
-    HttpCall call("POST", std::string("/") + Queue + "/" + id, json::serialize(body));
+    const json::object body {{"spec", specOf(job)}, {"steps", json::array {step}}, {"best_effort", true}};
+    HttpCall call("POST", "/" + path + "/" + id, json::serialize(body));
     call.headers.push_back({"Host", CallerHost});
     call.headers.push_back({"Content-Type", "application/json"});
     call.headers.push_back({Platform::Names::CallerTimeoutHeader, std::to_string(timeout.count())});
     return call;
 }
 
+std::string Site::foreignEntry(const std::string &service) const
+{
+    auto entry = json::parse(m_workers.front()->entry(service, Zones.front())).as_object();
+    entry["address"] = toString(Endpoint {address(StoreNet, 1), WorkerPort});
+    return json::serialize(entry);
+}
+
 HttpCall Site::cancelCall(const std::string &id)
 {
     HttpCall call("DELETE", std::string("/") + Queue + "/" + id);
--- a/review/support-3/site.h
+++ b/review/support-3/site.h
@@ -42,14 +42,24 @@
     /// Waits until all hosts are ready; false when they are not in time.
     bool waitUntilReady();
 
+    /// Publishes a configuration with a queue of each name, which has the path /NAME/.
+    void publishApart(std::uint64_t version, const std::vector<std::string> &queues);
+
     /// Publishes a configuration with queues of these names, which all have the one path.
     void publish(std::uint64_t version, const std::vector<std::string> &queues = {Queue});
 
     /// Writes the worker's entry to the store.
     void registerWorker(std::size_t index);
 
+    /// An entry of another writer, at an address where nobody listens. It differs from that of a worker in its address and service only.
+    std::string foreignEntry(const std::string &service) const;
+
     /// The request that submits a job.
-    static Anvilcart::HttpCall jobCall(const std::string &id, const JobText &job, Anvilcart::Milliseconds timeout);
+    static Anvilcart::HttpCall
+    jobCall(const std::string &id, const JobText &job, Anvilcart::Milliseconds timeout, const std::string &path = Queue);
+
+    /// The spec of the job's tasks.
+    static std::string specOf(const JobText &job);
 
     /// The request that cancels a job.
     static Anvilcart::HttpCall cancelCall(const std::string &id);
@@ -77,6 +87,7 @@
     void startHost(std::size_t index);
 
 private:
+    void publish(std::uint64_t version, const std::vector<std::pair<std::string, std::string>> &queuesAndPaths);
     std::string address(int kind, std::size_t index) const;
     std::string settings(std::size_t index) const;
 
@@ -85,6 +96,7 @@
     Anvilcart::LoopbackBlock m_block;
     std::filesystem::path m_folder;
     Anvilcart::EventLoops m_loops;
+    Anvilcart::EventLoops m_storeLoops;
     std::unique_ptr<Anvilcart::StoreStandin> m_store;
     std::vector<std::unique_ptr<Worker>> m_workers;
     std::vector<std::unique_ptr<Anvilcart::ChildProcess>> m_hosts;
--- a/review/support-3/worker.cpp
+++ b/review/support-3/worker.cpp
@@ -173,7 +173,8 @@
             return refusal("old");
         }
         std::int64_t runMs = 0;
-        std::istringstream(Platform::textAt(body, "spec")) >> runMs >> run.milliCores;
+        const auto spec = Platform::textAt(body, "spec");
+        std::istringstream(spec) >> runMs >> run.milliCores;
         run.startedAt = Clock::now();
         run.endsAt = run.startedAt + Milliseconds(runMs);
         std::int64_t used = run.milliCores;
@@ -182,9 +183,10 @@
         }
         runs.push_back(run);
         ++starts;
+        ++startsWithSpec[spec];
         ++startsOfJob[run.task.substr(0, run.task.find('.'))];
-        const auto text = id + " started " + run.task + " run " + std::to_string(run.run) + ", in use " + std::to_string(used) + " of "
-            + std::to_string(kind.milliCores) + " milli-cores";
+        const auto text = id + " started " + run.task + " run " + std::to_string(run.run) + " with spec \"" + spec + "\", in use "
+            + std::to_string(used) + " of " + std::to_string(kind.milliCores) + " milli-cores";
         if (used > kind.milliCores) {
             record.broken("LIMIT " + text);
         } else {
@@ -257,6 +259,7 @@
     std::map<std::string, std::int64_t> newestEndedRun;
     std::size_t starts = 0;
     std::map<std::string, std::size_t> startsOfJob;
+    std::map<std::string, std::size_t> startsWithSpec;
     std::unique_ptr<HttpServer> server;
 };
 
@@ -340,4 +343,11 @@
         return run.task.starts_with(jobId + ".");
     }));
 }
+
+std::size_t Worker::startCountWith(const std::string &spec) const
+{
+    const std::lock_guard lock(d->mutex);
+    const auto found = d->startsWithSpec.find(spec);
+    return found == d->startsWithSpec.end() ? 0 : found->second;
+}
 } // namespace Review
--- a/review/support-3/worker.h
+++ b/review/support-3/worker.h
@@ -52,6 +52,9 @@
     std::size_t startCountOf(const std::string &jobId) const;
     std::size_t runningCountOf(const std::string &jobId) const;
 
+    /// Orders to start tasks with this spec that were accepted.
+    std::size_t startCountWith(const std::string &spec) const;
+
 private:
     struct Private;
     std::shared_ptr<Private> d;
