Add review case 13: a late order of a killed host runs a task twice at once

Cause, by reading: a run with unanswered starts is kept until its target has decided, but a dispatcher that adopts the run does not know of them. Once its worker is lost, the task starts elsewhere, and the late order acts at the restarted worker before that is claimed again.

--- a/review/support-3/cases.h
+++ b/review/support-3/cases.h
@@ -37,4 +37,7 @@
 
 /// All hosts are killed after a job was cancelled, and a late copy of its request arrives when they run again.
 bool playCancelledBeforeRestart(const CaseContext &context);
+
+/// A start order is carried out late, after its dispatcher has been killed and its worker has lost power.
+bool playLateOrderOfLostDispatcher(const CaseContext &context);
 } // namespace Review
--- a/review/support-3/gate.cpp
+++ b/review/support-3/gate.cpp
@@ -67,6 +67,7 @@
 {
     run([this] {
         m_isOn = true;
+        dropWaiting();
         for (const auto &pair : m_pairs) {
             if (pair->isDead) {
                 resetWhenUsed(pair);
@@ -76,6 +77,19 @@
     });
 }
 
+/// The system has accepted connections meanwhile. A machine without power does not.
+void Gate::dropWaiting()
+{
+    boost::system::error_code error;
+    m_acceptor.non_blocking(true, error);
+    while (!error) {
+        tcp::socket socket(m_context);
+        m_acceptor.accept(socket, error);
+        boost::system::error_code ignored;
+        socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    }
+}
+
 void Gate::accept()
 {
     auto pair = std::make_shared<Pair>(m_context);
--- a/review/support-3/gate.h
+++ b/review/support-3/gate.h
@@ -50,6 +50,7 @@
     };
 
     void run(const std::function<void()> &action);
+    void dropWaiting();
     void accept();
     void forward(const std::shared_ptr<Pair> &pair, bool isToServer);
     void resetWhenUsed(const std::shared_ptr<Pair> &pair);
--- a/review/support-3/main.cpp
+++ b/review/support-3/main.cpp
@@ -13,6 +13,7 @@
         {"cancelled-before-read", Review::playCancelledBeforeRead},
         {"cancelled-before-restart", Review::playCancelledBeforeRestart},
         {"entry-of-another-writer", Review::playEntryOfAnotherWriter},
+        {"late-order-of-lost-dispatcher", Review::playLateOrderOfLostDispatcher},
         {"long-name-in-store", Review::playLongNameInStore},
         {"return-of-smaller-worker", Review::playReturnOfSmallerWorker},
         {"same-id-in-two-queues", Review::playSameIdInTwoQueues},
--- a/review/support-3/worker.cpp
+++ b/review/support-3/worker.cpp
@@ -118,12 +118,30 @@
         });
     }
 
+    /// How much later the order is to be carried out; 0 for at once.
+    Milliseconds takeDelayOf(const HttpRequest &request, const json::object &body)
+    {
+        const std::lock_guard lock(mutex);
+        const auto task = Platform::textAt(body, "task");
+        if (request.path != Platform::Names::StartPath || delayedJob.empty() || !task.starts_with(delayedJob + ".")) {
+            return Milliseconds(0);
+        }
+        delayedJob.clear();
+        record.note(id + " leaves the order to start " + task + " unanswered");
+        return delay;
+    }
+
     asio::awaitable<HttpResponse> handle(HttpRequest request)
     {
         const auto body = Platform::parseObject(request.body);
         if (!body) {
             co_return answer(400, {});
         }
+        if (const auto lateBy = takeDelayOf(request, *body); lateBy > Milliseconds(0)) {
+            asio::steady_timer timer(co_await asio::this_coro::executor, lateBy);
+            co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+            record.note(id + " carries the late order out");
+        }
         {
             const std::lock_guard lock(mutex);
             endFinishedRuns();
@@ -257,6 +275,8 @@
     std::vector<Run> runs;
     std::vector<End> ends;
     std::map<std::string, std::int64_t> newestEndedRun;
+    std::string delayedJob;
+    Milliseconds delay {0};
     std::size_t starts = 0;
     std::map<std::string, std::size_t> startsOfJob;
     std::map<std::string, std::size_t> startsWithSpec;
@@ -322,6 +342,13 @@
     m_gate.powerOn();
 }
 
+void Worker::delayNextStartOf(const std::string &jobId, Milliseconds delay)
+{
+    const std::lock_guard lock(d->mutex);
+    d->delayedJob = jobId;
+    d->delay = delay;
+}
+
 std::size_t Worker::startCount() const
 {
     const std::lock_guard lock(d->mutex);
--- a/review/support-3/worker.h
+++ b/review/support-3/worker.h
@@ -4,6 +4,7 @@
 #include "record.h"
 
 #include "kernel/eventloops.h"
+#include "kernel/time.h"
 #include "model/endpoint.h"
 
 #include <cstdint>
@@ -45,6 +46,9 @@
     /// Starts again under the same id and at the same address, perhaps as another kind.
     void powerOn(const WorkerKind &kind);
 
+    /// Leaves the next order to start a task of this job unanswered, and carries it out after this time, whatever happened since.
+    void delayNextStartOf(const std::string &jobId, Anvilcart::Milliseconds delay);
+
     /// Orders to start that were accepted.
     std::size_t startCount() const;
 
