Add review case 14: a caller gets another queue's result after a takeover

Cause, by reading: the runs that targets list after a takeover are adopted by whichever job with their id is submitted first, whatever its queue.

Done: a script that kills the dispatcher while a job of one queue runs there and one of another queue with its id waits for its end. The earlier case 14, a worker that comes back smaller, has the cause of review/10 and goes.

--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -6,7 +6,7 @@
     echo "build the product as deploy/system.toml says, then review/build-3.sh" >&2
     exit 2
 fi
-timeout --kill-after=5 110 build-review-3/review-case return-of-smaller-worker review/14/record.txt target/anvilcart
+timeout --kill-after=5 110 build-review-3/review-case same-id-in-two-queues review/14/record.txt target/anvilcart
 result=$?
 [ "$result" -le 1 ] || result=2
 exit "$result"
