Log which job a run that is found on a target is taken for

Cause: after a takeover the log said how many runs a target listed (target_claimed running=2), and at their end that their job was known (run_ended known=yes). Neither says whose job.

Change: SchedulerObserver::onRunAdopted(), and the line run_adopted with the run, its target and the route and entry host of the job.

--- a/emulator/claimobserver.h
+++ b/emulator/claimobserver.h
@@ -56,6 +56,9 @@
     void onTargetClaimed(const std::string &, std::uint64_t, std::size_t) override
     {
     }
+    void onRunAdopted(const Fleet::JobSubmission &, const std::string &, const Fleet::RunName &) override
+    {
+    }
     void onTargetResponsivenessChanged(const std::string &, bool, std::size_t) override
     {
     }
--- a/src/hostruntime/hosttelemetry.cpp
+++ b/src/hostruntime/hosttelemetry.cpp
@@ -252,6 +252,12 @@
           LogPriority::Important);
 }
 
+void HostTelemetry::onRunAdopted(const JobSubmission &job, const std::string &target, const RunName &run)
+{
+    write(LogLine("run_adopted").add("run", formatRun(run)).add("target", target).add("route", job.route).add("entry", job.entryHost),
+          LogPriority::Important);
+}
+
 void HostTelemetry::onTargetResponsivenessChanged(const std::string &target, bool unresponsive, std::size_t lostRuns)
 {
     count("anvilcart_target_silence_total", "state", unresponsive ? "silent" : "answers");
--- a/src/hostruntime/hosttelemetry.h
+++ b/src/hostruntime/hosttelemetry.h
@@ -61,6 +61,7 @@
     void onRepeat(const std::string &target, const RunName &run, const char *request) override;
     void onEjection(const std::string &target, EjectionCause cause, Duration pause) override;
     void onTargetClaimed(const std::string &target, std::uint64_t fencingToken, std::size_t running) override;
+    void onRunAdopted(const JobSubmission &job, const std::string &target, const RunName &run) override;
     void onTargetResponsivenessChanged(const std::string &target, bool unresponsive, std::size_t lostRuns) override;
     void onLateJobRefused(const Fleet::JobSubmission &job, Duration waited, std::size_t jobsForecastToMiss) override;
     void onJobsReturned(const std::string &entryHost, std::size_t jobs, const char *cause) override;
--- a/src/scheduling/interfaces/schedulerobserver.h
+++ b/src/scheduling/interfaces/schedulerobserver.h
@@ -82,6 +82,9 @@
     /// A target was listed under this host's fencing token for the first time; running is the number of runs that were adopted.
     virtual void onTargetClaimed(const std::string &target, std::uint64_t fencingToken, std::size_t running) = 0;
 
+    /// A run that this dispatcher did not start was found on a target and taken for one of the job's.
+    virtual void onRunAdopted(const JobSubmission &job, const std::string &target, const RunName &run) = 0;
+
     /// A target became unresponsive or answers again. lostRuns is the number of its runs whose leases have expired.
     virtual void onTargetResponsivenessChanged(const std::string &target, bool unresponsive, std::size_t lostRuns) = 0;
 
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -276,6 +276,7 @@
             if (task == nullptr || task->phase == TaskPhase::Assigned) {
                 continue;
             }
+            m_observer.onRunAdopted(job.submission, target->entry().id, name);
             task->phase = TaskPhase::Assigned;
             task->target = target->entry().id;
             task->lastRunNumber = name.run;
--- a/src/scheduling/schedulerruns.cpp
+++ b/src/scheduling/schedulerruns.cpp
@@ -225,6 +225,7 @@
         }
         return;
     }
+    m_observer.onRunAdopted(job->submission, target.entry().id, name);
     task->phase = TaskPhase::Assigned;
     task->target = target.entry().id;
     task->lastRunNumber = std::max(task->lastRunNumber, name.run);
--- a/tests/support/hostnodefixture.h
+++ b/tests/support/hostnodefixture.h
@@ -129,6 +129,9 @@
     void onTargetClaimed(const std::string &, std::uint64_t, std::size_t) override
     {
     }
+    void onRunAdopted(const JobSubmission &, const std::string &, const RunName &) override
+    {
+    }
     void onTargetResponsivenessChanged(const std::string &, bool, std::size_t) override
     {
     }
