Attribute runs that a target lists by what their dispatcher announced

Callers saw: after the loss of a dispatcher, the caller of one queue was told 200 "completed" though no task of its job had started; the tasks of another queue's job with the same id had ended.

Cause: a target lists a run by the id of its job, step, index and run number, which does not tell whose it is where callers of two queues choose one id. The dispatcher that takes the target over gave it to the first job with that id (Scheduler::adoptRuns, onRunAdopted). Only the lost dispatcher knew better.

Change: a dispatcher announces the runs that it starts to the entry host of their job, with the next report or request for a grant (StartAnnouncements); the entry host names them to the next dispatcher, by hashes of run, target and the life of that (RunIdentity). A run that is found counts for a job only if this dispatcher started it for that route or the entry host names it. Other runs wait for their entry host as those of unknown jobs do, and no job with the id starts beside them; beside a started job they are stopped at once. Their ends, and the losses of their targets, count for nothing.

Why it works: the result of a run reaches a job only along a chain of those who know: the dispatcher that started it, the entry host that it told, the next dispatcher. Whatever message is lost, or host away, breaks the chain towards "not known", which costs work and no caller's result.

Tests: those that let a job adopt runs now name the runs, since a job that names none adopts none; what they check is unchanged.

--- a/src/fleet/fleetframe.cpp
+++ b/src/fleet/fleetframe.cpp
@@ -122,6 +122,7 @@
     wire.set_transfers(submission.transfers);
     wire.set_lost_dispatcher(submission.lostDispatcher);
     encodeCrashes(submission.crashes, wire);
+    wire.mutable_started_runs()->Assign(submission.startedRuns.begin(), submission.startedRuns.end());
 }
 
 bool isValid(const JobSubmission &submission)
@@ -163,6 +164,7 @@
     submission.transfers = wire.transfers();
     submission.lostDispatcher = wire.lost_dispatcher();
     submission.crashes = decodeCrashes(wire);
+    submission.startedRuns.assign(wire.started_runs().begin(), wire.started_runs().end());
     return isValid(submission) ? std::optional(std::move(submission)) : std::nullopt;
 }
 
@@ -348,9 +350,9 @@
     const auto &jobs = frame.submits();
     const auto &lost = frame.lost_dispatchers();
     return isName(frame.host()) && hasNames(frame.heartbeat()) && nameJobs(jobs) && nameJobs(frame.crash_notices())
-        && nameJobs(frame.long_runs()) && nameJobs(frame.ended()) && nameJobs(frame.releases()) && nameJobs(frame.cancels())
-        && nameJobs(frame.cancelled()) && nameJobs(frame.cancel_inquiries()) && nameJobs(frame.cancel_answers())
-        && nameJobs(frame.cancelled_jobs()) && areNames(frame.abandoned_runs())
+        && nameJobs(frame.long_runs()) && nameJobs(frame.started_runs()) && nameJobs(frame.ended()) && nameJobs(frame.releases())
+        && nameJobs(frame.cancels()) && nameJobs(frame.cancelled()) && nameJobs(frame.cancel_inquiries())
+        && nameJobs(frame.cancel_answers()) && nameJobs(frame.cancelled_jobs()) && areNames(frame.abandoned_runs())
         && std::all_of(jobs.begin(),
                        jobs.end(),
                        [](const Wire::SubmitJob &job) {
@@ -397,6 +399,12 @@
         row.set_for_us(remainingMicroseconds(notice.endBy, now));
         row.set_submission(notice.submissionNumber);
     }
+    for (const auto &notice : frame.startedRuns) {
+        auto &row = *wire.add_started_runs();
+        encodeKey(notice.jobId, row);
+        row.set_submission(notice.submissionNumber);
+        row.mutable_runs()->Assign(notice.runs.begin(), notice.runs.end());
+    }
     for (const auto &notice : frame.ended) {
         auto &row = *wire.add_ended();
         encodeKey(notice.jobId, row);
@@ -497,6 +505,9 @@
     for (const auto &row : wire.long_runs()) {
         frame.longRuns.push_back({decodeKey(row), now + fromMicroseconds(row.for_us()), row.submission()});
     }
+    for (const auto &row : wire.started_runs()) {
+        frame.startedRuns.push_back({decodeKey(row), row.submission(), {row.runs().begin(), row.runs().end()}});
+    }
     for (const auto &row : wire.ended()) {
         if (row.end() > static_cast<std::uint32_t>(JobEnd::Abandoned) || row.reason() >= JobEndReasonCount) {
             continue;
--- a/src/fleet/fleetframe.h
+++ b/src/fleet/fleetframe.h
@@ -30,6 +30,15 @@
     std::uint64_t number = 0;
 };
 
+/// Runs that the dispatcher has started for a job; sent to its entry host.
+struct StartedRunsNotice
+{
+    std::string jobId;
+    /// See JobSubmission::number.
+    std::uint64_t submissionNumber = 0;
+    std::vector<RunIdentity> runs;
+};
+
 /// Runs that another entry host's submission has started, and that the dispatcher has found for a job; sent to its entry host.
 struct LongRunsNotice
 {
@@ -127,6 +136,7 @@
     std::vector<JobSubmission> submissions;
     std::vector<CrashNotice> crashNotices;
     std::vector<LongRunsNotice> longRuns;
+    std::vector<StartedRunsNotice> startedRuns;
     std::vector<JobEndNotice> ended;
     std::vector<JobRelease> releases;
     std::vector<JobCancellation> cancellations;
--- a/src/fleet/framesize.cpp
+++ b/src/fleet/framesize.cpp
@@ -27,6 +27,8 @@
     Job,
     Step,
     Dependencies,
+    StartedRuns,
+    Runs,
     CrashNotice,
     LostDispatcher,
     Claim,
@@ -43,6 +45,8 @@
             return Parent::Report;
         case Wire::Frame::kSubmitsFieldNumber:
             return Parent::Job;
+        case Wire::Frame::kStartedRunsFieldNumber:
+            return Parent::StartedRuns;
         case Wire::Frame::kCrashNoticesFieldNumber:
             return Parent::CrashNotice;
         case Wire::Frame::kLostDispatchersFieldNumber:
@@ -56,7 +60,12 @@
         }
         return field == Wire::Heartbeat::kClaimsFieldNumber ? Parent::Claim : Parent::None;
     case Parent::Job:
+        if (field == Wire::SubmitJob::kStartedRunsFieldNumber) {
+            return Parent::Runs;
+        }
         return field == Wire::SubmitJob::kStepsFieldNumber ? Parent::Step : Parent::None;
+    case Parent::StartedRuns:
+        return field == Wire::StartedRuns::kRunsFieldNumber ? Parent::Runs : Parent::None;
     case Parent::Step:
         return field == Wire::Step::kDependsOnFieldNumber ? Parent::Dependencies : Parent::None;
     case Parent::LostDispatcher:
@@ -83,9 +92,10 @@
         if (!stream.ReadVarintSizeAsInt(&length)) {
             return false;
         }
-        if (child == Parent::None || child == Parent::Dependencies) {
-            // Each dependency takes a byte or more.
-            bytes += child == Parent::None ? 0 : BytesPerNumber * static_cast<std::size_t>(length);
+        if (child == Parent::None || child == Parent::Dependencies || child == Parent::Runs) {
+            // Each dependency takes a byte or more, and each run eight.
+            const std::size_t bytesPerByte = child == Parent::Dependencies ? BytesPerNumber : 2;
+            bytes += child == Parent::None ? 0 : bytesPerByte * static_cast<std::size_t>(length);
             if (!stream.Skip(length)) {
                 return false;
             }
--- a/src/fleet/hostnode.cpp
+++ b/src/fleet/hostnode.cpp
@@ -24,6 +24,8 @@
 constexpr int MaxSubmissions = 3;
 /// The same for a job that an evacuation sends on: it goes to each dispatcher once, and others may have sent it on before.
 constexpr int MaxSubmissionsInEvacuation = 6;
+/// The most runs of a job that are kept for its next dispatcher, for each of its tasks.
+constexpr std::size_t StartedRunsPerTask = 4;
 /// The dispatcher's deadline for a job is this much later than the caller's: it stops the runs then, unless it gets a cancellation first.
 constexpr Milliseconds DispatcherDeadlineMargin {40};
 /// All runs of a lost dispatcher have ended after the longest lease plus this margin, which covers clock drift and the time until the
@@ -549,6 +551,7 @@
 
 void HostNode::onJobEnd(const JobSubmission &job, const JobResult &result)
 {
+    m_startAnnouncements.remove(job);
     m_observer.onJobEnded(job, result, m_now - job.arrivedAt);
     if (result.end == JobEnd::Abandoned) {
         noteAbandonedRun(job.identity());
@@ -597,6 +600,35 @@
     job.crashNoticeNumber = notice.number;
 }
 
+void HostNode::onRunStarted(const JobSubmission &job, RunIdentity run)
+{
+    if (job.entryHost == m_identity.host) {
+        onStartedRuns({job.identity(), job.number, {run}}, m_identity.host, m_identity.incarnation);
+    } else {
+        m_startAnnouncements.add(job, run);
+    }
+}
+
+/// Keeps the identities of a job's runs for its next dispatcher.
+void HostNode::onStartedRuns(const StartedRunsNotice &notice, const std::string &from, std::uint64_t incarnation)
+{
+    const auto found = m_jobs.find(notice.jobId);
+    if (found == m_jobs.end()) {
+        return;
+    }
+    auto &job = found->second;
+    if (job.dispatcher != from || job.dispatcherIncarnation != incarnation || job.submission.number != notice.submissionNumber) {
+        return;
+    }
+    auto &runs = job.submission.startedRuns;
+    runs.insert(runs.end(), notice.runs.begin(), notice.runs.end());
+    const auto longest = StartedRunsPerTask * job.submission.taskCount();
+    if (runs.size() > longest) {
+        // The oldest ones have ended.
+        runs.erase(runs.begin(), runs.end() - static_cast<std::ptrdiff_t>(longest));
+    }
+}
+
 void HostNode::onRunsOutlastGrant(const JobSubmission &job, TimePoint endBy)
 {
     if (job.entryHost == m_identity.host) {
--- a/src/fleet/hostnode.h
+++ b/src/fleet/hostnode.h
@@ -16,6 +16,7 @@
 #include "fleet/poolassignment.h"
 #include "fleet/rememberedcancellations.h"
 #include "fleet/runnotices.h"
+#include "fleet/startannouncements.h"
 #include "scheduling/scheduler.h"
 
 #include <map>
@@ -179,6 +180,7 @@
     void sendRenewal(const std::string &target, const RenewalRequest &request) override;
     void onJobEnd(const JobSubmission &job, const JobResult &result) override;
     void onCrashRecords(const JobSubmission &job, const std::vector<TaskCrashes> &crashes) override;
+    void onRunStarted(const JobSubmission &job, RunIdentity run) override;
     void onRunsOutlastGrant(const JobSubmission &job, TimePoint endBy) override;
     void onTargetLost(const std::string &target, bool wasOwned) override;
     void onTargetRestarted(const std::string &target) override;
@@ -218,6 +220,7 @@
     std::vector<Dispatcher> dispatchersFor(const std::string &service, TimePoint now) const;
     void onCrashNotice(const CrashNotice &notice, const std::string &from, std::uint64_t incarnation);
     void onLongRuns(const LongRunsNotice &notice, const std::string &from, std::uint64_t incarnation);
+    void onStartedRuns(const StartedRunsNotice &notice, const std::string &from, std::uint64_t incarnation);
     void onJobResult(const JobEndNotice &notice, const std::string &from, std::uint64_t incarnation, TimePoint now);
     void onResultOfPrevious(EntryJob &job, const JobEndNotice &notice, const std::string &from, std::uint64_t incarnation, TimePoint now);
     Duration longestSilenceOf(const std::set<std::string> &hosts) const;
@@ -367,6 +370,7 @@
     OwedResults m_owedResults;
     EarlierRuns m_earlierRuns;
     RunNotices m_runNotices;
+    StartAnnouncements m_startAnnouncements;
     /// Hosts that are live again and have not been told yet of the runs that were named meanwhile.
     std::set<std::string> m_owedRunNotices;
     ConfigurationRecord m_configuration;
--- a/src/fleet/hostnodepeers.cpp
+++ b/src/fleet/hostnodepeers.cpp
@@ -151,6 +151,9 @@
     for (const auto &notice : frame.longRuns) {
         onLongRuns(notice, frame.host, frame.incarnation);
     }
+    for (const auto &notice : frame.startedRuns) {
+        onStartedRuns(notice, frame.host, frame.incarnation);
+    }
     for (const auto &notice : frame.ended) {
         onJobResult(notice, frame.host, frame.incarnation, now);
     }
@@ -454,6 +457,8 @@
     }
     m_issuedGrants.removeOld(now);
     m_cancelAnnouncements.onHostLost(report.host);
+    // Its jobs end here with their grants; a run that is not announced is not adopted by the next dispatcher.
+    m_startAnnouncements.take(report.host);
     // The host may have been the only one to know what ran. If it is only cut off, it may dispatch on its own now.
     m_scheduler.onHistoryLost(now);
     onDispatcherLost(report.host, report.incarnation, now);
@@ -811,6 +816,7 @@
             frame.timeSinceLastReport = now - member->lastReportAt;
         }
         addGrant(frame, *member, now);
+        frame.startedRuns = m_startAnnouncements.take(peer.host);
     }
     if (member == nullptr || peer.listedEndpoints != m_peers.size() || m_reportsSent % EndpointListInterval == 0) {
         peer.listedEndpoints = m_peers.size();
@@ -895,6 +901,7 @@
         if (isDue(peer) && entryHosts.contains(peer.host) && m_view.isLive(peer.host, now)) {
             FleetFrame frame;
             frame.requestsGrant = true;
+            frame.startedRuns = m_startAnnouncements.take(peer.host);
             peer.grantRequestedAt = now;
             send(peer.host, std::move(frame), now);
         }
--- a/src/scheduling/crashsuspects.cpp
+++ b/src/scheduling/crashsuspects.cpp
@@ -34,8 +34,8 @@
     }
     std::vector<TaskName> changed;
     for (const auto &run : loss.runs) {
-        // A start without a reply may never have reached the target.
-        if (run.phase != RunPhase::Running) {
+        // A start without a reply may never have reached the target. A run of an unknown job says nothing of any.
+        if (run.phase != RunPhase::Running || !run.route) {
             continue;
         }
         auto &record = m_records[run.name.task];
--- a/src/scheduling/interfaces/schedulerport.h
+++ b/src/scheduling/interfaces/schedulerport.h
@@ -29,6 +29,9 @@
     /// The records of the targets that were lost under the job's tasks have changed. Its entry host keeps them for the next dispatcher.
     virtual void onCrashRecords(const JobSubmission &job, const std::vector<TaskCrashes> &crashes) = 0;
 
+    /// A run of the job is being started. Its entry host keeps the identity for the next dispatcher.
+    virtual void onRunStarted(const JobSubmission &job, RunIdentity run) = 0;
+
     /// Runs of the job that were found, or taken over from another entry host, may last until then, which is later than its entry host
     /// assumes by its grant. Called again when that becomes known anew.
     virtual void onRunsOutlastGrant(const JobSubmission &job, TimePoint endBy) = 0;
--- a/src/scheduling/jobsubmission.h
+++ b/src/scheduling/jobsubmission.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "kernel/time.h"
+#include "scheduling/runidentity.h"
 #include "workload/jobrequest.h"
 #include "workload/taskcrashes.h"
 
@@ -59,6 +60,9 @@
     std::uint32_t transfers = 0;
     /// The tasks under which earlier dispatchers have lost targets.
     std::vector<TaskCrashes> crashes;
+    /// The runs that earlier dispatchers have announced to the entry host. Of the runs that a target lists, these alone are known to be
+    /// the job's.
+    std::vector<RunIdentity> startedRuns;
 
     /// By what the entry host names the job.
     const std::string &identity() const
--- a/src/scheduling/scheduledjob.cpp
+++ b/src/scheduling/scheduledjob.cpp
@@ -34,6 +34,21 @@
     }
 }
 
+void ScheduledJob::assign(ScheduledTask &task, const std::string &target, std::uint32_t runNumber)
+{
+    task.phase = TaskPhase::Assigned;
+    task.target = target;
+    task.lastRunNumber = runNumber;
+    task.highestRunNumber = std::max(task.highestRunNumber, runNumber);
+}
+
+void ScheduledJob::returnTask(ScheduledTask &task)
+{
+    task.phase = TaskPhase::Blocked;
+    task.target.clear();
+    unblockSteps();
+}
+
 void ScheduledJob::updateRemainingWork()
 {
     waitingTasks = 0;
--- a/src/scheduling/scheduledjob.h
+++ b/src/scheduling/scheduledjob.h
@@ -61,7 +61,10 @@
     std::uint32_t index = 0;
     TaskPhase phase = TaskPhase::Blocked;
     std::string target;
+    /// Of the run that was started or found last.
     std::uint32_t lastRunNumber = 0;
+    /// The highest number of any run that was started or found.
+    std::uint32_t highestRunNumber = 0;
     std::uint32_t failures = 0;
     /// The target on which the task succeeded, and how long it ran there.
     std::string completedOn;
@@ -85,6 +88,12 @@
     /// Marks a task as done and unblocks the steps whose dependencies have all completed.
     void onTaskDone(ScheduledTask &task);
 
+    /// Marks a task whose run has ended otherwise as waiting, or as blocked while its step is.
+    void returnTask(ScheduledTask &task);
+
+    /// Assigns a task to a run that was found on a target.
+    static void assign(ScheduledTask &task, const std::string &target, std::uint32_t runNumber);
+
     /// Recomputes waitingTasks and remainingCoreMs.
     void updateRemainingWork();
 
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -7,7 +7,8 @@
 #include <limits>
 #include <utility>
 
-// Jobs, from submission to end. The queue is in schedulerqueue.cpp, targets in schedulertargets.cpp, runs in schedulerruns.cpp.
+// Jobs, from submission to end. The queue is in schedulerqueue.cpp, targets in schedulertargets.cpp, runs in schedulerruns.cpp, and whose
+// they are in schedulerowners.cpp.
 namespace Anvilcart::Fleet
 {
 namespace
@@ -98,6 +99,7 @@
         known.grantEpoch = submission.grantEpoch;
         known.number = submission.number;
         known.callerDeadline = submission.callerDeadline;
+        known.startedRuns.insert(known.startedRuns.end(), submission.startedRuns.begin(), submission.startedRuns.end());
         existing->resultReported = false;
         markRunsWithoutGrant(*existing, now);
         return;
@@ -105,6 +107,17 @@
     if (const auto lost = m_lostRunsEndBy.find(submission.request.id); lost != m_lostRunsEndBy.end()) {
         submission.earlierRunsEndBy = std::max(submission.earlierRunsEndBy, lost->second);
     }
+    if (mustWaitForOtherRuns(submission)) {
+        holdCollidingJob(std::move(submission), now);
+        return;
+    }
+    const auto replaced = m_collidingJobs.take([&submission](const JobSubmission &held) {
+        const bool isOlder = held.entryHost != submission.entryHost || held.number <= submission.number;
+        return held.identity() == submission.identity() && isOlder;
+    });
+    for (const auto &held : replaced) {
+        reportReplacement(held, submission, now);
+    }
     if (refuseIfTooLarge(submission, now)) {
         return;
     }
@@ -266,38 +279,6 @@
     });
 }
 
-/// Adopts runs of the job that another dispatcher started on targets that this host has since taken over. A run that is being stopped is
-/// adopted too: it works until the target lists its end, and its task must not start elsewhere before.
-void Scheduler::adoptRuns(ScheduledJob &job, TimePoint)
-{
-    for (auto *target : m_services[job.submission.service].targets) {
-        for (auto &[name, run] : target->runs()) {
-            auto *task = name.task.jobId == job.submission.request.id ? job.find(name.task) : nullptr;
-            if (task == nullptr || task->phase == TaskPhase::Assigned) {
-                continue;
-            }
-            m_observer.onRunAdopted(job.submission, target->entry().id, name);
-            task->phase = TaskPhase::Assigned;
-            task->target = target->entry().id;
-            task->lastRunNumber = name.run;
-            job.started = true;
-            const auto &step = job.submission.request.steps[task->step];
-            run.estimate = step.estimate;
-            run.expectedRunTime = job.expectedRunTimes[task->step];
-            recordRackOfRun(job, *task, *target, m_services[job.submission.service].targets, m_limits.farFactor, true);
-        }
-        const auto runs = target->runs();
-        for (const auto &[name, run] : runs) {
-            if (name.task.jobId == job.submission.request.id && run.demand == Resources() && job.find(name.task) != nullptr) {
-                target->identifyRun(name, job.submission.request.steps[name.task.step].demand);
-            }
-            if (m_crashSuspects.mustRunAlone(name.task)) {
-                target->reserveFor(name);
-            }
-        }
-    }
-}
-
 /// Sets the job's expected run times, critical path, objective and start tag.
 void Scheduler::setForecast(ScheduledJob &job)
 {
@@ -403,7 +384,7 @@
 void Scheduler::updateGrantEnds(TargetLedger &target)
 {
     for (auto &[name, run] : target.runs()) {
-        const auto *job = findJob(name.task.jobId);
+        const auto *job = jobOf(run);
         if (job != nullptr && !job->pendingResult) {
             run.grantEndsBy = grantEndOf(job->submission);
         }
@@ -650,7 +631,7 @@
     return isMeant ? found->second.get() : nullptr;
 }
 
-/// Lets a submission wait for the end of the job of another route that has its id.
+/// Lets a submission wait for the end of the job of another route that has its id, or of runs under its id whose owner is not known.
 void Scheduler::holdCollidingJob(JobSubmission submission, TimePoint now)
 {
     const auto tasks = m_taskCount + m_collidingJobs.taskCount() + submission.taskCount();
@@ -663,18 +644,14 @@
     m_collidingJobs.add(std::move(submission));
 }
 
-/// Submits the jobs that have waited for others with their ids, and ends those that can't wait any longer.
+/// Submits the jobs that have waited for jobs or runs with their ids, and ends those that can't wait any longer.
 void Scheduler::submitCollidingJobs(TimePoint now)
 {
-    const auto isFree = [this](const std::string &id) {
-        return !m_jobs.contains(id) && std::none_of(m_targets.begin(), m_targets.end(), [&id](const auto &entry) {
-            const auto &runs = entry.second->runs();
-            const auto first = runs.lower_bound({{id, 0, 0, 0}, 0});
-            return first != runs.end() && first->first.task.jobId == id;
-        });
+    const auto isFree = [this](const JobSubmission &submission) {
+        return !m_jobs.contains(submission.request.id) && !mustWaitForOtherRuns(submission);
     };
     const auto due = m_collidingJobs.take([&](const JobSubmission &submission) {
-        return now > submission.callerDeadline || !isGranted(submission, now) || isFree(submission.request.id);
+        return now > submission.callerDeadline || !isGranted(submission, now) || isFree(submission);
     });
     for (const auto &submission : due) {
         if (now <= submission.callerDeadline && isGranted(submission, now)) {
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -101,7 +101,8 @@
 
     /// Queues a job, redirects it to another dispatcher or refuses it. A job that is already here continues and reports to the entry host
     /// of the new submission, and the former entry host is told. A repeated submission has no effect while its job is here, and is answered
-    /// with its result if it has ended. It waits while a job of another route with the same id is here.
+    /// with its result if it has ended. It waits while a job of another route with the same id is here, or a run under its id that is not
+    /// known to be its own.
     void submit(JobSubmission submission, TimePoint now);
 
     /// Refuses a submission that came too late, unless an earlier copy of it is here.
@@ -245,6 +246,10 @@
     };
 
     ScheduledJob *findJob(const std::string &jobId) const;
+    ScheduledJob *jobOf(const LedgerRun &run) const;
+    static bool isRunOf(const LedgerRun &run, const TargetLedger &target, const JobSubmission &submission);
+    bool mustWaitForOtherRuns(const JobSubmission &submission) const;
+    void holdUnstartedJob(const std::string &jobId, TimePoint now);
     void holdCollidingJob(JobSubmission submission, TimePoint now);
     void submitCollidingJobs(TimePoint now);
     void endCollidingJob(const JobSubmission &submission, JobEndReason reason, const std::string &elsewhere, TimePoint now);
@@ -254,6 +259,8 @@
     std::vector<std::string> unstartedJobs() const;
     bool fitsAnywhere(const JobSubmission &submission) const;
     void adoptRuns(ScheduledJob &job, TimePoint now);
+    void adoptRun(ScheduledJob &job, TargetLedger &target, LedgerRun &run, TimePoint now);
+    void stopOtherRun(ScheduledJob &job, TargetLedger &target, LedgerRun &run, TimePoint now);
     void setForecast(ScheduledJob &job);
     Duration shortestCompletionTime(const ScheduledJob &job, TimePoint now) const;
     void enqueue(ScheduledJob &job, TimePoint now);
@@ -300,7 +307,7 @@
     void onProbeReply(TargetLedger &target, const RenewalReply &reply, TimePoint now);
     void compareTargets(const ScheduledJob &job, TimePoint now);
     void stopUnconfirmedStarts(TargetLedger &target, TimePoint now);
-    void onRunAdopted(TargetLedger &target, const RunName &run, TimePoint now);
+    void onRunFound(TargetLedger &target, const RunName &run, TimePoint now);
     void stopRunsAndEnd(ScheduledJob &job, const JobResult &result, TimePoint now);
     void endCrashingJob(ScheduledJob &job, TimePoint now);
     void updateGrants(TimePoint now);
--- a/src/scheduling/schedulerqueue.cpp
+++ b/src/scheduling/schedulerqueue.cpp
@@ -498,11 +498,13 @@
     const auto &step = job.submission.request.steps[task.step];
     task.phase = TaskPhase::Assigned;
     task.target = target.entry().id;
-    ++task.lastRunNumber;
+    task.lastRunNumber = ++task.highestRunNumber;
     job.started = true;
     m_recentlyRunJobs.record(job.submission.request.id, now);
     const RunName name {{job.submission.request.id, 0, task.step, task.index}, task.lastRunNumber};
     auto &run = target.addRun(name, step.demand, now);
+    run.route = job.submission.route;
+    m_port.onRunStarted(job.submission, identityOf(name, target.entry().id, target.startedAtMs()));
     run.expectedRunTime = placement.expectedRunTime;
     run.estimate = step.estimate;
     run.grantEndsBy = placement.grantEndsBy;
--- a/src/scheduling/schedulerruns.cpp
+++ b/src/scheduling/schedulerruns.cpp
@@ -67,7 +67,7 @@
 /// Repeats an unanswered start. The target starts the run once, whichever of the requests it receives first.
 bool Scheduler::repeatStart(const TargetLedger &target, LedgerRun &run, TimePoint now)
 {
-    const auto *job = findJob(run.name.task.jobId);
+    const auto *job = jobOf(run);
     const bool mayRepeat = job != nullptr && !run.stopRequested && target.mayExtendLeases(now) && !target.unresponsive
         && run.fencingToken == target.fencingToken() && target.ownership != Ownership::Claiming && m_isEvacuationKnown
         && target.zoneAccess.admits(true, now);
@@ -211,38 +211,6 @@
     }
 }
 
-void Scheduler::onRunAdopted(TargetLedger &target, const RunName &name, TimePoint now)
-{
-    auto *job = findJob(name.task.jobId);
-    auto *task = job == nullptr ? nullptr : job->find(name.task);
-    if (task == nullptr || job->pendingResult) {
-        return;
-    }
-    if (task->phase != TaskPhase::Waiting && task->phase != TaskPhase::Blocked) {
-        // A late copy of a start has taken effect beside the task's next run.
-        if (auto *run = target.find(name)) {
-            stop(target, *run, "duplicate run", now);
-        }
-        return;
-    }
-    m_observer.onRunAdopted(job->submission, target.entry().id, name);
-    task->phase = TaskPhase::Assigned;
-    task->target = target.entry().id;
-    task->lastRunNumber = std::max(task->lastRunNumber, name.run);
-    job->started = true;
-    const auto &step = job->submission.request.steps[task->step];
-    target.identifyRun(name, step.demand);
-    if (auto *run = target.find(name)) {
-        run->estimate = step.estimate;
-        run->expectedRunTime = job->expectedRunTimes[task->step];
-        recordRackOfRun(*job, *task, target, m_services[job->submission.service].targets, m_limits.farFactor, true);
-    }
-    markRunsWithoutGrant(*job, now);
-    if (m_crashSuspects.mustRunAlone(name.task)) {
-        target.reserveFor(name);
-    }
-}
-
 /// Reports the runs whose end the target did not list. Called before the end of each of them is handled.
 void Scheduler::onRunsLost(
     TargetLedger &target, LossEvidence evidence, TimePoint lastAnswerAt, const std::vector<EndedLedgerRun> &ended, TimePoint now)
@@ -256,6 +224,10 @@
         if (!run.listed) {
             loss.runs.push_back(run.run);
         }
+        if (!run.listed && findJob(run.run.name.task.jobId) != jobOf(run.run)) {
+            // The loss of another job's run is no crash of this one's task.
+            loss.runs.back().route.reset();
+        }
     }
     if (loss.runs.empty()) {
         return;
@@ -301,8 +273,9 @@
 {
     auto *job = findJob(ended.run.name.task.jobId);
     auto *task = job == nullptr ? nullptr : job->find(ended.run.name.task);
+    const bool isOwn = job != nullptr && jobOf(ended.run) == job;
     const auto runTime = ended.run.phase == RunPhase::Running ? now - ended.run.confirmedAt : Duration(0);
-    m_observer.onRunEnd(job == nullptr ? nullptr : &job->submission, target.entry().id, ended.run.name, ended.end, runTime);
+    m_observer.onRunEnd(isOwn ? &job->submission : nullptr, target.entry().id, ended.run.name, ended.end, runTime);
     if (ended.run.alone) {
         m_crashSuspects.onEndedAlone(ended.run.name.task);
     }
@@ -310,16 +283,15 @@
         || task->lastRunNumber != ended.run.name.run) {
         return;
     }
-    if (ended.end == RunEnd::Done) {
+    if (ended.end == RunEnd::Done && isOwn) {
         onTaskDone(*job, *task, target, ended.run, now);
         return;
     }
     if (ended.run.phase == RunPhase::Unconfirmed) {
         task->avoidedTargets.insert(target.entry().id);
     }
-    task->phase = TaskPhase::Waiting;
-    task->target.clear();
-    if (ended.end == RunEnd::Failed && !job->pendingResult) {
+    job->returnTask(*task);
+    if (ended.end == RunEnd::Failed && isOwn && !job->pendingResult) {
         onTaskFailed(*job, *task, target, now);
     } else if (m_crashSuspects.verdictOn(ended.run.name.task) != CrashVerdict::Startable) {
         endCrashingJob(*job, now);
@@ -424,8 +396,7 @@
             }
             continue;
         }
-        const auto *job = findJob(name.task.jobId);
-        if (job == nullptr) {
+        if (jobOf(run) == nullptr) {
             if (run.phase == RunPhase::Running && now - run.confirmedAt > UnknownJobGracePeriod) {
                 stop(target, run, "unknown job", now);
             }
--- a/src/scheduling/schedulertargets.cpp
+++ b/src/scheduling/schedulertargets.cpp
@@ -81,7 +81,7 @@
             target.claimNumber = ++m_claimCount;
             target.claimedAt = now;
             for (const auto &[name, run] : target.runs()) {
-                if (const auto *job = findJob(name.task.jobId)) {
+                if (const auto *job = jobOf(run)) {
                     markRunsWithoutGrant(*job, now);
                 }
             }
@@ -455,7 +455,7 @@
     }
     const auto service = target.entry().service;
     for (const auto &run : changes.adopted) {
-        onRunAdopted(target, run, now);
+        onRunFound(target, run, now);
     }
     if (!target.needsHigherToken()) {
         stopUnconfirmedStarts(target, now);
@@ -571,8 +571,7 @@
     for (const auto &run : expired) {
         if (!run.mayStartAgain) {
             onRunEnded(target, run, now);
-        } else if (auto *job = findJob(run.run.name.task.jobId);
-                   job != nullptr && m_crashSuspects.verdictOn(run.run.name.task) != CrashVerdict::Startable) {
+        } else if (auto *job = jobOf(run.run); job != nullptr && m_crashSuspects.verdictOn(run.run.name.task) != CrashVerdict::Startable) {
             endCrashingJob(*job, now);
         }
     }
--- a/src/scheduling/targetledger.h
+++ b/src/scheduling/targetledger.h
@@ -36,6 +36,8 @@
 struct LedgerRun
 {
     RunName name;
+    /// The route of its job, which tells it from the jobs of other routes with that id; nothing while it is not known whose run it is.
+    std::optional<std::string> route;
     Resources demand;
     RunPhase phase = RunPhase::Sent;
     TimePoint sentAt;
--- a/standins/service/workerstandin.cpp
+++ b/standins/service/workerstandin.cpp
@@ -197,7 +197,7 @@
         ++startsOfTask[task];
         const auto now = Clock::now();
         runs.push_back({task, runNumber, now, now + Milliseconds(runMs), history.size()});
-        history.push_back({task, runNumber, now});
+        history.push_back({task, runNumber, now, TimePoint::max(), Platform::textAt(body, "spec")});
         return answer(200, {{"clock_ms", clockMs()}});
     }
 
--- a/standins/service/workerstandin.h
+++ b/standins/service/workerstandin.h
@@ -21,6 +21,7 @@
     std::int64_t run = 0;
     TimePoint startedAt;
     TimePoint endedAt = TimePoint::max();
+    std::string payload;
 };
 
 /// Stand-in for a target of the platform with fencing tokens, leases and lists of runs. A run lasts as many milliseconds as the job's
--- a/tests/support/schedulerfixture.h
+++ b/tests/support/schedulerfixture.h
@@ -50,6 +50,11 @@
         crashesOfJob[job.request.id] = crashes;
     }
 
+    void onRunStarted(const JobSubmission &job, RunIdentity run) override
+    {
+        startedRunsOfJob[job.identity()].push_back(run);
+    }
+
     void onRunsOutlastGrant(const JobSubmission &job, TimePoint endBy) override
     {
         outlasting.emplace_back(job, endBy);
@@ -75,6 +80,7 @@
     std::vector<std::pair<std::string, RenewalRequest>> renewals;
     std::vector<EndedJob> ended;
     std::map<std::string, std::vector<TaskCrashes>> crashesOfJob;
+    std::map<std::string, std::vector<RunIdentity>> startedRunsOfJob;
     std::vector<std::pair<JobSubmission, TimePoint>> outlasting;
     std::vector<std::string> lost;
     std::vector<std::string> restarted;
@@ -192,6 +198,13 @@
         return submission;
     }
 
+    /// The submission of an entry host to which an earlier dispatcher has announced this run.
+    JobSubmission withRun(JobSubmission submission, const std::string &target, const RunName &run) const
+    {
+        submission.startedRuns.push_back(identityOf(run, target, startedAtMs));
+        return submission;
+    }
+
     void submit(const JobSubmission &submission)
     {
         scheduler.submit(submission, now);
--- a/tests/unit/fleet/fleetframe.cpp
+++ b/tests/unit/fleet/fleetframe.cpp
@@ -36,9 +36,11 @@
     submission.earlierRunsEndBy = Now + Milliseconds(900);
     submission.lostDispatcherRunsEndBy = Now + Milliseconds(1100);
     submission.crashes.push_back({0, 2, 3, 1, 2, true});
+    submission.startedRuns = {5, 1ULL << 62U};
     frame.submissions.push_back(submission);
     frame.crashNotices.push_back({"00000000000000dd", {{1, 3, 2, 2, 0, false}}, 21});
     frame.longRuns.push_back({"00000000000000ac", Now + Milliseconds(950), 22});
+    frame.startedRuns.push_back({"00000000000000ac", 23, {1, 1ULL << 63U}});
     frame.ended.push_back({"00000000000000bb", {JobEnd::NotRun, JobEndReason::BetterElsewhere, Seconds(2), "h2"}, 3, 16});
     frame.cancellations.push_back({"00000000000000cc", 18});
     frame.confirmedCancellations.push_back({"00000000000000ff", 19});
@@ -64,6 +66,7 @@
     BOOST_TEST(frame->host == "h1");
     BOOST_TEST(frame->report->claims.at(0).heldTargets.at(0) == "t1");
     BOOST_TEST(frame->submissions.at(0).request.steps.at(0).rackLocal);
+    BOOST_TEST(frame->submissions.at(0).startedRuns == completeFrame().submissions.at(0).startedRuns);
     BOOST_TEST((frame->submissions.at(0).arrivedAt == later - Milliseconds(40)));
     BOOST_TEST((frame->submissions.at(0).callerDeadline == later + Milliseconds(1400)));
     BOOST_TEST((frame->submissions.at(0).earlierRunsEndBy == later + Milliseconds(900)));
@@ -75,6 +78,10 @@
     BOOST_TEST(frame->longRuns.front().jobId == "00000000000000ac");
     BOOST_TEST((frame->longRuns.front().endBy == later + Milliseconds(950)));
     BOOST_TEST(frame->longRuns.front().submissionNumber == 22);
+    BOOST_REQUIRE(frame->startedRuns.size() == 1);
+    BOOST_TEST(frame->startedRuns.front().jobId == "00000000000000ac");
+    BOOST_TEST(frame->startedRuns.front().submissionNumber == 23);
+    BOOST_TEST(frame->startedRuns.front().runs == completeFrame().startedRuns.front().runs);
     BOOST_TEST(frame->submissions.at(0).number == 17);
     BOOST_TEST(frame->ended.at(0).result.preferredDispatcher == "h2");
     BOOST_TEST(frame->ended.at(0).submissionNumber == 16);
@@ -140,6 +147,7 @@
     sent.submissions.front().route = "checks";
     sent.crashNotices.front().jobId = key;
     sent.longRuns.front().jobId = key;
+    sent.startedRuns.front().jobId = key;
     sent.ended.front().jobId = key;
     sent.cancellations.front().jobId = key;
     sent.confirmedCancellations.front().jobId = key;
@@ -153,6 +161,7 @@
     BOOST_TEST(frame->submissions.front().request.id == key);
     BOOST_TEST(frame->crashNotices.front().jobId == key);
     BOOST_TEST(frame->longRuns.front().jobId == key);
+    BOOST_TEST(frame->startedRuns.front().jobId == key);
     BOOST_TEST(frame->ended.front().jobId == key);
     BOOST_TEST(frame->cancellations.front().jobId == key);
     BOOST_TEST(frame->confirmedCancellations.front().jobId == key);
--- a/tests/unit/fleet/grants.cpp
+++ b/tests/unit/fleet/grants.cpp
@@ -197,12 +197,12 @@
 BOOST_FIXTURE_TEST_CASE(A_lease_is_extended_only_under_a_claim_that_the_entry_host_has_confirmed, GrantedJobFixture)
 {
     scheduler.onGrant("entry", EntryIncarnation, grantUntil(now + GrantLength, 2, scheduler.claimCount()), now);
-    auto submission = grantedJob("j", 2);
+    const RunName found {{"j", 0, 0, 0}, 1};
+    auto submission = withRun(grantedJob("j", 2), "t2", found);
     submission.lostDispatcher = "lost#1";
     submission.lostDispatcherRunsEndBy = now + Seconds(5);
     submit(submission);
     scheduler.addTarget(entry("t2"), Token, now);
-    const RunName found {{"j", 0, 0, 0}, 1};
     answerRenewal("t2", {{found, 40}});
     scheduler.onTakeoverComplete("lost#1", now);
     now += Milliseconds(20);
--- a/tests/unit/fleet/lateframes.cpp
+++ b/tests/unit/fleet/lateframes.cpp
@@ -374,7 +374,7 @@
     submission.callerDeadline = now + Seconds(9);
     submission.lostDispatcher = "h2#2";
     submission.lostDispatcherRunsEndBy = now + Milliseconds(1500);
-    submit(submission);
+    submit(withRun(submission, "t1", run));
     // From the end of the grant on the lost dispatcher starts nothing.
     const auto grantEnd = submission.mayStartAt() - SchedulerLimits().maxLease - LeaseExpiryMargin;
     while (now + Milliseconds(25) < grantEnd) {
@@ -428,7 +428,7 @@
             submission.grantEpoch = 0;
             submission.lostDispatcher = "h2#2";
             submission.lostDispatcherRunsEndBy = begin + LastReport + GrantLength + SchedulerLimits().maxLease + LeaseExpiryMargin;
-            next.submit(submission, now);
+            next.submit(withRun(submission, start.target, start.request.name), now);
         } else if (now > begin + HandOn) {
             next.tick(now);
             answerNext();
@@ -448,7 +448,7 @@
     submission.callerDeadline = now + Seconds(9);
     submission.lostDispatcher = "h2#2";
     submission.lostDispatcherRunsEndBy = now + Milliseconds(1500);
-    submit(submission);
+    submit(withRun(submission, "t1", run));
     scheduler.onTakeoverComplete("h2#2", now);
     advance(Milliseconds(25));
     answerRenewal("t1", {{run, 40}});
--- a/tests/unit/scheduling/crashsuspects.cpp
+++ b/tests/unit/scheduling/crashsuspects.cpp
@@ -18,6 +18,7 @@
     run.name = {{job, 0, 0, 0}, 1};
     run.sentAt = sentAt;
     run.phase = RunPhase::Running;
+    run.route = "route";
     return run;
 }
 
--- a/tests/unit/scheduling/leasebelief.cpp
+++ b/tests/unit/scheduling/leasebelief.cpp
@@ -240,6 +240,9 @@
     {
     }
 
+    void onRunStarted(const JobSubmission &, RunIdentity) override
+    {
+    }
     void onRunsOutlastGrant(const JobSubmission &, TimePoint) override
     {
     }
--- a/tests/unit/scheduling/rackplacement.cpp
+++ b/tests/unit/scheduling/rackplacement.cpp
@@ -342,8 +342,8 @@
     scheduler.tick(now + Seconds(6));
     answerRenewal("r1-0", {{first, 0}});
     answerRenewal("r2-0", {{data, 0}, {second, 0}});
-    submit(jobNear("data", "r1-"));
-    submit(rackLocalJob("step", 2));
+    submit(withRun(jobNear("data", "r1-"), "r2-0", data));
+    submit(withRun(withRun(rackLocalJob("step", 2), "r1-0", first), "r2-0", second));
     const auto &near = scheduler.findListedTarget("r1-0")->runs();
     const auto &far = scheduler.findListedTarget("r2-0")->runs();
     BOOST_TEST((far.at(data).expectedRunTime == Milliseconds(200)));
--- a/tests/unit/scheduling/runsaftergrants.cpp
+++ b/tests/unit/scheduling/runsaftergrants.cpp
@@ -283,7 +283,7 @@
         fixture.scheduler.addTarget(fixture.entry("t2"), Token, fixture.now);
         fixture.grant("e2", Milliseconds(600));
         // Nothing can be started before the listing.
-        auto submission = fixture.jobOf("e2", "j");
+        auto submission = fixture.withRun(fixture.jobOf("e2", "j"), "t2", run);
         submission.request.steps[0].demand.milliCores = 32000;
         submission.earlierRunsEndBy = fixture.now + Milliseconds(10);
         if (isJobHereBefore) {
--- a/tests/unit/scheduling/scheduler.cpp
+++ b/tests/unit/scheduling/scheduler.cpp
@@ -163,7 +163,7 @@
         answerRenewal("t1", {{run, 20}});
         BOOST_TEST(lastRenewal("t1").leaseUntilMs == 0);
     }
-    submit(job("j"));
+    submit(withRun(job("j"), "t1", run));
     answerRenewal("t1", {{run, 30}});
     BOOST_TEST(lastRenewal("t1").leaseUntilMs > 0);
 }
@@ -172,13 +172,14 @@
 {
     claimTarget("t1");
     scheduler.addTarget(entry("t2"), Token, now);
-    answerRenewal("t2", {{{{"j", 0, 0, 0}, 1}, 10}});
+    const RunName run {{"j", 0, 0, 0}, 1};
+    answerRenewal("t2", {{run, 10}});
     for (int period = 0; period < 15; ++period) {
         now += Milliseconds(60);
         answerRenewal("t2", {}, {}, RequestResult::Unknown);
         scheduler.tick(now);
     }
-    submit(job("j"));
+    submit(withRun(job("j"), "t2", run));
     BOOST_TEST(port.starts.empty());
 }
 
@@ -496,7 +497,7 @@
     auto submission = job("j", 2);
     submission.lostDispatcherRunsEndBy = now + Milliseconds(1100);
     submission.lostDispatcher = "lost#1";
-    submit(submission);
+    submit(withRun(submission, "t1", found));
     BOOST_TEST(port.starts.empty());
     scheduler.onTakeoverComplete("lost#1", now);
     BOOST_TEST(port.starts.size() == 1);
@@ -513,7 +514,7 @@
     auto submission = job("j");
     submission.lostDispatcherRunsEndBy = now + Milliseconds(1100);
     submission.lostDispatcher = "lost#1";
-    submit(submission);
+    submit(withRun(submission, "t1", found));
     now += Milliseconds(60);
     answerRenewal("t1", {{found, 50}});
     BOOST_TEST(lastRenewal("t1").leaseUntilMs == 0);
@@ -534,7 +535,7 @@
     auto submission = job("j");
     submission.callerDeadline += Seconds(9);
     submission.earlierRunsEndBy = now + Milliseconds(300);
-    submit(submission);
+    submit(withRun(submission, "t1", found));
     now += Milliseconds(310);
     answerRenewal("t1", {{found, 70}});
     BOOST_TEST(lastRenewal("t1").leaseUntilMs > 0);
@@ -549,7 +550,7 @@
     answerRenewal("t1", {{found, 40}});
     advance(Milliseconds(300));
     BOOST_REQUIRE(port.stops.size() == 1);
-    submit(job("j"));
+    submit(withRun(job("j"), "t1", found));
     BOOST_TEST(port.starts.empty());
     answerRenewal("t1", {}, {{1, found, RunEnd::Stopped}});
     BOOST_REQUIRE(port.starts.size() == 1);
