Emulate jobs of different routes that share ids

Change: with FleetOptions::sharesIds, jobs of different routes that come one after the other have one id. Targets tell them apart by the payload; the invariant "own result", checked in all scenarios, is broken when a caller is told that its job is completed before each of its own tasks has ended with success.

--- a/emulator/emulatedcallers.cpp
+++ b/emulator/emulatedcallers.cpp
@@ -1,5 +1,7 @@
 #include "emulator/emulatedcallers.h"
 
+#include "workload/jobkey.h"
+
 #include <algorithm>
 #include <cmath>
 #include <cstdio>
@@ -127,15 +129,26 @@
     });
 }
 
+std::string EmulatedCallers::nextKey(const std::string &route)
+{
+    if (!m_sharesIds || !m_routesOfLastId.insert(route).second) {
+        ++m_jobCount;
+        m_routesOfLastId = {route};
+    }
+    char id[17];
+    std::snprintf(id, sizeof(id), "%016llx", static_cast<unsigned long long>(m_jobCount));
+    return m_sharesIds ? makeJobKey(id, route) : id;
+}
+
 std::shared_ptr<EmulatedCallers::CallerJob> EmulatedCallers::makeJob(const JobKind &kind)
 {
     std::normal_distribution<double> normal(0, 1);
     auto job = std::make_shared<CallerJob>();
     job->kind = kind;
     job->runTime = std::chrono::duration_cast<Duration>(kind.runTime * std::exp(kind.runTimeSigma * normal(m_random)));
-    char id[17];
-    std::snprintf(id, sizeof(id), "%016llx", static_cast<unsigned long long>(++m_jobCount));
-    job->request.id = id;
+    job->request.id = nextKey(kind.route);
+    // By this, targets tell the job from others with its id.
+    job->request.payload = job->request.id;
     StepRequest step;
     step.taskCount = kind.tasks;
     step.demand = {kind.milliCores, 64, 0};
@@ -286,6 +299,8 @@
     const auto response = m_clock.now() + CallerDelay - job.submittedAt;
     if (reply.answer == CallerAnswer::NotRun) {
         m_invariants.onReportedNotRun(jobId, m_clock.elapsed());
+    } else if (reply.answer == CallerAnswer::Completed) {
+        m_invariants.onReportedCompleted(jobId, job.kind.tasks, m_clock.elapsed());
     }
     count(job, [&job, &reply, response](JobKindResult &result) {
         switch (reply.answer) {
@@ -372,6 +387,11 @@
     m_longestReadDelay = longest;
 }
 
+void EmulatedCallers::shareIdsBetweenRoutes()
+{
+    m_sharesIds = true;
+}
+
 void EmulatedCallers::sendAgainAfterUnknownOutcomes()
 {
     m_sendsAgainAfterUnknownOutcomes = true;
--- a/emulator/emulatedcallers.h
+++ b/emulator/emulatedcallers.h
@@ -12,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -88,6 +89,9 @@
     /// Hosts read this share of the jobs, and of the ends of connections, up to the longest delay late, from now on.
     void setLateReads(double share, Duration longest);
 
+    /// Jobs of different routes that are submitted one after the other have the same id from now on.
+    void shareIdsBetweenRoutes();
+
     /// Callers of the jobs that are submitted from now on send them again after an unknown outcome, as the protocol says.
     void sendAgainAfterUnknownOutcomes();
 
@@ -112,6 +116,7 @@
     struct CallerJob;
 
     std::shared_ptr<CallerJob> makeJob(const JobKind &kind);
+    std::string nextKey(const std::string &route);
     void submit(const std::shared_ptr<CallerJob> &job);
     void count(const CallerJob &job, const std::function<void(JobKindResult &)> &apply);
     void submitAgainAfter(Duration delay, const std::shared_ptr<CallerJob> &job);
@@ -141,5 +146,8 @@
     double m_loadFactor = 1;
     std::map<std::string, double> m_loadFactorOfKind;
     std::uint64_t m_jobCount = 0;
+    bool m_sharesIds = false;
+    /// The routes of the jobs that have the last id.
+    std::set<std::string> m_routesOfLastId;
 };
 } // namespace Anvilcart::Emulation
--- a/emulator/emulatedfleet.cpp
+++ b/emulator/emulatedfleet.cpp
@@ -13,6 +13,9 @@
     , m_callers(m_clock, m_random, m_invariants, m_hosts)
 {
     m_callers.setFarFactor(m_options.limits.farFactor);
+    if (m_options.sharesIds) {
+        m_callers.shareIdsBetweenRoutes();
+    }
     addTargets();
     addHosts();
 }
--- a/emulator/emulatedfleet.h
+++ b/emulator/emulatedfleet.h
@@ -34,6 +34,8 @@
     Duration delayAcrossZones = std::chrono::microseconds(1400);
     /// Frames between hosts travel over connections, so that a cut delays them; otherwise a partition drops them.
     bool hasConnections = false;
+    /// Jobs of different routes that are submitted one after the other have the same id.
+    bool sharesIds = false;
 };
 
 /// Emulates hosts, which run the production state machines, with targets, callers and the network between them, on one simulated clock
--- a/emulator/fleetpresets.cpp
+++ b/emulator/fleetpresets.cpp
@@ -115,6 +115,13 @@
     return optionsOfOrdinaryFleet(seed);
 }
 
+FleetOptions optionsOfSharedIds(std::uint64_t seed)
+{
+    auto options = optionsOfFaultSeries(seed);
+    options.sharesIds = true;
+    return options;
+}
+
 FleetOptions optionsOfScarceCapacity(std::uint64_t seed)
 {
     // The customers state the mean run time of a task; the values below are medians of the longest task of a job.
--- a/emulator/fleetpresets.h
+++ b/emulator/fleetpresets.h
@@ -29,6 +29,9 @@
 /// A fleet of several pools, where the runs of some jobs take longer than their callers wait before they send a job again.
 FleetOptions optionsOfLongRuns(std::uint64_t seed);
 
+/// A fleet for a series of faults, where jobs of different routes share ids.
+FleetOptions optionsOfSharedIds(std::uint64_t seed);
+
 /// An ordinary fleet at three fifths of its capacity. Half of the work has its data on two of the six racks, and a quarter are rack-local
 /// steps; the rest runs anywhere.
 FleetOptions optionsOfHotRacks(std::uint64_t seed);
--- a/emulator/invariantchecker.cpp
+++ b/emulator/invariantchecker.cpp
@@ -30,6 +30,23 @@
     }
 }
 
+void InvariantChecker::onTaskDone(const Fleet::TaskName &task)
+{
+    m_doneTasks.insert(task);
+}
+
+void InvariantChecker::onReportedCompleted(const std::string &jobId, std::size_t tasks, Duration at)
+{
+    std::size_t done = 0;
+    for (auto it = m_doneTasks.lower_bound({jobId, 0, 0, 0}); it != m_doneTasks.end() && it->jobId == jobId; ++it) {
+        ++done;
+    }
+    if (done < tasks) {
+        recordViolation(
+            "own result", jobId + " was told completed, with " + std::to_string(done) + " of " + std::to_string(tasks) + " tasks done", at);
+    }
+}
+
 void InvariantChecker::onStartInEvacuatedZone(const std::string &target, const Fleet::RunName &run, Duration at)
 {
     recordViolation("evacuation", textOf(run) + " starts on " + target, at);
--- a/emulator/invariantchecker.h
+++ b/emulator/invariantchecker.h
@@ -21,6 +21,12 @@
     void onRunStarted(const std::string &target, const Fleet::RunName &run, bool exceedsCapacity, Duration at);
     void onRunEnded(const std::string &target, const Fleet::RunName &run);
 
+    /// A task has ended with success on a target.
+    void onTaskDone(const Fleet::TaskName &task);
+
+    /// The caller of this job was told that it is completed.
+    void onReportedCompleted(const std::string &jobId, std::size_t tasks, Duration at);
+
     /// A target has started a run though its zone has been evacuated for longer than the bound.
     void onStartInEvacuatedZone(const std::string &target, const Fleet::RunName &run, Duration at);
 
@@ -59,6 +65,7 @@
 
     std::map<Fleet::TaskName, std::set<std::string>> m_targetsOfTask;
     std::map<Fleet::TaskName, int> m_crashesOfTask;
+    std::set<Fleet::TaskName> m_doneTasks;
     std::set<std::string> m_startedJobs;
     std::set<std::string> m_jobsReportedNotRun;
     std::set<std::pair<std::string, std::uint64_t>> m_leasesTakenForEnded;
--- a/emulator/main.cpp
+++ b/emulator/main.cpp
@@ -74,6 +74,14 @@
     {"resubmissions", optionsOfLongRuns, addResubmissions},
     {"handed-on", optionsOfLongRuns, addResubmissionsOfHandedOnJobs},
     {"fault-series", optionsOfFaultSeries, addFaultSeries},
+    {"shared-ids", optionsOfSharedIds, addFaultSeries},
+    {"shared-ids-lost-sight",
+     [](std::uint64_t seed) {
+         auto options = optionsOfSeveralPools(seed);
+         options.sharesIds = true;
+         return options;
+     },
+     addLossesOfSight},
     {"late-frames", optionsOfLateFrames, addLateFrames},
     {"staggered-losses", optionsOfLateFrames, addStaggeredLosses},
     {"late-reads", optionsOfLongRuns, addLateReads},
--- a/emulator/simulatedtarget.cpp
+++ b/emulator/simulatedtarget.cpp
@@ -76,6 +76,15 @@
     return !m_down && clockMs() <= m_leaseUntilMs;
 }
 
+Fleet::TaskName SimulatedTarget::ownerOf(const Fleet::StartRequest &request)
+{
+    auto owner = request.name.task;
+    if (!request.payload.empty()) {
+        owner.jobId = request.payload;
+    }
+    return owner;
+}
+
 TargetReply SimulatedTarget::start(const Fleet::StartRequest &request)
 {
     if (request.fencingToken < m_fencingToken) {
@@ -96,7 +105,9 @@
     if (ended != m_lastEndedRun.end() && request.name.run <= ended->second) {
         return makeReply(RequestResult::RunOutdated, clockMs());
     }
-    const auto profile = m_lookUpProfile(request.name.task);
+    const auto owner = ownerOf(request);
+    const RunName ownedRun {owner, request.name.run};
+    const auto profile = m_lookUpProfile(owner);
     Fleet::Resources used;
     for (const auto &[name, run] : m_runs) {
         used += run.demand;
@@ -108,10 +119,10 @@
     }
     const auto runTime = std::chrono::duration_cast<Duration>(profile.runTime * m_runTimeFactor);
     const auto incarnation = m_incarnation;
-    m_runs[request.name] = {profile.demand, m_clock.now(), m_clock.now() + runTime, incarnation, m_runTimeFactor};
-    m_invariants.onRunStarted(m_entry.id, request.name, exceedsCapacity, m_clock.elapsed());
+    m_runs[request.name] = {owner, profile.demand, m_clock.now(), m_clock.now() + runTime, incarnation, m_runTimeFactor};
+    m_invariants.onRunStarted(m_entry.id, ownedRun, exceedsCapacity, m_clock.elapsed());
     if (m_closedFrom && m_clock.now() > *m_closedFrom) {
-        m_invariants.onStartInEvacuatedZone(m_entry.id, request.name, m_clock.elapsed());
+        m_invariants.onStartInEvacuatedZone(m_entry.id, ownedRun, m_clock.elapsed());
     }
     if (!m_hanging) {
         const bool fails = profile.fails || m_failing;
@@ -120,9 +131,9 @@
         });
     }
     if (profile.crashesAfter > Duration(0)) {
-        m_clock.callAfter(profile.crashesAfter, [this, name = request.name, incarnation] {
+        m_clock.callAfter(profile.crashesAfter, [this, name = request.name, ownedRun, incarnation] {
             if (m_incarnation == incarnation && m_runs.contains(name)) {
-                m_invariants.onCrash(name);
+                m_invariants.onCrash(ownedRun);
                 crash();
             }
         });
@@ -137,7 +148,7 @@
         return;
     }
     auto &run = found->second;
-    const auto endsAt = run.startedAt + std::chrono::duration_cast<Duration>(m_lookUpProfile(name.task).runTime * run.runTimeFactor);
+    const auto endsAt = run.startedAt + std::chrono::duration_cast<Duration>(m_lookUpProfile(run.owner).runTime * run.runTimeFactor);
     if (endsAt <= run.endsAt) {
         endRun(name, fails ? RunEnd::Failed : RunEnd::Done);
         return;
@@ -247,11 +258,15 @@
 
 void SimulatedTarget::endRun(const RunName &name, RunEnd outcome)
 {
+    const auto owner = m_runs.at(name).owner;
     m_runs.erase(name);
     auto &ended = m_lastEndedRun[name.task];
     ended = std::max(ended, name.run);
     m_endedRuns.push_back({++m_lastPosition, name, outcome});
-    m_invariants.onRunEnded(m_entry.id, name);
+    m_invariants.onRunEnded(m_entry.id, {owner, name.run});
+    if (outcome == RunEnd::Done) {
+        m_invariants.onTaskDone(owner);
+    }
     answerPendingRenewals();
 }
 
@@ -281,7 +296,7 @@
 void SimulatedTarget::loseState()
 {
     for (const auto &[name, run] : m_runs) {
-        m_invariants.onRunEnded(m_entry.id, name);
+        m_invariants.onRunEnded(m_entry.id, {run.owner, name.run});
     }
     ++m_incarnation;
     m_fencingToken = 0;
--- a/emulator/simulatedtarget.h
+++ b/emulator/simulatedtarget.h
@@ -94,6 +94,8 @@
 private:
     struct Run
     {
+        /// The task by the key of its job, which the payload holds: two jobs may share the id in the run's name.
+        Fleet::TaskName owner;
         Fleet::Resources demand;
         TimePoint startedAt;
         TimePoint endsAt;
@@ -107,6 +109,7 @@
         bool answered = false;
     };
 
+    static Fleet::TaskName ownerOf(const Fleet::StartRequest &request);
     void loseState();
     /// Ends the run, or extends it if its profile has a longer run time by now.
     void onRunTimeOver(const Fleet::RunName &name, std::uint64_t incarnation, bool fails);
