--- a/tests/unit/scheduling/runowners.cpp
+++ b/tests/unit/scheduling/runowners.cpp
@@ -150,6 +150,34 @@
     BOOST_TEST(started() == OnlyA);
 }
 
+// The run ended before the takeover: its target lists only the end, until that is acknowledged.
+BOOST_FIXTURE_TEST_CASE(An_end_that_is_listed_before_a_job_arrives_counts_for_no_job, RunOwnersFixture)
+{
+    takeOver("t1", {}, {{1, runOf(), RunEnd::Done}});
+    submit(jobOf("b"));
+    BOOST_TEST(port.ended.empty());
+    BOOST_REQUIRE(started() == OnlyB);
+    complete(0, 2);
+    BOOST_TEST(completed() == OnlyB);
+}
+
+// The owner's run fails as often as a task of the other job may.
+BOOST_FIXTURE_TEST_CASE(A_failed_run_of_another_route_uses_up_no_attempt, RunOwnersFixture)
+{
+    claimTarget("t1");
+    auto submission = jobOf("b", 3);
+    submission.maxAttempts = 1;
+    submit(submission);
+    BOOST_REQUIRE(port.starts.size() == 2U);
+    answerStart(0);
+    answerStart(1);
+    takeOver("t2", {{runOf(2), 10}});
+    answerRenewal("t2", {}, {{1, runOf(2), RunEnd::Failed}});
+    BOOST_TEST(port.ended.empty());
+    BOOST_REQUIRE(port.starts.size() == 3U);
+    BOOST_TEST(port.starts.back().request.name.task.index == 2U);
+}
+
 // Two dispatchers, one of which is lost: the survivor has started its own job with the id when it takes over the other one's target.
 BOOST_FIXTURE_TEST_CASE(A_started_job_does_not_adopt_runs_of_another_route_from_a_target_that_is_taken_over, RunOwnersFixture)
 {
